--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions and of a daemon."""
--- /dev/null
+++ b/bluebellbeam/__init__.py
@@ -0,0 +1,22 @@
+"""bluebellbeam: a multi-region inference gateway without shared state."""
+
+from bluebellbeam.exception import (
+    BluebellbeamError,
+    ConfigurationError,
+    PeerError,
+    PlatformError,
+    ScenarioError,
+    UpstreamError,
+)
+
+__all__ = [
+    "BluebellbeamError",
+    "ConfigurationError",
+    "PeerError",
+    "PlatformError",
+    "ScenarioError",
+    "UpstreamError",
+    "__version__",
+]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/bluebellbeam/__main__.py
@@ -0,0 +1,6 @@
+"""Allow ``python -m bluebellbeam``."""
+
+from bluebellbeam.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bluebellbeam/admission/__init__.py
@@ -0,0 +1,35 @@
+"""Fair queueing and rate limits."""
+
+from bluebellbeam.admission.limit import (
+    RateTable,
+    local_rate,
+    make_rate_table,
+    prune_buckets,
+    take_tokens,
+)
+from bluebellbeam.admission.queue import (
+    FairQueue,
+    cost_ahead,
+    make_fair_queue,
+    next_requests,
+    pop_request,
+    prune_lanes,
+    push_request,
+    remove_request,
+)
+
+__all__ = [
+    "FairQueue",
+    "RateTable",
+    "cost_ahead",
+    "local_rate",
+    "make_fair_queue",
+    "make_rate_table",
+    "next_requests",
+    "pop_request",
+    "prune_buckets",
+    "prune_lanes",
+    "push_request",
+    "remove_request",
+    "take_tokens",
+]
--- /dev/null
+++ b/bluebellbeam/admission/queue.py
@@ -0,0 +1,189 @@
+"""Weighted fair queueing of requests over workspaces, with priorities.
+
+Each pool of backend servers has one queue. Within a priority the workspaces
+share by weight, measured in expected slot time (start-time fair queueing [1]_).
+Interactive requests go first until a batch request is about to miss its
+deadline.
+
+References
+----------
+.. [1] Goyal, Vin and Cheng, "Start-time Fair Queueing", SIGCOMM 1996.
+"""
+
+from collections import deque
+
+__all__ = [
+    "PRIORITIES",
+    "FairQueue",
+    "Lane",
+    "cost_ahead",
+    "make_fair_queue",
+    "next_requests",
+    "pop_request",
+    "push_request",
+    "remove_request",
+]
+
+PRIORITIES = ("interactive", "batch", "guest")
+"""Priorities in the order of service; guests are forwarded by other regions."""
+
+BATCH_MARGIN_MS = 10_000
+"""A batch request this close to its deadline is served like interactive."""
+
+
+class Lane:
+    """The waiting requests of one workspace at one priority.
+
+    Attributes
+    ----------
+    requests : deque of Request
+    start_tag : float
+        Virtual time at which its next request starts.
+    weight : float
+    cost : float
+        Cost of its waiting requests, in ms of one slot.
+    """
+
+    __slots__ = ("workspace", "requests", "start_tag", "weight", "cost")
+
+    def __init__(self, workspace, weight):
+        self.workspace = workspace
+        self.cost = 0.0
+        self.requests = deque()
+        self.start_tag = 0.0
+        self.weight = weight
+
+
+class FairQueue:
+    """Requests of one pool that wait for a slot.
+
+    Attributes
+    ----------
+    lanes : dict of str to dict of str to Lane
+        Lanes by priority and workspace.
+    virtual_time : dict of str to float
+    size : int
+    costs : dict of str to float
+        Cost of everything that waits, by priority.
+    """
+
+    __slots__ = ("lanes", "virtual_time", "size", "costs")
+
+    def __init__(self):
+        self.lanes = {priority: {} for priority in PRIORITIES}
+        self.virtual_time = dict.fromkeys(PRIORITIES, 0.0)
+        self.size = 0
+        self.costs = dict.fromkeys(PRIORITIES, 0.0)
+
+
+def make_fair_queue():
+    """Return an empty queue."""
+    return FairQueue()
+
+
+def push_request(queue, request, weight, front=False):
+    """Add `request`, at the front when it is returned for another attempt."""
+    lanes = queue.lanes[request.priority]
+    lane = lanes.get(request.workspace)
+    if lane is None:
+        lane = lanes[request.workspace] = Lane(request.workspace, weight)
+    lane.weight = weight
+    if not lane.requests:
+        now = queue.virtual_time[request.priority]
+        lane.start_tag = max(lane.start_tag, now)
+    if front:
+        lane.requests.appendleft(request)
+        lane.start_tag -= request.cost / lane.weight
+    else:
+        lane.requests.append(request)
+    lane.cost += request.cost
+    queue.size += 1
+    queue.costs[request.priority] += request.cost
+
+
+def next_requests(queue, now_ms):
+    """Yield the first request of each lane, in the order of service.
+
+    Parameters
+    ----------
+    queue : FairQueue
+    now_ms : int
+
+    Yields
+    ------
+    Request
+        At most one for each workspace and priority.
+    """
+    if queue.size == 0:
+        return
+    urgent = [
+        lane.requests[0]
+        for lane in queue.lanes["batch"].values()
+        if lane.requests and lane.requests[0].deadline_ms - now_ms <= BATCH_MARGIN_MS
+    ]
+    urgent.sort(key=lambda request: request.deadline_ms)
+    yield from urgent
+    for priority in PRIORITIES:
+        lanes = [lane for lane in queue.lanes[priority].values() if lane.requests]
+        lanes.sort(key=lambda lane: (lane.start_tag, lane.workspace))
+        for lane in lanes:
+            if lane.requests and lane.requests[0] not in urgent:
+                yield lane.requests[0]
+
+
+def pop_request(queue, request):
+    """Remove `request`, the first of its lane, and charge its workspace."""
+    lane = queue.lanes[request.priority][request.workspace]
+    lane.requests.popleft()
+    queue.virtual_time[request.priority] = max(
+        queue.virtual_time[request.priority], lane.start_tag
+    )
+    lane.start_tag += request.cost / lane.weight
+    _forget(queue, lane, request)
+
+
+def remove_request(queue, request):
+    """Remove `request` wherever it stands, without charging it."""
+    lane = queue.lanes[request.priority].get(request.workspace)
+    if lane is None or request not in lane.requests:
+        return False
+    lane.requests.remove(request)
+    _forget(queue, lane, request)
+    return True
+
+
+def cost_ahead(queue, request):
+    """Return the cost that is served before `request`, were it queued now.
+
+    The smaller of all that waits at its priority or before it, and what the
+    fair share of its workspace leaves in front of it.
+    """
+    total = 0.0
+    weights = 0.0
+    for priority in PRIORITIES:
+        total += queue.costs[priority]
+        lanes = queue.lanes[priority].values()
+        weights += sum(lane.weight for lane in lanes if lane.requests)
+        if priority == request.priority:
+            break
+    lane = queue.lanes[request.priority].get(request.workspace)
+    if lane is None or not lane.requests:
+        return min(total, request.cost * weights)
+    return min(total, lane.cost * weights / lane.weight)
+
+
+def prune_lanes(queue):
+    """Forget idle lanes whose workspaces have no advantage or debt left."""
+    for priority, lanes in queue.lanes.items():
+        now = queue.virtual_time[priority]
+        for name in [n for n, lane in lanes.items() if not lane.requests]:
+            if lanes[name].start_tag <= now:
+                del lanes[name]
+
+
+def _forget(queue, lane, request):
+    lane.cost = lane.cost - request.cost if lane.requests else 0.0
+    queue.size -= 1
+    queue.costs[request.priority] -= request.cost
+    if queue.size == 0:
+        queue.costs = dict.fromkeys(PRIORITIES, 0.0)
--- /dev/null
+++ b/bluebellbeam/borrowing/lender.py
@@ -0,0 +1,146 @@
+"""Capacity that a daemon lends to daemons of other regions, as short leases.
+
+A lease is a promise of this process alone, out of its own share of the
+region's free slots. It is lost with the process and ends by itself, so a
+stale view of the region can use no more than was promised.
+"""
+
+from msgspec import Struct
+
+__all__ = [
+    "GrantedLease",
+    "LenderTable",
+    "expire_granted",
+    "find_granted",
+    "grant_lease",
+    "leased_slots",
+    "make_lender_table",
+]
+
+RESERVE_SHARE = 0.1
+"""Share of the slots that is kept for the region's own callers."""
+
+GRACE_MS = 1000
+"""A request that left before its lease ended is still accepted this long."""
+
+
+class GrantedLease(Struct):
+    """Slots promised to a borrower.
+
+    Parameters
+    ----------
+    lease_id, borrower, pool, workspace : str
+    slots : int
+    used : int
+        Requests running under the lease.
+    expires_ms : int
+    """
+
+    lease_id: str
+    borrower: str
+    pool: str
+    workspace: str
+    slots: int
+    used: int
+    expires_ms: int
+
+
+class LenderTable:
+    """Granted leases and the latest demand for each pool and workspace.
+
+    Attributes
+    ----------
+    rows : dict of str to GrantedLease
+    demand : dict of str to dict of str to int
+        Time of the last request in ms, by pool and workspace.
+    granted, refused : int
+    """
+
+    __slots__ = ("rows", "demand", "granted", "refused")
+
+    def __init__(self):
+        self.rows = {}
+        self.demand = {}
+        self.granted = 0
+        self.refused = 0
+
+
+def make_lender_table():
+    """Return an empty table."""
+    return LenderTable()
+
+
+def grant_lease(table, lease_id, wanted, spare, now_ms, lease_ms):
+    """Grant a lease out of `spare` slots, fairly by workspace.
+
+    Parameters
+    ----------
+    table : LenderTable
+    lease_id : str
+    wanted : LeaseWanted
+        Borrower, pool, workspace and number of slots.
+    spare : float
+        Free slots of this daemon that are neither leased nor reserved.
+    now_ms, lease_ms : int
+
+    Returns
+    -------
+    GrantedLease or None
+    """
+    demand = table.demand.setdefault(wanted.pool, {})
+    demand[wanted.workspace] = now_ms
+    for name in [n for n, at in demand.items() if now_ms - at > 2 * lease_ms]:
+        del demand[name]
+    held = sum(
+        lease.slots
+        for lease in table.rows.values()
+        if lease.pool == wanted.pool and lease.workspace == wanted.workspace
+    )
+    total = spare + leased_slots(table, wanted.pool)
+    fair = max(1, int(total / len(demand)))
+    slots = min(wanted.slots, int(spare), fair - held)
+    if slots < 1:
+        table.refused += 1
+        return None
+    lease = GrantedLease(
+        lease_id,
+        wanted.borrower,
+        wanted.pool,
+        wanted.workspace,
+        slots,
+        0,
+        now_ms + lease_ms,
+    )
+    table.rows[lease_id] = lease
+    table.granted += 1
+    return lease
+
+
+def leased_slots(table, pool):
+    """Return the slots of `pool` that are promised and not yet in use."""
+    return sum(
+        max(0, lease.slots - lease.used)
+        for lease in table.rows.values()
+        if lease.pool == pool
+    )
+
+
+def find_granted(table, lease_id, pool, workspace, now_ms):
+    """Return the lease that covers one more request, or None."""
+    lease = table.rows.get(lease_id)
+    if lease is None or lease.pool != pool or lease.workspace != workspace:
+        return None
+    if now_ms > lease.expires_ms + GRACE_MS or lease.used >= lease.slots:
+        return None
+    return lease
+
+
+def expire_granted(table, now_ms):
+    """Forget leases that have ended, also while requests still run."""
+    ended = [
+        lease_id
+        for lease_id, lease in table.rows.items()
+        if now_ms > lease.expires_ms + GRACE_MS
+    ]
+    for lease_id in ended:
+        del table.rows[lease_id]
--- /dev/null
+++ b/bluebellbeam/cli/client.py
@@ -0,0 +1,90 @@
+"""HTTP calls that the command line makes to a running daemon."""
+
+import asyncio
+import json
+
+import aiohttp
+import click
+
+__all__ = ["fetch_json", "run_client", "send_chat", "send_call"]
+
+TIMEOUT_S = 130
+
+
+def run_client(coroutine):
+    """Run a client `coroutine`; connection errors become a clear message."""
+    try:
+        return asyncio.run(coroutine)
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        raise click.ClickException(f"no answer from the daemon: {error}") from error
+
+
+def _session(key=""):
+    headers = {"authorization": f"Bearer {key}"} if key else {}
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    return aiohttp.ClientSession(timeout=timeout, headers=headers)
+
+
+async def fetch_json(address, path, key=""):
+    """Return the JSON document at `path` of the daemon at `address`."""
+    async with (
+        _session(key) as session,
+        session.get(f"http://{address}{path}") as answer,
+    ):
+        text = await answer.text()
+        if answer.status != 200:
+            raise click.ClickException(_describe(text, answer.status))
+        return json.loads(text)
+
+
+async def send_chat(address, key, model, prompt, max_tokens, write):
+    """Stream one chat; give each piece of text to `write`."""
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": True,
+        "max_tokens": max_tokens,
+    }
+    url = f"http://{address}/v1/chat/completions"
+    async with _session(key) as session, session.post(url, json=body) as answer:
+        if answer.status != 200:
+            raise click.ClickException(_describe(await answer.text(), answer.status))
+        async for line in answer.content:
+            if not line.startswith(b"data: "):
+                continue
+            raw = line[6:].strip()
+            if raw == b"[DONE]":
+                return
+            event = json.loads(raw)
+            if "error" in event:
+                raise click.ClickException(_describe(raw.decode(), 502))
+            for choice in event.get("choices", ()):
+                write((choice.get("delta") or {}).get("content") or "")
+        raise click.ClickException("the answer broke off")
+
+
+async def send_call(address, key, method, service, path, data, operation_id):
+    """Call a service; ask for an operation id where one is required."""
+    url = f"http://{address}/v1/services/{service}/{path.lstrip('/')}"
+    headers = {"x-operation-id": operation_id} if operation_id else {}
+    async with _session(key) as session:
+        for _ in range(2):
+            async with session.request(
+                method, url, data=data, headers=headers
+            ) as answer:
+                text = await answer.text()
+                if answer.status != 428:
+                    break
+                issued = json.loads(text)["error"]["operation_id"]
+                headers["x-operation-id"] = issued
+    if answer.status >= 400:
+        raise click.ClickException(_describe(text, answer.status))
+    return text
+
+
+def _describe(text, status):
+    try:
+        error = json.loads(text)["error"]
+        return f"{error['code']} ({status}, {error['outcome']}): {error['message']}"
+    except (ValueError, KeyError, TypeError):
+        return f"status {status}: {text[:200]}"
--- /dev/null
+++ b/bluebellbeam/cli/files.py
@@ -0,0 +1,57 @@
+"""Reading and checking of configuration files for the command line."""
+
+from pathlib import Path
+
+import click
+from returns.result import Failure, Success
+
+from bluebellbeam.config import decode_effective, read_settings
+from bluebellbeam.config.fault import Fault
+
+__all__ = ["load_effective", "load_settings", "report_faults"]
+
+EXIT_INVALID = 2
+
+
+def report_faults(pairs):
+    """Print every fault and end the program with exit code 2.
+
+    Parameters
+    ----------
+    pairs : iterable of (str, Fault)
+        Document and fault.
+    """
+    for document, fault in pairs:
+        click.echo(f"{document}: {fault}", err=True)
+    raise SystemExit(EXIT_INVALID)
+
+
+def load_settings(path):
+    """Return the settings at `path`, or end the program with its faults."""
+    match read_settings(path):
+        case Success(settings):
+            return settings
+        case Failure(faults):
+            return report_faults((str(path), fault) for fault in faults)
+
+
+def load_effective(base_path, overlay_paths, site):
+    """Return the effective configuration, or end the program with its faults."""
+    base_raw = _read(base_path)
+    overlays = {str(path): _read(path) for path in overlay_paths}
+    match decode_effective(base_raw, overlays, site):
+        case Success(effective):
+            return effective
+        case Failure(faults):
+            return report_faults(
+                (str(base_path) if name == "base" else name, fault)
+                for name, fault in faults
+            )
+
+
+def _read(path):
+    try:
+        return Path(path).read_bytes()
+    except OSError as error:
+        fault = Fault("$", f"cannot be read: {error.strerror}", "check the path")
+        return report_faults([(str(path), fault)])
--- /dev/null
+++ b/bluebellbeam/cli/main.py
@@ -0,0 +1,278 @@
+"""The ``bluebellbeam`` command."""
+
+import sys
+import time
+from pathlib import Path
+
+import click
+import msgspec
+import uvloop
+
+from bluebellbeam import __version__
+from bluebellbeam.cli import client
+from bluebellbeam.cli.files import load_effective, load_settings
+from bluebellbeam.cli.logs import configure_logs
+from bluebellbeam.cli.tables import diff_tables, format_tables
+
+__all__ = ["main"]
+
+_FILE = click.Path(dir_okay=False)
+_LOG_FORMAT = click.option(
+    "--log-format",
+    type=click.Choice(["json", "console"]),
+    default="console",
+    show_default=True,
+    help="Form of the log lines on standard error.",
+)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="bluebellbeam")
+def main():
+    """Run a multi-region inference gateway, or ask a running one."""
+
+
+@main.command()
+@click.argument("settings_file", type=_FILE)
+@_LOG_FORMAT
+def serve(settings_file, log_format):
+    """Run the daemon with the process settings in SETTINGS_FILE.
+
+    Example: bluebellbeam serve examples/fraserleaf/burnaby-hall-settings.json
+    """
+    from bluebellbeam.daemon import run_daemon
+
+    settings = load_settings(settings_file)
+    configure_logs(log_format)
+    try:
+        uvloop.run(run_daemon(settings))
+    except OSError as error:
+        raise click.ClickException(f"cannot listen: {error}") from error
+
+
+@main.command()
+@click.option("--settings", "settings_file", type=_FILE, help="Process settings.")
+@click.option("--base", "base_file", type=_FILE, help="Base file.")
+@click.option(
+    "--overlay", "overlays", type=_FILE, multiple=True, help="Overlay of a site."
+)
+def check(settings_file, base_file, overlays):
+    """Validate settings, a base file and overlays.
+
+    Every fault is printed with its JSON path and a fix; the exit code is
+    then 2.
+
+    Example: bluebellbeam check --base base.json --overlay burnaby-hall.json
+    """
+    if not settings_file and not base_file:
+        raise click.UsageError("give --settings or --base")
+    if overlays and not base_file:
+        raise click.UsageError("--overlay needs --base")
+    if settings_file:
+        load_settings(settings_file)
+    if base_file:
+        load_effective(base_file, overlays, "")
+    click.echo("valid")
+
+
+@main.group()
+def config():
+    """Show configurations."""
+
+
+@config.command()
+@click.option("--base", "base_file", type=_FILE, required=True, help="Base file.")
+@click.option("--overlay", "overlays", type=_FILE, multiple=True, help="Overlay.")
+@click.option("--site", required=True, help="Site whose overlay applies.")
+def show(base_file, overlays, site):
+    """Print the effective configuration of a site as JSON.
+
+    Example: bluebellbeam config show --base base.json --overlay a.json --site a
+    """
+    effective = load_effective(base_file, overlays, site)
+    if site not in effective.base.sites:
+        known = ", ".join(sorted(effective.base.sites))
+        raise click.BadParameter(f"'{site}' is not among the sites: {known}")
+    raw = msgspec.json.encode(effective.base)
+    click.echo(msgspec.json.format(raw, indent=2).decode())
+
+
+@main.command()
+@click.option("--base", "base_file", type=_FILE, required=True, help="Now in force.")
+@click.option("--overlay", "overlays", type=_FILE, multiple=True, help="Overlays now.")
+@click.option("--new-base", type=_FILE, help="Base file to publish.")
+@click.option("--new-overlay", "new_overlays", type=_FILE, multiple=True)
+@click.option("--weight-store-mb-per-s", type=float, default=2000.0, show_default=True)
+def plan(base_file, overlays, new_base, new_overlays, weight_store_mb_per_s):
+    """Show what a new base file or overlay would change, from files alone.
+
+    Example: bluebellbeam plan --base old.json --new-base new.json
+    """
+    from bluebellbeam.cli.plan import plan_lines
+
+    before = load_effective(base_file, overlays, "")
+    after = load_effective(new_base or base_file, new_overlays or overlays, "")
+    sites = sorted(before.base.sites.keys() | after.base.sites.keys())
+    pairs = [
+        (
+            site,
+            load_effective(base_file, overlays, site).base,
+            load_effective(new_base or base_file, new_overlays or overlays, site).base,
+        )
+        for site in sites
+    ]
+    lines = plan_lines(before.base, after.base, pairs, weight_store_mb_per_s)
+    for line in lines:
+        click.echo(line)
+
+
+@main.command()
+@click.option("--address", required=True, help="Operators' listener, ip:port.")
+@click.option("--table", "tables", multiple=True, help="Only this table.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.option("--watch", type=float, help="Repeat every so many seconds.")
+@click.option("--diff", "other", help="Compare with the daemon at this address.")
+def state(address, tables, as_json, watch, other):
+    """Dump the tables of a running daemon.
+
+    Example: bluebellbeam state --address 127.0.0.1:7082 --table feeds
+    """
+    query = "&".join(f"table={name}" for name in tables)
+    path = f"/state?{query}" if query else "/state"
+    while True:
+        found = client.run_client(client.fetch_json(address, path))
+        if other:
+            theirs = client.run_client(client.fetch_json(other, path))
+            click.echo("\n".join(diff_tables(found, theirs)) or "no difference")
+        elif as_json:
+            click.echo(msgspec.json.encode(found).decode())
+        else:
+            click.echo(format_tables(found))
+        if not watch:
+            return
+        time.sleep(watch)
+        click.clear()
+
+
+@main.command()
+@click.option("--address", required=True, help="Operators' listener, ip:port.")
+@click.argument("request_id")
+def explain(address, request_id):
+    """Show why a recent request went where it did, candidate by candidate."""
+    path = f"/explain/{request_id}"
+    for step in client.run_client(client.fetch_json(address, path)):
+        click.echo(f"{step['at_ms']} ms  {step['kind']} {' '.join(step['detail'])}")
+        for item in step["candidates"]:
+            estimate = item["estimate"]
+            click.echo(
+                f"    {item['server']}  score {item['score']:.1f} ms  "
+                f"first token {estimate['first_token_ms']:.1f} ms  "
+                f"cached {item['cached_tokens']} tokens  cost {estimate['cost']:.3f}"
+            )
+
+
+_KEY = click.option(
+    "--key", envvar="BLUEBELLBEAM_KEY", required=True, help="Bearer key of the caller."
+)
+_CALLER = click.option("--address", required=True, help="Callers' listener, ip:port.")
+
+
+@main.command()
+@_CALLER
+@_KEY
+def entry(address, key):
+    """Ask which entry VMs to use, best first."""
+    found = client.run_client(client.fetch_json(address, "/v1/entry", key))
+    for item in found["entries"]:
+        click.echo(item)
+    click.echo(f"valid for {found['ttl_ms']} ms", err=True)
+
+
+@main.group()
+def request():
+    """Send one request as a caller would."""
+
+
+@request.command()
+@_CALLER
+@_KEY
+@click.option("--model", required=True, help="Model or adapter.")
+@click.option("--max-tokens", type=click.IntRange(1), default=64, show_default=True)
+@click.argument("prompt")
+def chat(address, key, model, max_tokens, prompt):
+    """Send PROMPT as a chat and stream the answer.
+
+    Example: bluebellbeam request chat --address 127.0.0.1:7080 --model inspect hello
+    """
+
+    def write(text):
+        click.echo(text, nl=False)
+        sys.stdout.flush()
+
+    client.run_client(client.send_chat(address, key, model, prompt, max_tokens, write))
+    click.echo()
+
+
+@request.command()
+@_CALLER
+@_KEY
+@click.option("--data", default="", help="Body of the call.")
+@click.option("--operation-id", default="", help="Id that was issued before.")
+@click.argument("method")
+@click.argument("service")
+@click.argument("path")
+def call(address, key, data, operation_id, method, service, path):
+    """Call PATH of a plain SERVICE with METHOD.
+
+    Example: bluebellbeam request call --address 127.0.0.1:7080 GET portal /status/7
+    """
+    step = client.send_call(
+        address, key, method.upper(), service, path, data, operation_id
+    )
+    click.echo(client.run_client(step))
+
+
+@main.command()
+@click.option("--user", type=click.Choice(["fraserleaf", "fellesdepot"]))
+def demo(user):
+    """Start both example deployments on loopback and send them requests."""
+    from bluebellbeam.demo import run_demo
+    from bluebellbeam.examples import EXAMPLES
+
+    configure_logs("console", "error")
+    names = (user,) if user else tuple(EXAMPLES)
+    if not uvloop.run(run_demo(names)):
+        raise click.ClickException("some requests had no whole answer")
+
+
+@main.command()
+@click.option("--port", type=int, default=7090, show_default=True)
+@click.option("--user", default="fraserleaf", show_default=True)
+def standins(port, user):
+    """Run the platform and backend server stand-ins of an example.
+
+    For trying a daemon by hand; see examples/README.md.
+    """
+    from bluebellbeam.cli.standins import run_standins
+
+    configure_logs("console")
+    uvloop.run(run_standins(user, port))
+
+
+@main.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell):
+    """Print the completion script for SHELL."""
+    from click.shell_completion import get_completion_class
+
+    kind = get_completion_class(shell)
+    click.echo(kind(main, {}, "bluebellbeam", "_BLUEBELLBEAM_COMPLETE").source())
+
+
+@main.command("docs-config", hidden=True)
+@click.argument("target", type=click.Path(dir_okay=False))
+def docs_config(target):
+    """Write the configuration reference to TARGET."""
+    from bluebellbeam.cli.reference import configuration_reference
+
+    Path(target).write_text(configuration_reference())
--- /dev/null
+++ b/bluebellbeam/cli/plan.py
@@ -0,0 +1,93 @@
+"""What a new configuration would change, worked out from files alone."""
+
+from bluebellbeam.orders.plan import wanted_names
+
+__all__ = ["plan_lines"]
+
+
+def plan_lines(before, after, sites, weight_store_mb_per_s):
+    """Return the changes between two configurations as lines of text.
+
+    Parameters
+    ----------
+    before, after : Base
+    sites : list of (str, Base, Base)
+        Each site's effective base before and after.
+    weight_store_mb_per_s : float
+        Rate of the weight store.
+
+    Returns
+    -------
+    list of str
+    """
+    lines = []
+    lines.extend(_name_changes("workspace", before.workspaces, after.workspaces))
+    lines.extend(_name_changes("model", before.models, after.models))
+    lines.extend(_name_changes("service", before.services, after.services))
+    for site, old, new in sites:
+        lines.extend(_region_changes(site, old, new))
+    lines.extend(_moved_workspaces(before, after))
+    lines.extend(_loads(before, after, weight_store_mb_per_s))
+    if before.objective != after.objective:
+        lines.append(f"objective changes: {before.objective} -> {after.objective}")
+    return lines or ["no change"]
+
+
+def _name_changes(kind, old, new):
+    lines = [f"{kind} {name}: added" for name in sorted(new.keys() - old.keys())]
+    lines += [f"{kind} {name}: removed" for name in sorted(old.keys() - new.keys())]
+    return lines
+
+
+def _region_changes(site, old, new):
+    lines = []
+    for name in sorted(old.workspaces.keys() & new.workspaces.keys()):
+        where = f"site {site}: workspace {name}"
+        was = set(old.workspaces[name].allowed_regions)
+        now = set(new.workspaces[name].allowed_regions)
+        if now - was:
+            gained = ", ".join(sorted(now - was))
+            lines.append(
+                f"site {site}: workspace {name}: data rule WIDENED by {gained}"
+            )
+        if was - now:
+            lost = ", ".join(sorted(was - now))
+            lines.append(f"{where}: data rule narrowed by {lost}")
+        limits = (old.workspaces[name].borrow_slots, new.workspaces[name].borrow_slots)
+        if limits[0] != limits[1]:
+            lines.append(f"{where}: borrow_slots {limits[0]} -> {limits[1]}")
+    return lines
+
+
+def _moved_workspaces(before, after):
+    lines = []
+    for name in sorted(before.workspaces.keys() & after.workspaces.keys()):
+        was = before.workspaces[name].home_region
+        now = after.workspaces[name].home_region
+        if was != now:
+            lines.append(f"workspace {name}: home moves from {was} to {now}")
+    return lines
+
+
+def _loads(before, after, rate_mb_per_s):
+    lines = []
+    total_mb = 0
+    for name, model in sorted(after.models.items()):
+        old = before.models.get(name)
+        held = set(wanted_names(before, name)) if old else set()
+        missing = [item for item in wanted_names(after, name) if item not in held]
+        for region, count in sorted(model.replicas.items()):
+            had = old.replicas.get(region, 0) if old else 0
+            loads = count if missing else max(0, count - had)
+            if loads == 0:
+                continue
+            size_mb = loads * model.weights_mb
+            total_mb += size_mb
+            what = ", ".join(missing) or f"{name}@{model.version}"
+            lines.append(
+                f"region {region}: {loads} replicas load {what} ({size_mb} MB)"
+            )
+    if total_mb:
+        seconds = total_mb / rate_mb_per_s
+        lines.append(f"weight store: {total_mb} MB, at least {seconds:.0f} s")
+    return lines
--- /dev/null
+++ b/bluebellbeam/config/effective.py
@@ -0,0 +1,108 @@
+"""The effective configuration of a site: base file and overlay merged.
+
+Merge rules: a value that an overlay does not name keeps its base value; a
+list of regions or a limit of an overlay replaces the base value and may only
+be narrower; an objective replaces the whole objective.
+"""
+
+import msgspec
+from msgspec import Struct
+from returns.result import Failure, Success
+
+from bluebellbeam.config.check import check_base, check_overlay
+from bluebellbeam.config.fault import decode_document
+from bluebellbeam.config.model import Base, Overlay
+
+__all__ = ["Effective", "decode_effective", "merge_overlay", "resolve_model"]
+
+
+class Effective(Struct, frozen=True):
+    """A configuration in force at a site.
+
+    Parameters
+    ----------
+    revision : int
+    digest : str
+        Hash over every part of the revision.
+    base : Base
+        The base with the overlay of the site applied.
+    """
+
+    revision: int
+    digest: str
+    base: Base
+
+
+def merge_overlay(base, overlay):
+    """Return `base` with `overlay` applied; both must have been checked."""
+    workspaces = dict(base.workspaces)
+    for name, change in overlay.workspaces.items():
+        changes = {
+            item: value
+            for item, value in msgspec.structs.asdict(change).items()
+            if value is not None
+        }
+        workspaces[name] = msgspec.structs.replace(workspaces[name], **changes)
+        workspaces[name] = _keep_home_allowed(workspaces[name])
+    objective = overlay.objective or base.objective
+    return msgspec.structs.replace(base, workspaces=workspaces, objective=objective)
+
+
+def _keep_home_allowed(workspace):
+    if workspace.home_region in workspace.allowed_regions:
+        return workspace
+    return msgspec.structs.replace(workspace, home_region=None)
+
+
+def decode_effective(base_raw, overlays_raw, site, revision=0, digest=""):
+    """Decode and check a base file and its overlays for one site.
+
+    Parameters
+    ----------
+    base_raw : bytes
+    overlays_raw : dict of str to bytes
+        Overlay documents by name; every one is checked.
+    site : str
+    revision : int
+    digest : str
+
+    Returns
+    -------
+    Result
+        ``Success(Effective)`` or ``Failure(tuple of (document, Fault))``.
+    """
+    match decode_document(base_raw, Base):
+        case Failure(faults):
+            return Failure(tuple(("base", fault) for fault in faults))
+        case Success(base):
+            pass
+    found = [("base", fault) for fault in check_base(base)]
+    merged = base
+    for name, raw in sorted(overlays_raw.items()):
+        match decode_document(raw, Overlay):
+            case Failure(faults):
+                found.extend((name, fault) for fault in faults)
+            case Success(overlay):
+                faults = check_overlay(base, overlay)
+                found.extend((name, fault) for fault in faults)
+                if overlay.site == site and not faults:
+                    merged = merge_overlay(base, overlay)
+    if found:
+        return Failure(tuple(found))
+    return Success(Effective(revision, digest, merged))
+
+
+def resolve_model(base, name):
+    """Return ``(model, adapter)`` that a caller's `name` stands for.
+
+    Returns
+    -------
+    tuple of (str, str or None) or None
+        None when there is no such model or adapter.
+    """
+    if name in base.models:
+        return name, None
+    adapter = base.adapters.get(name)
+    if adapter is None:
+        return None
+    return adapter.model, name
--- /dev/null
+++ b/bluebellbeam/config/model.py
@@ -0,0 +1,221 @@
+"""Data classes of a deployment's configuration.
+
+Every class is a slotted `msgspec.Struct` decoded straight from JSON. Unknown
+fields are refused. Fields carry their unit as a suffix.
+"""
+
+from typing import Literal
+
+from msgspec import Struct, field
+
+__all__ = [
+    "Adapter",
+    "Base",
+    "Call",
+    "Deadlines",
+    "FailureDomain",
+    "Model",
+    "Objective",
+    "Overlay",
+    "Policy",
+    "Region",
+    "Service",
+    "Site",
+    "Workspace",
+    "WorkspaceOverlay",
+]
+
+Priority = Literal["interactive", "batch"]
+
+
+class Region(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A region and what it costs to use it.
+
+    Parameters
+    ----------
+    price_per_1k_tokens : float
+        Money for a thousand computed tokens.
+    wan_price_per_1k_tokens : float
+        Money for a thousand tokens that enter from another region.
+    one_way_delay_ms : dict of str to float
+        Expected one-way delay to each other region.
+    """
+
+    price_per_1k_tokens: float = 1.0
+    wan_price_per_1k_tokens: float = 0.2
+    one_way_delay_ms: dict[str, float] = field(default_factory=dict)
+
+
+class FailureDomain(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A set of VMs of one region that can fail together."""
+
+    region: str
+
+
+class Site(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A place where callers enter, in one region."""
+
+    region: str
+
+
+class Model(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A model, its version in force and its expected speed on one replica.
+
+    Parameters
+    ----------
+    version : str
+        Version that replicas are to hold.
+    weights_mb : int
+        Size of the weights that a replica loads from the weight store.
+    prefill_tokens_per_s : float
+        Uncached prompt tokens that one replica computes each second.
+    inter_token_ms : float
+        Time between two tokens of a stream at full batch.
+    replicas : dict of str to int
+        Wanted number of replicas in each region.
+    """
+
+    version: str
+    weights_mb: int = 1000
+    prefill_tokens_per_s: float = 4000.0
+    inter_token_ms: float = 30.0
+    replicas: dict[str, int] = field(default_factory=dict)
+
+
+class Adapter(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """An adapter over a model; callers may name it in place of the model."""
+
+    model: str
+    version: str
+
+
+class Call(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A kind of call of a plain service, matched by method and path prefix."""
+
+    method: str
+    path_prefix: str = "/"
+    idempotent: bool = False
+
+
+class Service(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A plain service; a call that matches no entry is non-idempotent."""
+
+    calls: tuple[Call, ...] = ()
+    expected_ms: float = 20.0
+    timeout_ms: int = 5000
+
+
+class Deadlines(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Time within which the first token, or a service's answer, is due."""
+
+    interactive_ms: int = 10_000
+    batch_ms: int = 120_000
+    service_ms: int = 5_000
+
+
+class Workspace(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A workspace: whom capacity is shared between and where data may go.
+
+    Parameters
+    ----------
+    weight : float
+        Share of capacity relative to the other workspaces.
+    home_region : str or None
+        Region that is preferred while it can serve.
+    allowed_regions : tuple of str
+        Regions whose backend servers may see the workspace's data.
+    borrow_slots : int
+        Engine slots that it may use in other regions at one time.
+    models, services : tuple of str
+        What the workspace may name; adapters count as models.
+    rate_tokens_per_s : float
+        Long-run limit of token cost over all daemons; 0 means no limit.
+    """
+
+    weight: float = 1.0
+    home_region: str | None = None
+    allowed_regions: tuple[str, ...]
+    borrow_slots: int = 0
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    rate_tokens_per_s: float = 0.0
+    priority: Priority = "interactive"
+    deadlines: Deadlines = field(default_factory=Deadlines)
+
+
+class Objective(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Weights that turn cost, latency and share sent away into one score.
+
+    Parameters
+    ----------
+    latency_weight : float
+        Factor on the expected time to first token.
+    cost_ms_per_unit : float
+        Milliseconds of waiting accepted to save one unit of money.
+    away_penalty_ms : float
+        Milliseconds of waiting accepted to keep a request at home.
+    hedge_share : float
+        Largest share of idempotent service calls that may be hedged.
+    """
+
+    latency_weight: float = 1.0
+    cost_ms_per_unit: float = 100.0
+    away_penalty_ms: float = 200.0
+    hedge_share: float = 0.02
+
+
+class Policy(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Intervals and bounds of the mechanisms."""
+
+    probe_interval_ms: int = 1000
+    suspect_timeout_ms: int = 4000
+    load_interval_ms: int = 1000
+    load_stale_ms: int = 10_000
+    subset_size: int = 32
+    entry_set_size: int = 2
+    entry_ttl_ms: int = 15_000
+    queue_slack: float = 0.25
+    lease_ms: int = 3000
+    pause_ms: int = 2500
+    retry_share: float = 0.1
+    max_attempts: int = 3
+    eject_failures: int = 3
+    eject_ms: int = 5000
+    eject_floor: float = 0.5
+    operation_ttl_ms: int = 300_000
+    max_operations: int = 50_000
+    max_queue: int = 2000
+    watchers_per_domain: int = 1
+    weight_store_loads: int = 2
+
+
+class Base(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The base file of a whole deployment."""
+
+    deployment: str
+    regions: dict[str, Region]
+    failure_domains: dict[str, FailureDomain]
+    sites: dict[str, Site]
+    models: dict[str, Model] = field(default_factory=dict)
+    adapters: dict[str, Adapter] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    workspaces: dict[str, Workspace] = field(default_factory=dict)
+    objective: Objective = field(default_factory=Objective)
+    policy: Policy = field(default_factory=Policy)
+
+
+class WorkspaceOverlay(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What a site may change of a workspace; None leaves the base value."""
+
+    allowed_regions: tuple[str, ...] | None = None
+    borrow_slots: int | None = None
+    rate_tokens_per_s: float | None = None
+    deadlines: Deadlines | None = None
+
+
+class Overlay(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The overlay file of one site."""
+
+    site: str
+    objective: Objective | None = None
+    workspaces: dict[str, WorkspaceOverlay] = field(default_factory=dict)
--- /dev/null
+++ b/bluebellbeam/config/settings.py
@@ -0,0 +1,117 @@
+"""Settings of one process: its own addresses, place and platform."""
+
+import ipaddress
+from pathlib import Path
+
+from msgspec import Struct, field
+from returns.result import Failure, Success
+
+from bluebellbeam.config.fault import Fault, decode_document
+
+__all__ = ["PlatformAddresses", "Settings", "decode_settings", "read_settings"]
+
+_MIN_KEY_CHARACTERS = 16
+
+
+class PlatformAddresses(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Addresses of the platform's services as ``ip:port``."""
+
+    configuration: str
+    vm_list: str
+    directory: str
+    weight_store: str = ""
+
+
+class Settings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Settings of a daemon.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM.
+    region, failure_domain, site : str
+    caller_address, peer_address, operator_address : str
+        Listening addresses as ``ip:port``.
+    peer_key : str
+        Secret shared by the daemons of a deployment.
+    seed_peers : tuple of str
+        Peer addresses to ask before the VM list has been read.
+    """
+
+    vm: str
+    region: str
+    failure_domain: str
+    site: str
+    caller_address: str
+    peer_address: str
+    operator_address: str
+    peer_key: str
+    platform: PlatformAddresses
+    seed_peers: tuple[str, ...] = ()
+    advertise: dict[str, str] = field(default_factory=dict)
+
+
+def decode_settings(raw):
+    """Decode and check process settings.
+
+    Returns
+    -------
+    Result
+        ``Success(Settings)`` or ``Failure(tuple of Fault)``.
+    """
+    match decode_document(raw, Settings):
+        case Failure(faults):
+            return Failure(faults)
+        case Success(settings):
+            found = _check_settings(settings)
+            return Failure(tuple(found)) if found else Success(settings)
+
+
+def read_settings(path):
+    """Read settings from the file at `path`; see :func:`decode_settings`."""
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as error:
+        fault = Fault("$", f"cannot read {path}: {error.strerror}", "check the path")
+        return Failure((fault,))
+    return decode_settings(raw)
+
+
+def _check_settings(settings):
+    faults = []
+    listeners = ("caller_address", "peer_address", "operator_address")
+    for name in listeners:
+        _check_address(getattr(settings, name), f"$.{name}", faults)
+    bound = [getattr(settings, name) for name in listeners]
+    fixed = [address for address in bound if not address.endswith(":0")]
+    if len(set(fixed)) != len(fixed):
+        faults.append(
+            Fault("$", "two listeners share an address", "give each its own address")
+        )
+    platform = settings.platform
+    for name in ("configuration", "vm_list", "directory"):
+        _check_address(getattr(platform, name), f"$.platform.{name}", faults)
+    for i, address in enumerate(settings.seed_peers):
+        _check_address(address, f"$.seed_peers[{i}]", faults)
+    if len(settings.peer_key) < _MIN_KEY_CHARACTERS:
+        faults.append(
+            Fault(
+                "$.peer_key",
+                f"shorter than {_MIN_KEY_CHARACTERS} characters",
+                "use a long random key, the same on every VM",
+            )
+        )
+    return faults
+
+
+def _check_address(address, path, faults):
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        valid = 0 <= int(port) <= 65535
+    except ValueError:
+        valid = False
+    if not valid:
+        faults.append(
+            Fault(path, f"'{address}' is not ip:port", "use an IP number and a port")
+        )
--- /dev/null
+++ b/bluebellbeam/daemon/driver.py
@@ -0,0 +1,328 @@
+"""The thin layer that feeds a node with events and carries out its commands."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+import structlog
+
+from bluebellbeam.daemon.auth import AUTH_HEADER, make_peer_auth
+from bluebellbeam.daemon.exchange import Chunk, End, Head, make_exchange
+from bluebellbeam.daemon.upstream import run_attempt
+from bluebellbeam.exception import PeerError, PlatformError
+from bluebellbeam.node import command as cmd
+from bluebellbeam.node import event as ev
+from bluebellbeam.node.message import Envelope, decode_envelope, encode_envelope
+from bluebellbeam.platform.clients import make_directory_client, make_feed_client
+from bluebellbeam.platform.records import CacheEvents, LoadReport
+from bluebellbeam.utils.clock import monotonic_clock, wall_clock
+
+__all__ = ["Driver", "make_driver"]
+
+TICK_MS = 50
+"""Interval of the node's ticks."""
+
+MESSAGES_PATH = "/peer/v1/messages"
+PEER_TIMEOUT_S = 2.0
+LOAD_TIMEOUT_S = 1.0
+MAX_PEER_BYTES = 64 * 1024 * 1024
+"""Largest answer of a peer; a snapshot of a whole feed fits."""
+
+
+class Driver:
+    """One running daemon outside its node.
+
+    Attributes
+    ----------
+    node : Node
+    settings : Settings
+    clock : Clock
+        Monotonic clock that the node sees.
+    session : aiohttp.ClientSession
+        Reused connections, for calls that may be repeated.
+    exchanges : dict of str to Exchange
+        Requests whose caller waits, by request id.
+    attempts : dict of int to asyncio.Task
+    stopped : asyncio.Event
+    """
+
+    __slots__ = (
+        "node",
+        "settings",
+        "clock",
+        "auth",
+        "session",
+        "directory",
+        "feed_clients",
+        "exchanges",
+        "attempts",
+        "tasks",
+        "stopped",
+        "log",
+        "peer_bytes_sent",
+        "peer_bytes_received",
+    )
+
+    def __init__(self, node, settings):
+        self.node = node
+        self.settings = settings
+        self.clock = monotonic_clock()
+        self.auth = make_peer_auth(settings.peer_key, wall_clock())
+        self.session = None
+        self.directory = None
+        self.feed_clients = {}
+        self.exchanges = {}
+        self.attempts = {}
+        self.tasks = set()
+        self.stopped = asyncio.Event()
+        self.log = structlog.get_logger()
+        self.peer_bytes_sent = 0
+        self.peer_bytes_received = 0
+
+    async def open(self):
+        """Open the HTTP clients; call it inside the running loop."""
+        pool = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
+        self.session = aiohttp.ClientSession(
+            connector=pool, auto_decompress=False, read_bufsize=2**17
+        )
+        platform = self.settings.platform
+        configuration = make_feed_client(self.session, platform.configuration)
+        vm_list = make_feed_client(self.session, platform.vm_list)
+        self.feed_clients = {"config": configuration, "": vm_list}
+        self.directory = make_directory_client(
+            self.session, platform.directory, self.clock
+        )
+        self._spawn(self._run_ticks())
+        self._spawn(self._run_cache_events())
+
+    async def close(self):
+        """Cancel what still runs and close the HTTP clients."""
+        for task in [*self.tasks, *self.attempts.values()]:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.session.close()
+
+    def handle(self, event):
+        """Give the node an event and carry out what follows."""
+        commands = self.node.handle(event, self.clock.now_ms())
+        self._run(commands)
+
+    def accept(self, request, payload, headers, query, body):
+        """Take in a request; return the exchange on which its answer comes."""
+        exchange = make_exchange(
+            request, payload, headers, query, body, self.clock.now_ms()
+        )
+        self.exchanges[request.request_id] = exchange
+        self.handle(ev.RequestArrived(request))
+        return exchange
+
+    def release(self, request_id):
+        """Forget a request whose caller has its answer, or has gone."""
+        exchange = self.exchanges.pop(request_id, None)
+        if exchange is not None and request_id in self.node.state.requests:
+            self.handle(ev.CallerLeft(request_id))
+
+    def hear_peer(self, raw, sender):
+        """Handle messages of a peer; return the bytes of the answer.
+
+        Raises
+        ------
+        PeerError
+            If the messages cannot be decoded or name another sender.
+        """
+        self.peer_bytes_received += len(raw)
+        envelope = _decode(raw)
+        if envelope.sender != sender:
+            raise PeerError("the envelope names another sender")
+        commands = self.node.handle(ev.PeerHeard(envelope), self.clock.now_ms())
+        answers, rest = _split_answers(commands, sender)
+        self._run(rest)
+        return encode_envelope(self._envelope(answers))
+
+    def _envelope(self, messages):
+        own = self.node.state.identity
+        return Envelope(own.vm, own.incarnation, tuple(messages))
+
+    def _spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def _run_ticks(self):
+        while not self.stopped.is_set():
+            try:
+                self._run(self.node.tick(self.clock.now_ms()))
+            except Exception:
+                self.log.exception("node: a tick failed", vm=self.settings.vm)
+            await asyncio.sleep(TICK_MS / 1000.0)
+
+    async def _run_cache_events(self):
+        while not self.stopped.is_set():
+            interval_ms = self.node.state.policy.load_interval_ms
+            await asyncio.sleep(interval_ms * 2 / 1000.0)
+            rows = list(self.node.state.replicas.rows.values())
+            for row in rows:
+                if row.role == "engine" and row.identified:
+                    self._spawn(self._read_cache_events(row.address))
+
+    def _run(self, commands):
+        for command in commands:
+            match command:
+                case cmd.StartAttempt():
+                    self._start_attempt(command)
+                case cmd.CancelAttempt(attempt_id):
+                    task = self.attempts.get(attempt_id)
+                    if task is not None and task is not asyncio.current_task():
+                        task.cancel()
+                case cmd.AnswerError(request_id, error):
+                    self._answer_error(request_id, error)
+                case cmd.AnswerRecorded(request_id, answer):
+                    self._answer_recorded(request_id, answer)
+                case cmd.SendPeer():
+                    self._spawn(self._send_peer(command))
+                case cmd.ReadFeed():
+                    self._spawn(self._read_feed(command))
+                case cmd.ReadLoad():
+                    self._spawn(self._read_load(command))
+                case cmd.GiveOrder():
+                    self._spawn(self._give_order(command))
+                case cmd.Log(part, sentence, request_id):
+                    self._log(part, sentence, request_id)
+                case cmd.Exit():
+                    self.stopped.set()
+
+    def _log(self, part, sentence, request_id):
+        values = {"request_id": request_id} if request_id else {}
+        self.log.info(f"{part}: {sentence}", vm=self.settings.vm, **values)
+
+    def _start_attempt(self, command):
+        task = asyncio.get_running_loop().create_task(run_attempt(self, command))
+        self.attempts[command.attempt_id] = task
+        task.add_done_callback(lambda _: self.attempts.pop(command.attempt_id, None))
+
+    def _answer_error(self, request_id, error):
+        exchange = self.exchanges.get(request_id)
+        if exchange is not None:
+            exchange.fail(error)
+        if error.status >= 500:
+            self._log("request", f"answer {error.code}", request_id)
+
+    def _answer_recorded(self, request_id, answer):
+        exchange = self.exchanges.get(request_id)
+        if exchange is not None:
+            exchange.items.put_nowait(Head(answer.status, answer.headers))
+            exchange.items.put_nowait(Chunk(answer.payload))
+            exchange.items.put_nowait(End())
+
+    async def _send_peer(self, command):
+        raw = encode_envelope(self._envelope(command.messages))
+        header = self.auth.sign(MESSAGES_PATH, self.settings.vm, raw)
+        url = f"http://{command.address}{MESSAGES_PATH}"
+        timeout = aiohttp.ClientTimeout(total=PEER_TIMEOUT_S)
+        self.peer_bytes_sent += len(raw)
+        try:
+            async with self.session.post(
+                url,
+                data=raw,
+                headers={AUTH_HEADER: header},
+                timeout=timeout,
+                allow_redirects=False,
+            ) as answer:
+                body = await answer.content.read(MAX_PEER_BYTES)
+                if answer.status != 200:
+                    raise PeerError(f"status {answer.status}")
+                self.auth.check_answer(header, answer.headers.get(AUTH_HEADER), body)
+                envelope = _decode(body)
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            if command.vm:
+                self.handle(ev.PeerUnreachable(command.vm))
+            return
+        except PeerError as error:
+            self._log("peer", f"ignore an answer: {error}", "")
+            return
+        self.peer_bytes_received += len(body)
+        self.handle(ev.PeerHeard(envelope, answer=True))
+
+    async def _read_feed(self, command):
+        client = self.feed_clients.get(command.key, self.feed_clients[""])
+        try:
+            snapshot = await client.read(
+                command.key, command.after_version, command.wait
+            )
+        except PlatformError as error:
+            self.handle(ev.FeedUnavailable(command.key, str(error)))
+            return
+        self.handle(ev.FeedRead(snapshot))
+
+    async def _read_load(self, command):
+        try:
+            raw = await self._get(f"http://{command.address}/load")
+            report = msgspec.json.decode(raw, type=LoadReport)
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
+            self.handle(ev.LoadMissed(command.server))
+            return
+        self.handle(ev.LoadReported(command.server, report))
+
+    async def _read_cache_events(self, address):
+        try:
+            raw = await self._get(f"http://{address}/cache-events")
+            events = msgspec.json.decode(raw, type=CacheEvents | None)
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
+            return
+        if events is not None:
+            self.handle(ev.CacheEventsHeard(events))
+
+    async def _get(self, url):
+        timeout = aiohttp.ClientTimeout(total=LOAD_TIMEOUT_S)
+        async with self.session.get(
+            url, timeout=timeout, allow_redirects=False
+        ) as answer:
+            raw = await answer.read()
+            if answer.status != 200:
+                raise ValueError(f"status {answer.status}")
+            return raw
+
+    async def _give_order(self, command):
+        server = command.order.server
+        if self.clock.now_ms() >= command.expires_ms:
+            self.handle(ev.OrderAnswered(server, False, "too late"))
+            return
+        url = f"http://{command.address}/orders"
+        timeout = aiohttp.ClientTimeout(total=LOAD_TIMEOUT_S)
+        try:
+            async with self.session.post(
+                url,
+                data=msgspec.json.encode(command.order),
+                timeout=timeout,
+                allow_redirects=False,
+            ) as answer:
+                text = await answer.text()
+                accepted = answer.status == 200
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            text, accepted = "no answer", False
+        self.handle(ev.OrderAnswered(server, accepted, text))
+
+
+def _decode(raw):
+    try:
+        return decode_envelope(raw)
+    except msgspec.DecodeError as error:
+        raise PeerError("the messages cannot be decoded") from error
+
+
+def _split_answers(commands, sender):
+    """Return messages for `sender`, which ride on the answer, and the rest."""
+    answers = []
+    rest = []
+    for command in commands:
+        if isinstance(command, cmd.SendPeer) and command.vm == sender:
+            answers.extend(command.messages)
+        else:
+            rest.append(command)
+    return answers, rest
+
+
+def make_driver(node, settings):
+    """Return a driver; open it inside the running loop."""
+    return Driver(node, settings)
--- /dev/null
+++ b/bluebellbeam/daemon/exchange.py
@@ -0,0 +1,106 @@
+"""The channel between an attempt and the caller that waits for its answer."""
+
+import asyncio
+
+from msgspec import Struct
+
+__all__ = ["Chunk", "End", "Exchange", "Failed", "Head", "make_exchange"]
+
+MAX_CHUNKS = 64
+"""Chunks that may wait for a slow caller before the engine is held back."""
+
+
+class Head(Struct, frozen=True):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: dict[str, str]
+
+
+class Chunk(Struct, frozen=True):
+    """A piece of the answer's body.
+
+    Parameters
+    ----------
+    raw : bytes
+        For a model, one JSON event without its framing.
+    """
+
+    raw: bytes
+
+
+class End(Struct, frozen=True):
+    """The answer is whole."""
+
+
+class Failed(Struct, frozen=True):
+    """The request has a final error.
+
+    Parameters
+    ----------
+    error : CallerError
+    """
+
+    error: object
+
+
+class Exchange:
+    """What is known of a caller's request outside the node.
+
+    Attributes
+    ----------
+    payload : bytes
+        Body as the caller sent it.
+    headers : dict of str to str
+        Headers that are passed on to a plain service.
+    query : str
+    body : ChatBody or None
+    text : list of str
+        Text given to the caller so far, for a resume.
+    emitted : int
+        Tokens given to the caller so far.
+    """
+
+    __slots__ = (
+        "request",
+        "payload",
+        "headers",
+        "query",
+        "body",
+        "text",
+        "emitted",
+        "items",
+        "final",
+        "arrived_ms",
+    )
+
+    def __init__(self, request, payload, headers, query, body, arrived_ms):
+        self.request = request
+        self.payload = payload
+        self.headers = headers
+        self.query = query
+        self.body = body
+        self.text = []
+        self.emitted = 0
+        self.items = asyncio.Queue(MAX_CHUNKS)
+        self.final = asyncio.Event()
+        self.arrived_ms = arrived_ms
+
+    async def put(self, item):
+        """Give the caller an item, waiting while it is slow to read."""
+        await self.items.put(item)
+
+    def fail(self, error):
+        """Give the caller its final error, behind what it already has."""
+        if self.items.full():
+            self.items.get_nowait()
+        self.items.put_nowait(Failed(error))
+
+    async def next_item(self):
+        """Return the next item for the caller."""
+        return await self.items.get()
+
+
+def make_exchange(request, payload, headers, query, body, arrived_ms):
+    """Return the exchange of a request that has just arrived."""
+    return Exchange(request, payload, headers, query, body, arrived_ms)
--- /dev/null
+++ b/bluebellbeam/daemon/listener.py
@@ -0,0 +1,107 @@
+"""What the three listeners of a daemon have in common."""
+
+import math
+import socket
+
+from sanic import response
+from sanic.exceptions import SanicException
+
+from bluebellbeam.daemon.wire import encode_error
+from bluebellbeam.node.outcome import make_error
+
+__all__ = ["bind_address", "configure", "error_response", "start_listener"]
+
+HEADER_TIMEOUT_S = 10
+"""Time for the whole request to arrive."""
+
+RESPONSE_TIMEOUT_S = 900
+KEEP_ALIVE_S = 30
+MAX_HEADER_BYTES = 16 * 1024
+BACKLOG = 1024
+
+_CODES = {
+    400: "bad_request",
+    404: "not_found",
+    405: "not_found",
+    408: "request_timeout",
+    413: "too_large",
+}
+
+
+def configure(app, max_body_bytes):
+    """Set the limits of a sanic application and its errors."""
+    app.config.TOUCHUP = False
+    app.config.REQUEST_MAX_SIZE = max_body_bytes
+    app.config.REQUEST_MAX_HEADER_SIZE = MAX_HEADER_BYTES
+    app.config.REQUEST_TIMEOUT = HEADER_TIMEOUT_S
+    app.config.RESPONSE_TIMEOUT = RESPONSE_TIMEOUT_S
+    app.config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_S
+    app.config.ACCESS_LOG = False
+    app.config.MOTD = False
+    app.exception(Exception)(_answer_exception)
+
+
+async def _answer_exception(request, exception):
+    code = "internal"
+    if isinstance(exception, SanicException):
+        code = _CODES.get(exception.status_code, "bad_request")
+        if exception.status_code >= 500:
+            code = "internal"
+    return error_response(make_error(code), "")
+
+
+def error_response(error, request_id):
+    """Return the HTTP answer for the :class:`CallerError` `error`."""
+    headers = {"x-request-id": request_id} if request_id else {}
+    if error.retry_after_ms:
+        headers["retry-after"] = str(math.ceil(error.retry_after_ms / 1000.0))
+    return response.raw(
+        encode_error(error, request_id),
+        status=error.status,
+        headers=headers,
+        content_type="application/json",
+    )
+
+
+def bind_address(address):
+    """Return a socket bound to `address` (``ip:port``, port 0 for any)."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, int(port)))
+    return sock
+
+
+def bound_address(sock):
+    """Return the address of a bound socket as ``ip:port``."""
+    host, port = sock.getsockname()[:2]
+    return f"{host}:{port}"
+
+
+async def start_listener(app, sock):
+    """Serve `app` on a bound socket in the running loop.
+
+    Returns
+    -------
+    AsyncioServer
+        No process is started.
+    """
+    server = await app.create_server(
+        sock=sock,
+        return_asyncio_server=True,
+        backlog=BACKLOG,
+        asyncio_server_kwargs={"start_serving": False},
+    )
+    await server.startup()
+    await server.before_start()
+    await server.start_serving()
+    await server.after_start()
+    return server
+
+
+async def stop_listener(server):
+    """Stop accepting connections and let open ones end."""
+    await server.before_stop()
+    server.close()
+    await server.after_stop()
--- /dev/null
+++ b/bluebellbeam/daemon/metrics.py
@@ -0,0 +1,119 @@
+"""Metrics of a daemon, collected from its node when they are scraped.
+
+Labels are bounded: error codes, table names and pools. No metric has a
+label for each workspace.
+"""
+
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+from bluebellbeam.node.waiting import local_wait_ms, pool_slots
+
+__all__ = ["Metrics", "make_metrics"]
+
+MAX_POOLS = 100
+"""Pools that get a label of their own."""
+
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 2.5, 5, 10, 30, 120)
+
+
+class NodeCollector:
+    """Reads the tables of a node at the time of a scrape."""
+
+    __slots__ = ("driver",)
+
+    def __init__(self, driver):
+        self.driver = driver
+
+    def collect(self):
+        """Yield the metric families."""
+        state = self.driver.node.state
+        counters = state.counters
+        for name in sorted(counters.__slots__):
+            if name == "errors":
+                continue
+            family = CounterMetricFamily(
+                f"bluebellbeam_{name}", f"Total of {name} since the start."
+            )
+            family.add_metric([], getattr(counters, name))
+            yield family
+        errors = CounterMetricFamily(
+            "bluebellbeam_errors", "Final errors by code.", labels=["code"]
+        )
+        for code, count in sorted(counters.errors.items()):
+            errors.add_metric([code], count)
+        yield errors
+        yield from _gauges(self.driver, state)
+        yield from _pools(state)
+
+
+def _gauges(driver, state):
+    config = state.config
+    pairs = (
+        ("ready", "1 when new work is taken.", int(state.ready)),
+        ("leaving", "1 while the daemon leaves.", int(state.leaving)),
+        ("config_revision", "Revision in force.", config.revision if config else 0),
+        ("requests_open", "Requests without a final answer.", len(state.requests)),
+        ("members", "Entry VMs known.", len(state.members.rows)),
+        ("replicas", "Backend servers used.", len(state.replicas.rows)),
+        ("operations", "Operations recorded.", len(state.ledger.rows)),
+        ("peer_sent_bytes", "Message bytes sent.", driver.peer_bytes_sent),
+        ("peer_received_bytes", "Message bytes got.", driver.peer_bytes_received),
+    )
+    for name, text, value in pairs:
+        family = GaugeMetricFamily(f"bluebellbeam_{name}", text)
+        family.add_metric([], value)
+        yield family
+
+
+def _pools(state):
+    slots = GaugeMetricFamily(
+        "bluebellbeam_pool_slots", "Usable slots by pool.", labels=["pool"]
+    )
+    queued = GaugeMetricFamily(
+        "bluebellbeam_pool_queued_requests", "Waiting requests.", labels=["pool"]
+    )
+    waits = GaugeMetricFamily(
+        "bluebellbeam_pool_wait_seconds", "Expected wait by pool.", labels=["pool"]
+    )
+    names = [name for name in sorted(state.replicas.pools) if "@" not in name]
+    for pool in names[:MAX_POOLS] if state.config else ():
+        slots.add_metric([pool], pool_slots(state, pool))
+        queue = state.queues.get(pool)
+        queued.add_metric([pool], queue.size if queue else 0)
+        waits.add_metric([pool], (local_wait_ms(state, pool) or 0.0) / 1000.0)
+    yield slots
+    yield queued
+    yield waits
+
+
+class Metrics:
+    """Registry of one daemon.
+
+    Attributes
+    ----------
+    first_seconds : Histogram
+        Time until an answer begins, by kind of request.
+    """
+
+    __slots__ = ("registry", "first_seconds")
+
+    def __init__(self, driver):
+        self.registry = CollectorRegistry()
+        self.registry.register(NodeCollector(driver))
+        self.first_seconds = Histogram(
+            "bluebellbeam_first_token_seconds",
+            "Time from arrival to the first part of the answer.",
+            ["kind"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def render(self):
+        """Return the text of a scrape."""
+        return generate_latest(self.registry)
+
+
+def make_metrics(driver):
+    """Return the metrics of `driver`."""
+    return Metrics(driver)
--- /dev/null
+++ b/bluebellbeam/daemon/relay.py
@@ -0,0 +1,61 @@
+"""Passing an answer from its exchange on to an HTTP response."""
+
+from bluebellbeam.daemon.exchange import Chunk, End, Failed, Head
+from bluebellbeam.daemon.listener import error_response
+from bluebellbeam.daemon.wire import encode_error
+
+__all__ = ["collect_service", "relay_stream"]
+
+
+async def relay_stream(request, exchange, request_id, headers=None):
+    """Stream the events of an answer as they come.
+
+    An answer that breaks off ends with an explicit error event and without
+    the closing ``[DONE]``.
+
+    Returns
+    -------
+    HTTPResponse or None
+        The error response when nothing has been streamed.
+    """
+    item = await exchange.next_item()
+    if isinstance(item, Failed):
+        return error_response(item.error, request_id)
+    answer = await request.respond(
+        content_type="text/event-stream", headers=headers or {}
+    )
+    while True:
+        match item:
+            case Chunk(raw):
+                await answer.send(b"data: " + raw + b"\n\n")
+            case End():
+                await answer.send(b"data: [DONE]\n\n")
+                break
+            case Failed(error):
+                raw = encode_error(error, request_id)
+                await answer.send(b"event: error\ndata: " + raw + b"\n\n")
+                break
+        item = await exchange.next_item()
+    await answer.eof()
+    return None
+
+
+async def collect_service(exchange):
+    """Return the whole answer of a plain service.
+
+    Returns
+    -------
+    tuple of (Head, bytes) or CallerError
+    """
+    head = None
+    payload = b""
+    while True:
+        match await exchange.next_item():
+            case Head() as found:
+                head = found
+            case Chunk(raw):
+                payload = raw
+            case End():
+                return head, payload
+            case Failed(error):
+                return error
--- /dev/null
+++ b/bluebellbeam/daemon/server.py
@@ -0,0 +1,116 @@
+"""A whole daemon in the running event loop: three listeners and a node."""
+
+import asyncio
+import contextlib
+import secrets
+import signal
+
+from bluebellbeam.daemon.callers import make_caller_app
+from bluebellbeam.daemon.driver import make_driver
+from bluebellbeam.daemon.listener import (
+    bind_address,
+    bound_address,
+    start_listener,
+    stop_listener,
+)
+from bluebellbeam.daemon.metrics import make_metrics
+from bluebellbeam.daemon.operators import make_operator_app
+from bluebellbeam.daemon.peers import make_peer_app
+from bluebellbeam.node import NodeIdentity, make_node
+from bluebellbeam.node.event import StopRequested
+from bluebellbeam.utils.clock import wall_clock
+
+__all__ = ["Daemon", "make_daemon", "run_daemon"]
+
+OPERATION_KEY_BYTES = 32
+
+
+class Daemon:
+    """One daemon and its sockets.
+
+    Attributes
+    ----------
+    driver : Driver
+    metrics : Metrics
+    sockets : dict of str to socket
+        Bound listeners by name: callers, peers, operators.
+    """
+
+    __slots__ = ("driver", "metrics", "sockets", "servers")
+
+    def __init__(self, driver, sockets):
+        self.driver = driver
+        self.metrics = make_metrics(driver)
+        self.sockets = sockets
+        self.servers = []
+
+    def address(self, listener):
+        """Return the bound address of a listener as ``ip:port``."""
+        return bound_address(self.sockets[listener])
+
+    async def start(self):
+        """Open the clients and serve all three listeners."""
+        await self.driver.open()
+        apps = {
+            "callers": make_caller_app(self.driver),
+            "peers": make_peer_app(self.driver),
+            "operators": make_operator_app(self.driver, self.metrics),
+        }
+        for name, app in apps.items():
+            self.servers.append(await start_listener(app, self.sockets[name]))
+
+    def request_stop(self):
+        """Begin a graceful shutdown."""
+        self.driver.handle(StopRequested())
+
+    async def wait_stopped(self):
+        """Wait until everything in flight has ended."""
+        await self.driver.stopped.wait()
+
+    async def close(self):
+        """Close the listeners and the clients at once."""
+        for server in self.servers:
+            with contextlib.suppress(Exception):
+                await stop_listener(server)
+        await self.driver.close()
+
+
+def make_daemon(settings, sockets=None):
+    """Return a daemon whose listeners are bound and do not serve yet.
+
+    Parameters
+    ----------
+    settings : Settings
+    sockets : dict of str to socket, optional
+        Listeners that are bound already.
+    """
+    if sockets is None:
+        sockets = {
+            "callers": bind_address(settings.caller_address),
+            "peers": bind_address(settings.peer_address),
+            "operators": bind_address(settings.operator_address),
+        }
+    identity = NodeIdentity(
+        vm=settings.vm,
+        incarnation=wall_clock().now_ms(),
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        site=settings.site,
+        seed_peers=settings.seed_peers,
+    )
+    seed = secrets.randbits(64)
+    node = make_node(identity, seed, secrets.token_bytes(OPERATION_KEY_BYTES))
+    return Daemon(make_driver(node, settings), sockets)
+
+
+async def run_daemon(settings):
+    """Run a daemon until it has been stopped by a signal."""
+    daemon = make_daemon(settings)
+    await daemon.start()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.request_stop)
+    try:
+        await daemon.wait_stopped()
+    finally:
+        await daemon.close()
--- /dev/null
+++ b/bluebellbeam/daemon/tests/test_loopback.py
@@ -0,0 +1,313 @@
+import asyncio
+import json
+import unittest
+
+import aiohttp
+import uvloop
+
+from bluebellbeam.cli.logs import configure_logs
+from bluebellbeam.demo import Deployment
+from bluebellbeam.examples import read_example
+
+
+class LoopbackCase(unittest.TestCase):
+    """A real deployment on loopback for each test."""
+
+    @classmethod
+    def setUpClass(cls):
+        configure_logs("json", "critical")
+
+    def run_with(self, step, name="fraserleaf"):
+        async def run():
+            deployment = Deployment(*read_example(name))
+            await deployment.start()
+            timeout = aiohttp.ClientTimeout(total=20)
+            try:
+                async with aiohttp.ClientSession(timeout=timeout) as session:
+                    await step(deployment, session)
+            finally:
+                await deployment.stop()
+
+        uvloop.run(run())
+
+
+def caller_url(deployment, path, vm="burnaby-hall-1"):
+    return f"http://{deployment.fleet.entries[vm].caller_address}{path}"
+
+
+def key_of(workspace):
+    return {"authorization": f"Bearer key-{workspace}"}
+
+
+def chat_body(prompt, stream, max_tokens=8):
+    return {
+        "model": "inspect",
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": stream,
+        "max_tokens": max_tokens,
+    }
+
+
+async def stream_text(answer):
+    text, whole, error = [], False, None
+    async for line in answer.content:
+        if line.startswith(b"data: [DONE]"):
+            whole = True
+        elif line.startswith(b"data: "):
+            event = json.loads(line[6:])
+            error = event.get("error") or error
+            for choice in event.get("choices", ()):
+                text.append(choice["delta"]["content"])
+    return "".join(text), whole, error
+
+
+class TestCallers(LoopbackCase):
+    def test_stream_equals_plain_answer(self):
+        async def step(deployment, session):
+            url = caller_url(deployment, "/v1/chat/completions")
+            headers = key_of("field-notes")
+            async with session.post(
+                url, json=chat_body("abc", True), headers=headers
+            ) as answer:
+                text, whole, _ = await stream_text(answer)
+            async with session.post(
+                url, json=chat_body("abc", False), headers=headers
+            ) as answer:
+                found = await answer.json()
+            self.assertTrue(whole)
+            self.assertEqual(found["choices"][0]["message"]["content"], text)
+            self.assertEqual(found["usage"]["completion_tokens"], 8)
+
+        self.run_with(step)
+
+    def test_unknown_key_sends_nothing_on(self):
+        async def step(deployment, session):
+            url = caller_url(deployment, "/v1/chat/completions")
+            for headers in ({}, {"authorization": "Bearer nobody"}):
+                async with session.post(
+                    url, json=chat_body("abc", True), headers=headers
+                ) as answer:
+                    found = await answer.json()
+                self.assertEqual(answer.status, 401)
+                self.assertEqual(found["error"]["outcome"], "not_run")
+            runs = [run for e in deployment.fleet.engines.values() for run in e.runs]
+            self.assertEqual(runs, [])
+
+        self.run_with(step)
+
+    def test_bad_input_has_the_one_error_format(self):
+        async def step(deployment, session):
+            headers = key_of("field-notes")
+            cases = (
+                ("/v1/chat/completions", b"{", 400, "bad_request"),
+                ("/v1/chat/completions", b'{"model": "inspect"}', 400, "bad_request"),
+                (
+                    "/v1/completions",
+                    b'{"model": "other", "prompt": "a"}',
+                    404,
+                    "unknown_model",
+                ),
+                ("/v1/services/other/x", b"", 404, "unknown_service"),
+                ("/nowhere", b"", 404, "not_found"),
+            )
+            for path, body, status, code in cases:
+                async with session.post(
+                    caller_url(deployment, path), data=body, headers=headers
+                ) as answer:
+                    found = await answer.json()
+                self.assertEqual(
+                    (answer.status, found["error"]["code"]), (status, code)
+                )
+                self.assertEqual(found["error"]["outcome"], "not_run")
+
+        self.run_with(step)
+
+    def test_entry_and_models(self):
+        async def step(deployment, session):
+            headers = key_of("okanagan-orchards")
+            async with session.get(
+                caller_url(deployment, "/v1/entry"), headers=headers
+            ) as answer:
+                found = await answer.json()
+            okanagan = {
+                record.caller_address
+                for record in deployment.fleet.entries.values()
+                if record.region == "okanagan"
+            }
+            self.assertEqual(set(found["entries"][:2]), okanagan)
+            async with session.get(
+                caller_url(deployment, "/v1/models"), headers=headers
+            ) as answer:
+                models = await answer.json()
+            self.assertEqual(
+                [item["id"] for item in models["data"]], ["inspect", "inspect-organic"]
+            )
+
+        self.run_with(step)
+
+    def test_listeners_do_not_take_each_others_requests(self):
+        async def step(deployment, session):
+            daemon = deployment.daemons["burnaby-hall-1"]
+            record = deployment.fleet.entries["burnaby-hall-1"]
+            headers = key_of("field-notes")
+            cases = (
+                (record.peer_address, "/v1/chat/completions"),
+                (record.caller_address, "/peer/v1/forward"),
+                (daemon.address("operators"), "/v1/chat/completions"),
+            )
+            for address, path in cases:
+                async with session.post(
+                    f"http://{address}{path}",
+                    json=chat_body("abc", True),
+                    headers=headers,
+                ) as answer:
+                    self.assertEqual(answer.status, 404)
+            async with session.post(
+                f"http://{record.peer_address}/peer/v1/forward", data=b"{}"
+            ) as answer:
+                self.assertEqual(answer.status, 401)
+
+        self.run_with(step)
+
+
+class TestOperations(LoopbackCase):
+    def test_change_runs_once_and_repeats_its_answer(self):
+        async def step(deployment, session):
+            url = caller_url(deployment, "/v1/services/portal/status/7")
+            headers = key_of("certificates")
+            async with session.put(url, data=b"on", headers=headers) as answer:
+                found = await answer.json()
+                self.assertEqual(answer.status, 428)
+            headers["x-operation-id"] = found["error"]["operation_id"]
+            bodies = []
+            for _ in range(3):
+                async with session.put(url, data=b"on", headers=headers) as answer:
+                    self.assertEqual(answer.status, 200)
+                    bodies.append(await answer.read())
+            self.assertEqual(len(set(bodies)), 1)
+            async with session.put(url, data=b"off", headers=headers) as answer:
+                self.assertEqual(answer.status, 422)
+            other = caller_url(
+                deployment, "/v1/services/portal/status/7", "burnaby-hall-2"
+            )
+            async with session.put(other, data=b"on", headers=headers) as answer:
+                found = await answer.json()
+            self.assertEqual(found["error"]["code"], "operation_foreign")
+            self.assertEqual(found["error"]["outcome"], "unknown")
+            effects = [s.effects for s in deployment.fleet.services.values()]
+            self.assertEqual(sum(sum(e.values()) for e in effects), 1)
+
+        self.run_with(step)
+
+    def test_lost_answer_is_unknown_and_never_sent_again(self):
+        async def step(deployment, session):
+            for name, server in deployment.servers.items():
+                if name in deployment.fleet.services:
+                    server.app["lose_answers"] = 1
+            url = caller_url(deployment, "/v1/services/portal/status/8")
+            headers = key_of("certificates")
+            async with session.put(url, headers=headers) as answer:
+                found = await answer.json()
+            headers["x-operation-id"] = found["error"]["operation_id"]
+            codes = []
+            for _ in range(2):
+                async with session.put(url, headers=headers) as answer:
+                    codes.append((await answer.json())["error"]["code"])
+            self.assertEqual(codes, ["upstream_failed", "operation_unknown"])
+            effects = [s.effects for s in deployment.fleet.services.values()]
+            self.assertEqual(sum(sum(e.values()) for e in effects), 1)
+
+        self.run_with(step)
+
+
+class TestStreams(LoopbackCase):
+    def test_cut_stream_is_resumed_whole(self):
+        async def step(deployment, session):
+            url = caller_url(deployment, "/v1/chat/completions")
+            headers = key_of("field-notes")
+            body = chat_body("resume me", True, 20)
+            async with session.post(url, json=body, headers=headers) as answer:
+                expected, _, _ = await stream_text(answer)
+            for name, server in deployment.servers.items():
+                if name in ("lower-mainland-inspect-1",):
+                    server.app["cut_after"] = 5
+            texts = []
+            for _ in range(4):
+                async with session.post(url, json=body, headers=headers) as answer:
+                    text, whole, error = await stream_text(answer)
+                self.assertTrue(whole or error)
+                if whole:
+                    texts.append(text)
+            self.assertTrue(texts)
+            self.assertEqual(set(texts), {expected})
+            state = deployment.daemons["burnaby-hall-1"].driver.node.state
+            self.assertGreater(state.counters.resumes, 0)
+
+        self.run_with(step)
+
+    def test_caller_that_hangs_up_cancels_the_work(self):
+        async def step(deployment, session):
+            url = caller_url(deployment, "/v1/chat/completions")
+            body = chat_body("long", True, 400)
+            answer = await session.post(url, json=body, headers=key_of("field-notes"))
+            await answer.content.readline()
+            answer.close()
+            engines = deployment.fleet.engines.values()
+            for _ in range(100):
+                if sum(engine.cancelled for engine in engines):
+                    break
+                await asyncio.sleep(0.05)
+            self.assertEqual(sum(engine.cancelled for engine in engines), 1)
+            state = deployment.daemons["burnaby-hall-1"].driver.node.state
+            self.assertEqual(state.requests, {})
+
+        self.run_with(step)
+
+
+class TestShutdown(LoopbackCase):
+    def test_graceful_stop_finishes_requests_in_flight(self):
+        async def step(deployment, session):
+            daemon = deployment.daemons["burnaby-hall-1"]
+            url = caller_url(deployment, "/v1/chat/completions")
+            headers = key_of("field-notes")
+            body = chat_body("finish me", True, 40)
+            answer = await session.post(url, json=body, headers=headers)
+            await answer.content.readline()
+            daemon.request_stop()
+            async with session.post(url, json=body, headers=headers) as refused:
+                found = await refused.json()
+            self.assertEqual(found["error"]["code"], "leaving")
+            self.assertTrue(found["error"]["entries"])
+            _, whole, _ = await stream_text(answer)
+            self.assertTrue(whole)
+            await asyncio.wait_for(daemon.wait_stopped(), 10)
+
+        self.run_with(step)
+
+
+class TestOperators(LoopbackCase):
+    def test_health_metrics_state_and_explain(self):
+        async def step(deployment, session):
+            daemon = deployment.daemons["burnaby-hall-1"]
+            base = f"http://{daemon.address('operators')}"
+            url = caller_url(deployment, "/v1/chat/completions")
+            headers = key_of("field-notes")
+            body = chat_body("why", False)
+            async with session.post(url, json=body, headers=headers) as answer:
+                request_id = answer.headers["x-request-id"]
+            texts = {}
+            for path in ("/livez", "/readyz", "/metrics", "/state?table=feeds"):
+                async with session.get(base + path) as answer:
+                    self.assertEqual(answer.status, 200, path)
+                    texts[path] = await answer.text()
+            self.assertIn("bluebellbeam_answered_total 1.0", texts["/metrics"])
+            self.assertNotIn("key-field-notes", "".join(texts.values()))
+            feeds = json.loads(texts["/state?table=feeds"])["feeds"]
+            self.assertIn("config", [row["key"] for row in feeds])
+            async with session.get(f"{base}/explain/{request_id}") as answer:
+                steps = await answer.json()
+            self.assertEqual([s["kind"] for s in steps], ["server", "answered"])
+            async with session.get(f"{base}/state?table=fees") as answer:
+                self.assertEqual(answer.status, 400)
+
+        self.run_with(step)
--- /dev/null
+++ b/bluebellbeam/daemon/upstream.py
@@ -0,0 +1,376 @@
+"""Attempts over HTTP: to engines, to plain services and to lenders.
+
+Each function here runs one attempt from its first byte to its end and tells
+the node how it went. A call that is not idempotent goes out through a session
+of its own that cannot repeat it; see :mod:`bluebellbeam.daemon.once`.
+"""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import msgspec
+
+from bluebellbeam.daemon.auth import AUTH_HEADER
+from bluebellbeam.daemon.exchange import Chunk, End, Head
+from bluebellbeam.daemon.once import once_session
+from bluebellbeam.daemon.wire import ForwardAnswer, ForwardRequest, decode_error
+from bluebellbeam.exception import UpstreamError
+from bluebellbeam.node import event as ev
+from bluebellbeam.node.outcome import make_error
+from bluebellbeam.operations import MAX_ANSWER_BYTES
+from bluebellbeam.platform.records import LoadReport
+
+__all__ = ["RecordedAnswer", "run_attempt"]
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_TIMEOUT_S = 120.0
+"""Longest wait for the first byte; the node ends or moves the attempt before."""
+
+TOKEN_TIMEOUT_S = 4.0
+"""Longest silence within a stream that has begun."""
+
+FORWARD_PATH = "/peer/v1/forward"
+EXPECT_HEADER = "x-expect-server"
+SERVER_HEADER = "x-backend-server"
+LOAD_HEADER = "x-load"
+OUTCOME_HEADER = "x-outcome"
+
+PASSED_HEADERS = ("content-type", "accept", "accept-language", "if-none-match")
+"""Headers of a caller that a plain service gets to see."""
+
+RETURNED_HEADERS = ("content-type", "etag", "cache-control", "location")
+"""Headers of a plain service that its caller gets to see."""
+
+_LOAD_DECODER = msgspec.json.Decoder(LoadReport)
+
+
+class RecordedAnswer(msgspec.Struct, frozen=True):
+    """Answer of a non-idempotent call, kept for a repeat."""
+
+    status: int
+    headers: dict[str, str]
+    payload: bytes
+
+
+class Progress:
+    """How far an attempt has come.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether a byte of the request may have left.
+    started : bool
+    done : bool
+    """
+
+    __slots__ = ("sent", "started", "done")
+
+    def __init__(self):
+        self.sent = False
+        self.started = False
+        self.done = False
+
+
+async def run_attempt(driver, command):
+    """Run the attempt of a :class:`StartAttempt` and report its end.
+
+    Parameters
+    ----------
+    driver : Driver
+    command : StartAttempt
+    """
+    exchange = driver.exchanges.get(command.request.request_id)
+    if exchange is None:
+        return
+    progress = Progress()
+    reason = "failed"
+    try:
+        if driver.clock.now_ms() >= command.expires_ms and not exchange.emitted:
+            reason = "timeout"
+        elif command.peer:
+            await _run_at_peer(driver, command, exchange, progress)
+        elif command.request.service:
+            await _run_service(driver, command, exchange, progress)
+        else:
+            await _run_engine(driver, command, exchange, progress)
+    except (
+        aiohttp.ConnectionTimeoutError,
+        aiohttp.ClientConnectorError,
+        ConnectionRefusedError,
+    ):
+        progress.sent = False
+    except TimeoutError:
+        reason = "timeout"
+    except (aiohttp.ClientError, OSError, ValueError, msgspec.DecodeError) as error:
+        reason = type(error).__name__
+    except UpstreamError as error:
+        reason = str(error)
+    except Exception:
+        driver.log.exception("upstream: an attempt failed", vm=driver.settings.vm)
+        reason = "internal"
+    if not progress.done:
+        driver.handle(
+            ev.AttemptFailed(
+                command.attempt_id, progress.sent, exchange.emitted, reason
+            )
+        )
+
+
+def _timeout():
+    return aiohttp.ClientTimeout(
+        total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=IDLE_TIMEOUT_S
+    )
+
+
+def _expect_headers(command):
+    return {
+        EXPECT_HEADER: f"{command.server}/{command.incarnation}",
+        "x-request-id": command.request.request_id,
+    }
+
+
+async def _run_engine(driver, command, exchange, progress):
+    request = command.request
+    url = f"http://{command.address}{request.path}"
+    headers = _expect_headers(command)
+    headers["content-type"] = "application/json"
+    headers["x-priority"] = request.priority
+    body = _engine_body(exchange, command.resume_tokens)
+    progress.sent = True
+    async with driver.session.post(
+        url, data=body, headers=headers, timeout=_timeout(), allow_redirects=False
+    ) as answer:
+        if not await _is_accepted(driver, command, answer, progress):
+            return
+        await _relay_stream(driver, command, exchange, answer, progress)
+
+
+def _engine_body(exchange, resume_tokens):
+    body = msgspec.json.decode(exchange.payload)
+    body["stream"] = True
+    body["stream_options"] = {"include_usage": True}
+    if resume_tokens:
+        body["resume"] = {"tokens": resume_tokens, "text": "".join(exchange.text)}
+    return msgspec.json.encode(body)
+
+
+async def _is_accepted(driver, command, answer, progress):
+    """Check status and identity of the server that has answered."""
+    load = _load_of(answer)
+    if answer.status == 200:
+        served_by = answer.headers.get(SERVER_HEADER, "")
+        if command.peer or served_by == f"{command.server}/{command.incarnation}":
+            return True
+        progress.sent = True
+        return False
+    raw = await answer.read()
+    error = decode_error(raw, answer.status)
+    if error is None:
+        told = answer.headers.get(OUTCOME_HEADER)
+        outcome = "not_run" if told == "not_run" else "unknown"
+        error = make_error("upstream_failed", outcome=outcome)
+    progress.done = True
+    driver.handle(ev.AttemptRefused(command.attempt_id, error, load))
+    return False
+
+
+def _load_of(answer):
+    raw = answer.headers.get(LOAD_HEADER)
+    if not raw:
+        return None
+    try:
+        return _LOAD_DECODER.decode(raw)
+    except msgspec.DecodeError:
+        return None
+
+
+async def _relay_stream(driver, command, exchange, answer, progress):
+    """Pass events on as they come; an answer ends only with its last event."""
+    load = _load_of(answer)
+    async for raw in _events(answer, progress):
+        if raw == b"[DONE]":
+            progress.done = True
+            if not _begin(driver, command, progress):
+                return
+            driver.handle(
+                ev.AttemptFinished(command.attempt_id, exchange.emitted, None, load)
+            )
+            await exchange.put(End())
+            return
+        if not _begin(driver, command, progress):
+            progress.done = True
+            return
+        text = _event_text(raw)
+        if text:
+            exchange.text.append(text)
+            exchange.emitted += 1
+        await exchange.put(Chunk(raw))
+
+
+async def _events(answer, progress):
+    """Yield the data of each event; a stream that stands still times out."""
+    while True:
+        limit_s = TOKEN_TIMEOUT_S if progress.started else None
+        async with asyncio.timeout(limit_s):
+            line = await answer.content.readline()
+        if not line:
+            return
+        if line.startswith(b"data: "):
+            yield line[6:].rstrip(b"\r\n")
+
+
+def _begin(driver, command, progress):
+    """Tell the node of the first byte; False when another attempt has won."""
+    if not progress.started:
+        progress.started = True
+        driver.handle(ev.AttemptStarted(command.attempt_id))
+    return command.attempt_id in driver.node.state.attempts
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+    text: str | None = None
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = []
+
+
+_EVENT_DECODER = msgspec.json.Decoder(_Event)
+
+
+def _event_text(raw):
+    choices = _EVENT_DECODER.decode(raw).choices
+    if not choices:
+        return ""
+    first = choices[0]
+    if first.delta is not None:
+        return first.delta.content or ""
+    return first.text or ""
+
+
+async def _run_service(driver, command, exchange, progress):
+    request = command.request
+    url = f"http://{command.address}{request.path}"
+    if exchange.query:
+        url = f"{url}?{exchange.query}"
+    headers = {
+        name: value
+        for name, value in exchange.headers.items()
+        if name in PASSED_HEADERS
+    }
+    headers |= _expect_headers(command)
+    left_s = max(0.05, (request.deadline_ms - driver.clock.now_ms()) / 1000.0)
+    timeout = aiohttp.ClientTimeout(total=left_s, sock_connect=CONNECT_TIMEOUT_S)
+    progress.sent = True
+    async with (
+        _session(driver, request) as session,
+        session.request(
+            request.method,
+            url,
+            data=exchange.payload,
+            headers=headers,
+            timeout=timeout,
+            allow_redirects=False,
+        ) as answer,
+    ):
+        if answer.status == 421 or answer.headers.get(OUTCOME_HEADER) == "not_run":
+            await answer.read()
+            progress.done = True
+            error = make_error("upstream_failed", outcome="not_run")
+            driver.handle(ev.AttemptRefused(command.attempt_id, error, None))
+            return
+        payload = await answer.read()
+        kept = {n: answer.headers[n] for n in RETURNED_HEADERS if n in answer.headers}
+        await _finish_service(
+            driver, command, exchange, progress, answer.status, kept, payload
+        )
+
+
+async def _finish_service(
+    driver, command, exchange, progress, status, headers, payload
+):
+    if not _begin(driver, command, progress):
+        progress.done = True
+        return
+    recorded = None
+    if not command.request.idempotent and len(payload) <= MAX_ANSWER_BYTES:
+        recorded = RecordedAnswer(status, headers, payload)
+    progress.done = True
+    driver.handle(ev.AttemptFinished(command.attempt_id, 0, recorded, None))
+    await exchange.put(Head(status, headers))
+    await exchange.put(Chunk(payload))
+    await exchange.put(End())
+
+
+@contextlib.asynccontextmanager
+async def _session(driver, request):
+    """Give the shared session, or one of its own to a non-idempotent call."""
+    if request.idempotent:
+        yield driver.session
+        return
+    async with once_session() as session:
+        yield session
+
+
+async def _run_at_peer(driver, command, exchange, progress):
+    body = msgspec.json.encode(_forward(driver, command, exchange))
+    url = f"http://{command.peer_address}{FORWARD_PATH}"
+    own = driver.settings.vm
+    headers = {
+        AUTH_HEADER: driver.auth.sign(FORWARD_PATH, own, body),
+        "content-type": "application/json",
+    }
+    progress.sent = True
+    async with (
+        _session(driver, command.request) as session,
+        session.post(
+            url, data=body, headers=headers, timeout=_timeout(), allow_redirects=False
+        ) as answer,
+    ):
+        if not await _is_accepted(driver, command, answer, progress):
+            return
+        if command.request.service:
+            found = msgspec.json.decode(await answer.read(), type=ForwardAnswer)
+            await _finish_service(
+                driver,
+                command,
+                exchange,
+                progress,
+                found.status,
+                found.headers,
+                found.payload,
+            )
+            return
+        await _relay_stream(driver, command, exchange, answer, progress)
+
+
+def _forward(driver, command, exchange):
+    request = command.request
+    return ForwardRequest(
+        request_id=request.request_id,
+        workspace=request.workspace,
+        lease_id=command.lease_id,
+        revision=driver.node.state.config.revision,
+        left_ms=max(0, request.deadline_ms - driver.clock.now_ms()),
+        allowed=tuple(sorted(request.allowed)),
+        priority=request.priority,
+        model=request.model,
+        adapter=request.adapter,
+        service=request.service,
+        method=request.method,
+        path=request.path,
+        query=exchange.query,
+        prompt_tokens=request.prompt_tokens,
+        max_output_tokens=request.max_output_tokens,
+        blocks=request.blocks,
+        resume_tokens=command.resume_tokens,
+        resume_text="".join(exchange.text) if command.resume_tokens else "",
+        headers={n: v for n, v in exchange.headers.items() if n in PASSED_HEADERS},
+        payload=exchange.payload,
+    )
--- /dev/null
+++ b/bluebellbeam/daemon/wire.py
@@ -0,0 +1,170 @@
+"""Bodies that a daemon reads and writes as JSON."""
+
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from bluebellbeam.node.outcome import CallerError
+
+__all__ = [
+    "ChatBody",
+    "ForwardAnswer",
+    "ForwardRequest",
+    "decode_chat",
+    "decode_error",
+    "encode_error",
+    "prompt_bytes",
+]
+
+BYTES_PER_TOKEN = 4
+"""Bytes of text counted as one token."""
+
+DEFAULT_OUTPUT_TOKENS = 256
+"""Output tokens expected where the caller gives no limit."""
+
+
+class ChatBody(Struct):
+    """The fields of a completion request that the gateway looks at.
+
+    Parameters
+    ----------
+    model : str
+    messages : list
+        Of a chat.
+    prompt : str or list of str
+        Of a plain completion.
+    stream : bool
+    max_tokens, max_completion_tokens : int, optional
+    """
+
+    model: str
+    messages: list[Any] | None = None
+    prompt: str | list[str] | None = None
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+    def output_limit(self):
+        """Return the expected number of output tokens."""
+        limit = self.max_completion_tokens or self.max_tokens
+        return limit or DEFAULT_OUTPUT_TOKENS
+
+
+class ForwardRequest(Struct, frozen=True):
+    """A request forwarded to a lender.
+
+    Parameters
+    ----------
+    left_ms : int
+        Time left until the deadline, when it was sent.
+    allowed : tuple of str
+        Regions allowed by the sender's configuration.
+    hops : int
+        Forwards so far; a receiver takes 1 and never forwards.
+    payload : bytes
+    """
+
+    request_id: str
+    workspace: str
+    lease_id: str
+    revision: int
+    left_ms: int
+    allowed: tuple[str, ...]
+    priority: str
+    hops: int = 1
+    model: str = ""
+    adapter: str | None = None
+    service: str = ""
+    method: str = "POST"
+    path: str = ""
+    query: str = ""
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    blocks: tuple[int, ...] = ()
+    resume_tokens: int = 0
+    resume_text: str = ""
+    headers: dict[str, str] = {}
+    payload: bytes = b""
+
+
+class ForwardAnswer(Struct, frozen=True):
+    """Answer of a plain service to a forwarded call."""
+
+    status: int
+    headers: dict[str, str]
+    payload: bytes
+
+
+def decode_chat(raw):
+    """Return the :class:`ChatBody` in `raw`.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If `raw` is not such a body.
+    """
+    body = msgspec.json.decode(raw, type=ChatBody)
+    if body.messages is None and body.prompt is None:
+        raise msgspec.ValidationError("Object missing `messages` or `prompt`")
+    limit = body.output_limit()
+    if limit < 1:
+        raise msgspec.ValidationError("`max_tokens` must be positive")
+    return body
+
+
+def prompt_bytes(body):
+    """Return the text of a prompt, in a form whose prefixes are stable."""
+    if body.messages is not None:
+        return msgspec.json.encode(body.messages)
+    if isinstance(body.prompt, str):
+        return body.prompt.encode()
+    return "\n".join(body.prompt).encode()
+
+
+def encode_error(error, request_id):
+    """Return the JSON body of a caller's error."""
+    body = {
+        "code": error.code,
+        "message": error.message,
+        "outcome": error.outcome,
+        "request_id": request_id,
+    }
+    if error.retry_after_ms:
+        body["retry_after_ms"] = error.retry_after_ms
+    if error.entries:
+        body["entries"] = list(error.entries)
+    if error.operation_id:
+        body["operation_id"] = error.operation_id
+    return msgspec.json.encode({"error": body})
+
+
+class _ErrorBody(Struct):
+    code: str
+    message: str
+    outcome: str
+    request_id: str = ""
+    retry_after_ms: int = 0
+    entries: tuple[str, ...] = ()
+    operation_id: str = ""
+
+
+class _ErrorDocument(Struct):
+    error: _ErrorBody
+
+
+def decode_error(raw, status):
+    """Return the :class:`CallerError` in `raw`, or None if there is none."""
+    try:
+        body = msgspec.json.decode(raw, type=_ErrorDocument).error
+    except msgspec.DecodeError:
+        return None
+    return CallerError(
+        body.code,
+        status,
+        body.outcome,
+        body.message,
+        body.retry_after_ms,
+        body.entries,
+        body.operation_id,
+    )
--- /dev/null
+++ b/bluebellbeam/demo.py
@@ -0,0 +1,304 @@
+"""Both users' deployments of today's size, in one process on loopback.
+
+Daemons, model engines, plain services and the platform all listen on
+127.0.0.1; requests go through the daemons' real listeners.
+"""
+
+import asyncio
+import time
+
+import aiohttp
+import click
+import msgspec
+
+from bluebellbeam.config import PlatformAddresses, Settings
+from bluebellbeam.daemon.listener import bind_address, bound_address
+from bluebellbeam.daemon.server import make_daemon
+from bluebellbeam.examples import EXAMPLES, read_example
+from bluebellbeam.standins import make_directory, make_store
+from bluebellbeam.standins.deployment import make_fleet, publish_lists
+from bluebellbeam.standins.http import (
+    make_engine_server,
+    make_platform_server,
+    make_service_server,
+)
+
+__all__ = ["Deployment", "run_demo"]
+
+PEER_KEY = "demonstration-key"
+READY_TIMEOUT_S = 15.0
+LISTENERS = ("callers", "peers", "operators")
+
+
+class Deployment:
+    """A whole deployment on loopback.
+
+    Attributes
+    ----------
+    fleet : Fleet
+    store : Store
+    directory : Directory
+        The key of each workspace is ``key-<workspace>``.
+    daemons : dict of str to Daemon
+    servers : dict of str to StandinServer
+    cut : set of frozenset of str
+        Pairs of regions whose daemons do not reach each other.
+    """
+
+    __slots__ = (
+        "fleet",
+        "store",
+        "directory",
+        "platform",
+        "daemons",
+        "servers",
+        "base",
+        "overlays",
+        "settings",
+        "revision",
+    )
+
+    def __init__(self, base, overlays):
+        self.base = base
+        self.overlays = overlays
+        self.fleet = make_fleet(base)
+        self.store = make_store()
+        names = base["workspaces"]
+        self.directory = make_directory({f"key-{name}": name for name in names})
+        self.platform = None
+        self.daemons = {}
+        self.servers = {}
+        self.settings = {}
+        self.revision = 1
+
+    async def start(self):
+        """Start the platform, every backend server and every daemon."""
+        await self._start_backends()
+        sockets = {
+            vm: {name: bind_address("127.0.0.1:0") for name in LISTENERS}
+            for vm in self.fleet.entries
+        }
+        for vm, bound in sockets.items():
+            self.fleet.entries[vm] = msgspec.structs.replace(
+                self.fleet.entries[vm],
+                peer_address=bound_address(bound["peers"]),
+                caller_address=bound_address(bound["callers"]),
+            )
+        self.platform = make_platform_server(self.store, self.directory)
+        await self.platform.start()
+        publish_lists(self.store, self.fleet)
+        self.store.publish_config(self.revision, self.base, self.overlays)
+        for vm, bound in sockets.items():
+            await self.start_daemon(vm, bound)
+        await self.wait_ready()
+
+    async def _start_backends(self):
+        calls = {
+            (service, call["method"]): call
+            for service, item in self.base["services"].items()
+            for call in item["calls"]
+            if call.get("idempotent")
+        }
+        for name, engine in self.fleet.engines.items():
+            self.servers[name] = make_engine_server(engine)
+        for name, service in self.fleet.services.items():
+            self.servers[name] = make_service_server(
+                service,
+                lambda method, _, kind=service.record.service: (kind, method) in calls,
+            )
+        for name, server in self.servers.items():
+            await server.start()
+            record = msgspec.structs.replace(
+                self.fleet.backends[name], address=server.address
+            )
+            self.fleet.backends[name] = record
+            self.fleet.server(name).record = record
+
+    async def start_daemon(self, vm, sockets=None):
+        """Start, or start again, the daemon on one entry VM."""
+        record = self.fleet.entries[vm]
+        platform = self.platform.address
+        settings = Settings(
+            vm=vm,
+            region=record.region,
+            failure_domain=record.failure_domain,
+            site=self.fleet.site_of(vm),
+            caller_address=record.caller_address,
+            peer_address=record.peer_address,
+            operator_address="127.0.0.1:0",
+            peer_key=PEER_KEY,
+            platform=PlatformAddresses(
+                configuration=platform, vm_list=platform, directory=platform
+            ),
+        )
+        daemon = make_daemon(settings, sockets)
+        self.daemons[vm] = daemon
+        await daemon.start()
+
+    async def wait_ready(self):
+        """Wait until every daemon takes new work."""
+        end_s = time.monotonic() + READY_TIMEOUT_S
+        while not all(d.driver.node.state.ready for d in self.daemons.values()):
+            if time.monotonic() > end_s:
+                raise TimeoutError("a daemon has not become ready")
+            await asyncio.sleep(0.05)
+
+    async def stop(self):
+        """Stop everything at once."""
+        for daemon in self.daemons.values():
+            await daemon.close()
+        for server in self.servers.values():
+            await server.stop()
+        await self.platform.stop()
+
+
+class Tally:
+    """What the requests of a demonstration were answered with.
+
+    Attributes
+    ----------
+    rows : dict of str to list of (bool, float, str)
+        Success, duration in ms and answer, by kind of request.
+    """
+
+    __slots__ = ("rows",)
+
+    def __init__(self):
+        self.rows = {}
+
+    def add(self, kind, ok, took_ms, detail):
+        """Record one request."""
+        self.rows.setdefault(kind, []).append((ok, took_ms, detail))
+
+
+async def _chat(session, deployment, vm, workspace, model, prompt, tally, kind):
+    address = deployment.fleet.entries[vm].caller_address
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": True,
+        "max_tokens": 24,
+    }
+    headers = {"authorization": f"Bearer key-{workspace}"}
+    start_s = time.monotonic()
+    first_ms = None
+    whole = False
+    detail = "no answer"
+    try:
+        async with session.post(
+            f"http://{address}/v1/chat/completions", json=body, headers=headers
+        ) as answer:
+            detail = str(answer.status)
+            async for line in answer.content:
+                if first_ms is None:
+                    first_ms = (time.monotonic() - start_s) * 1000.0
+                whole = whole or line.startswith(b"data: [DONE]")
+    except aiohttp.ClientError as error:
+        detail = type(error).__name__
+    tally.add(kind, whole, first_ms or 0.0, detail)
+
+
+async def _call(session, deployment, vm, workspace, method, path, tally, kind):
+    """Call a service; a non-idempotent call first asks for an operation id."""
+    address = deployment.fleet.entries[vm].caller_address
+    service = next(iter(deployment.base["services"]))
+    headers = {"authorization": f"Bearer key-{workspace}"}
+    start_s = time.monotonic()
+    try:
+        if method != "GET":
+            async with session.get(
+                f"http://{address}/v1/entry", headers=headers
+            ) as answer:
+                found = await answer.json()
+                headers["x-operation-id"] = found.get("operation_id", "")
+        url = f"http://{address}/v1/services/{service}/{path}"
+        async with session.request(method, url, headers=headers) as answer:
+            await answer.read()
+            ok, detail = answer.status == 200, str(answer.status)
+    except (aiohttp.ClientError, msgspec.DecodeError) as error:
+        ok, detail = False, type(error).__name__
+    tally.add(kind, ok, (time.monotonic() - start_s) * 1000.0, detail)
+
+
+async def _traffic(session, deployment, tally, phase, count):
+    model = next(iter(deployment.base["models"]))
+    workspaces = [
+        name
+        for name, item in deployment.base["workspaces"].items()
+        if len(item["allowed_regions"]) > 1 and item.get("services")
+    ]
+    service = next(iter(deployment.base["services"].values()))
+    read, change = service["calls"][0], service["calls"][-1]
+    vms = sorted(deployment.fleet.entries)
+    tasks = []
+    for i in range(count):
+        vm = vms[i % len(vms)]
+        workspace = workspaces[i % len(workspaces)]
+        prompt = f"record {i % 3} " * 60
+        common = (session, deployment, vm, workspace)
+        tasks.append(_chat(*common, model, prompt, tally, f"{phase}: chat"))
+        path = f"{read['path_prefix'][1:]}/{i}"
+        tasks.append(_call(*common, "GET", path, tally, f"{phase}: lookup"))
+        path = f"{change['path_prefix'][1:]}/{phase}-{i}"
+        tasks.append(_call(*common, change["method"], path, tally, f"{phase}: change"))
+    await asyncio.gather(*tasks)
+
+
+async def _demonstrate(name):
+    base, overlays = read_example(name)
+    deployment = Deployment(base, overlays)
+    await deployment.start()
+    tally = Tally()
+    regions = sorted(base["regions"])
+    lost = f"{regions[0]}-{next(iter(base['models']))}-1"
+    timeout = aiohttp.ClientTimeout(total=20)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        await _traffic(session, deployment, tally, "steady", 12)
+        traffic = _traffic(session, deployment, tally, "server lost", 12)
+        task = asyncio.create_task(traffic)
+        await asyncio.sleep(0.2)
+        await deployment.servers[lost].stop()
+        await task
+        _cut_region(deployment, regions[-1])
+        await _traffic(session, deployment, tally, "link cut", 12)
+    effects = [
+        count
+        for service in deployment.fleet.services.values()
+        for count in service.effects.values()
+    ]
+    daemons = len(deployment.daemons)
+    await deployment.stop()
+    _print_table(name, tally, effects, daemons, lost, regions[-1])
+    whole = all(ok for rows in tally.rows.values() for ok, _, _ in rows)
+    return whole and max(effects, default=0) <= 1
+
+
+def _cut_region(deployment, region):
+    """Make the daemons of `region` and the others unreachable to each other."""
+    for daemon in deployment.daemons.values():
+        state = daemon.driver.node.state
+        for row in state.members.rows.values():
+            if (row.region == region) != (state.region == region):
+                row.peer_address = "127.0.0.1:1"
+
+
+def _print_table(name, tally, effects, daemons, lost, region):
+    click.echo(f"\n{name}: {daemons} daemons; lost {lost}; cut off {region}")
+    click.echo(f"  {'requests':<22}{'sent':>6}{'whole':>7}{'p50 ms':>9}{'max ms':>9}")
+    for kind, rows in tally.rows.items():
+        times = sorted(took for _, took, _ in rows)
+        whole = sum(1 for ok, _, _ in rows if ok)
+        middle = times[len(times) // 2]
+        click.echo(
+            f"  {kind:<22}{len(rows):>6}{whole:>7}{middle:>9.0f}{times[-1]:>9.0f}"
+        )
+        for _, _, detail in (row for row in rows if not row[0]):
+            click.echo(f"    not whole: {detail}")
+    most = max(effects, default=0)
+    click.echo(f"  changes: {len(effects)} took effect, each at most {most} time")
+
+
+async def run_demo(names=tuple(EXAMPLES)):
+    """Run the demonstration of each example; return whether all went well."""
+    results = [await _demonstrate(name) for name in names]
+    return all(results)
--- /dev/null
+++ b/bluebellbeam/node/__init__.py
@@ -0,0 +1,25 @@
+"""The decisions of a daemon, free of I/O: events in, commands out."""
+
+from bluebellbeam.node.arrivals import entry_addresses
+from bluebellbeam.node.dump import TABLES, dump_state, explain_request
+from bluebellbeam.node.node import Node, make_node
+from bluebellbeam.node.outcome import ERRORS, CallerError, make_error
+from bluebellbeam.node.request import Attempt, Request
+from bluebellbeam.node.state import NodeIdentity, NodeState, backends_feed
+
+__all__ = [
+    "ERRORS",
+    "TABLES",
+    "Attempt",
+    "CallerError",
+    "Node",
+    "NodeIdentity",
+    "NodeState",
+    "Request",
+    "backends_feed",
+    "dump_state",
+    "entry_addresses",
+    "explain_request",
+    "make_error",
+    "make_node",
+]
--- /dev/null
+++ b/bluebellbeam/node/arrivals.py
@@ -0,0 +1,331 @@
+"""Arrival system: which requests are taken in, and what they may use."""
+
+from bluebellbeam.admission import (
+    cost_ahead,
+    local_rate,
+    push_request,
+    remove_request,
+    take_tokens,
+)
+from bluebellbeam.borrowing import find_granted, fresh_offers
+from bluebellbeam.config.effective import resolve_model
+from bluebellbeam.membership import usable_members
+from bluebellbeam.node.command import AnswerError, AnswerRecorded
+from bluebellbeam.node.dispatch import fail_request, pump
+from bluebellbeam.node.lending import borrow_for, is_local, lease_limit, remote_score
+from bluebellbeam.node.outcome import make_error
+from bluebellbeam.node.sync import ask_for_config
+from bluebellbeam.node.waiting import local_wait_ms
+from bluebellbeam.operations import (
+    Busy,
+    Expired,
+    Foreign,
+    Fresh,
+    Full,
+    Invalid,
+    Recorded,
+    claim_operation,
+    issue_operation,
+)
+from bluebellbeam.routing.entry import entry_set_size, is_in_entry_set, rank_entries
+from bluebellbeam.routing.policies import is_baseline
+
+__all__ = ["entry_addresses", "narrow_requests", "receive_request", "total_weight"]
+
+
+def receive_request(state, request, now_ms):
+    """Take in a request, or give it its final error at once."""
+    state.counters.requests += 1
+    request.arrival_ms = now_ms
+    error = _check_node(state, request)
+    if error is None:
+        error = _resolve(state, request, now_ms)
+    if error is None and request.origin:
+        error = _check_forwarded(state, request, now_ms)
+    if error is None and not request.origin:
+        error = _check_limits(state, request, now_ms)
+    if error is None:
+        error = _check_deadline(state, request, now_ms)
+    if error is None and not request.origin and not request.idempotent:
+        error = _claim(state, request, now_ms)
+    if error is not None:
+        _refuse(state, request, error, now_ms)
+        return
+    if request.state == "ended":
+        return
+    _enqueue(state, request, now_ms)
+
+
+def _refuse(state, request, error, now_ms):
+    request.state = "ended"
+    errors = state.counters.errors
+    errors[error.code] = errors.get(error.code, 0) + 1
+    state.decide(request.request_id, ("error", now_ms, error.code, error.outcome))
+    state.emit(AnswerError(request.request_id, error))
+
+
+def _enqueue(state, request, now_ms):
+    state.requests[request.request_id] = request
+    if request.lease_id:
+        lease = state.lender.rows.get(request.lease_id)
+        if lease is not None:
+            lease.used += 1
+    queue = state.queue(request.pool)
+    push_request(queue, request, state.base.workspaces[request.workspace].weight)
+    pump(state, request.pool, now_ms)
+    if (
+        request.state == "queued"
+        and not request.origin
+        and not is_local(state, request)
+    ):
+        lane = queue.lanes[request.priority][request.workspace]
+        borrow_for(state, request.pool, lane, now_ms)
+
+
+def _check_node(state, request):
+    if state.leaving:
+        return make_error("leaving", entries=entry_addresses(state, request.workspace))
+    if not state.ready or state.config is None:
+        return make_error("not_ready")
+    return None
+
+
+def entry_addresses(state, workspace_name, include_self=False):
+    """Return caller addresses of entry VMs for a workspace, best first."""
+    own = state.identity
+    region = _entry_region(state, workspace_name)
+    rows = [
+        row
+        for row in usable_members(state.members)
+        if row.caller_address and (include_self or row.name != own.vm)
+    ]
+    near = [row.name for row in rows if row.region == region and row.status == "alive"]
+    far = [row.name for row in rows if row.name not in near]
+    size = state.policy.entry_set_size
+    if state.config is not None and workspace_name in state.base.workspaces:
+        workspace = state.base.workspaces[workspace_name]
+        size = entry_set_size(workspace, total_weight(state), len(near), size)
+    inside, outside = rank_entries(workspace_name, near, size)
+    by_name = {row.name: row.caller_address for row in rows}
+    order = [*inside, *outside, *rank_entries(workspace_name, far, 0)[1]]
+    return [by_name[name] for name in order]
+
+
+def _entry_region(state, workspace_name):
+    if state.config is None:
+        return state.region
+    workspace = state.base.workspaces.get(workspace_name)
+    if workspace is None or state.region in workspace.allowed_regions:
+        return state.region
+    return workspace.home_region or workspace.allowed_regions[0]
+
+
+def total_weight(state):
+    """Return the sum of the weights of every workspace."""
+    return sum(item.weight for item in state.base.workspaces.values())
+
+
+def _resolve(state, request, now_ms):
+    workspace = state.base.workspaces.get(request.workspace)
+    if workspace is None:
+        return make_error("not_permitted")
+    allowed = frozenset(workspace.allowed_regions)
+    request.allowed = request.allowed & allowed if request.origin else allowed
+    request.revision = request.revision or state.config.revision
+    if request.service:
+        return _resolve_service(state, request, workspace, now_ms)
+    return _resolve_model(state, request, workspace, now_ms)
+
+
+def _resolve_service(state, request, workspace, now_ms):
+    service = state.base.services.get(request.service)
+    if service is None:
+        return make_error("unknown_service")
+    if request.service not in workspace.services:
+        return make_error("not_permitted")
+    request.pool = f"s/{request.service}"
+    request.idempotent = any(
+        call.idempotent
+        for call in service.calls
+        if call.method == request.method and request.path.startswith(call.path_prefix)
+    )
+    request.expected_ms = service.expected_ms
+    request.cost = service.expected_ms
+    limit_ms = min(service.timeout_ms, workspace.deadlines.service_ms)
+    if not request.origin:
+        request.priority = "interactive"
+        request.deadline_ms = now_ms + limit_ms
+    return None
+
+
+def _resolve_model(state, request, workspace, now_ms):
+    found = resolve_model(state.base, request.model)
+    name = request.adapter or request.model
+    if found is None:
+        return make_error("unknown_model")
+    if name not in workspace.models:
+        return make_error("not_permitted")
+    request.model, adapter = found
+    request.adapter = request.adapter or adapter
+    request.pool = f"m/{request.adapter or request.model}"
+    model = state.base.models[request.model]
+    prefill_ms = 1000.0 * request.prompt_tokens / model.prefill_tokens_per_s
+    request.cost = prefill_ms + request.max_output_tokens * model.inter_token_ms
+    if request.origin:
+        return None
+    if workspace.priority == "batch":
+        request.priority = "batch"
+    deadlines = workspace.deadlines
+    batch = request.priority == "batch"
+    limit_ms = deadlines.batch_ms if batch else deadlines.interactive_ms
+    request.deadline_ms = now_ms + limit_ms
+    return None
+
+
+def _check_forwarded(state, request, now_ms):
+    """Check again what the sender has checked: it may be out of date."""
+    if request.revision > state.config.revision:
+        ask_for_config(state, request.origin)
+        return make_error("config_behind")
+    if not is_local(state, request):
+        state.counters.region_refusals += 1
+        return make_error("region_not_permitted")
+    request.allowed = frozenset((state.region,))
+    state.counters.received += 1
+    if is_baseline(state.policy_name):
+        return None
+    lease = find_granted(
+        state.lender, request.lease_id, request.pool, request.workspace, now_ms
+    )
+    if lease is None:
+        return make_error("lease_missing")
+    workspace = state.base.workspaces[request.workspace]
+    if workspace.home_region != state.region:
+        request.priority = "guest"
+    return None
+
+
+def _check_limits(state, request, now_ms):
+    workspace = state.base.workspaces[request.workspace]
+    queue = state.queues.get(request.pool)
+    if queue is not None and queue.size >= state.policy.max_queue:
+        wait_ms = local_wait_ms(state, request.pool, request) or 0
+        return make_error("queue_full", retry_after_ms=int(wait_ms))
+    if not workspace.rate_tokens_per_s or not request.model:
+        return None
+    own = state.identity.vm
+    members = [row.name for row in usable_members(state.members, state.region)]
+    size = entry_set_size(
+        workspace,
+        total_weight(state),
+        max(1, len(members)),
+        state.policy.entry_set_size,
+    )
+    inside = is_in_entry_set(own, request.workspace, members or [own], size)
+    rate = local_rate(workspace.rate_tokens_per_s, size, inside)
+    tokens = request.prompt_tokens + request.max_output_tokens
+    wait_ms = take_tokens(state.rates, request.workspace, rate, tokens, now_ms)
+    if wait_ms:
+        return make_error("rate_limited", retry_after_ms=wait_ms)
+    return None
+
+
+def _check_deadline(state, request, now_ms):
+    """Refuse at once what could not start before its deadline anywhere."""
+    if is_baseline(state.policy_name):
+        return None
+    wait_ms = _expected_start_ms(state, request, now_ms)
+    if wait_ms is None:
+        return make_error("no_backend", retry_after_ms=2000)
+    left_ms = request.deadline_ms - now_ms
+    if wait_ms <= left_ms:
+        return None
+    return make_error("deadline_unreachable", retry_after_ms=int(wait_ms - left_ms))
+
+
+def _expected_start_ms(state, request, now_ms):
+    stay_ms = None
+    if is_local(state, request):
+        stay_ms = local_wait_ms(state, request.pool, request)
+    if request.origin:
+        return stay_ms
+    away_ms = _expected_away_ms(state, request, now_ms)
+    if stay_ms is None:
+        return away_ms
+    return stay_ms if away_ms is None else min(stay_ms, away_ms)
+
+
+def _expected_away_ms(state, request, now_ms):
+    allowed = request.allowed - {state.region}
+    if not allowed or lease_limit(state, request) < 1:
+        return None
+    offers = fresh_offers(state.borrower, request.pool, allowed, now_ms)
+    if not offers:
+        return None
+    queue = state.queues.get(request.pool)
+    spare = sum(offer.spare for offer in offers)
+    slots = max(1.0, min(spare, lease_limit(state, request)))
+    ahead_ms = cost_ahead(queue, request) / slots if queue is not None else 0.0
+    nearest = min(offers, key=lambda offer: remote_score(state, request, offer))
+    region = state.base.regions[state.region]
+    delay_ms = region.one_way_delay_ms.get(nearest.region, 50.0)
+    return ahead_ms + nearest.wait_ms + 4 * delay_ms
+
+
+def _claim(state, request, now_ms):
+    """Claim the operation of a non-idempotent call."""
+    if not request.operation_id:
+        fresh = issue_operation(
+            state.ledger, request.workspace, now_ms, state.policy.operation_ttl_ms
+        )
+        return make_error("operation_required", operation_id=fresh)
+    claim = claim_operation(
+        state.ledger,
+        request.operation_id,
+        request.workspace,
+        request.fingerprint,
+        now_ms,
+    )
+    match claim:
+        case Fresh():
+            return None
+        case Recorded(outcome="ran", answer=None):
+            return make_error("operation_ran")
+        case Recorded(outcome="ran", answer=answer):
+            request.state = "ended"
+            state.emit(AnswerRecorded(request.request_id, answer))
+            return None
+        case Recorded():
+            return make_error("operation_unknown")
+        case Busy():
+            return make_error("operation_busy")
+        case Foreign():
+            return make_error("operation_foreign")
+        case Expired(not_run=True):
+            return make_error("operation_expired", outcome="not_run")
+        case Expired():
+            return make_error("operation_expired")
+        case Full():
+            return make_error("too_many_operations")
+        case Invalid():
+            return make_error("operation_invalid")
+
+
+def narrow_requests(state, now_ms):
+    """Apply a new configuration to the requests that wait."""
+    for request in list(state.requests.values()):
+        if request.state != "queued":
+            continue
+        workspace = state.base.workspaces.get(request.workspace)
+        if workspace is None:
+            _drop_queued(state, request, make_error("not_permitted"), now_ms)
+            continue
+        request.allowed = request.allowed & frozenset(workspace.allowed_regions)
+        if not request.allowed:
+            error = make_error("region_not_permitted")
+            _drop_queued(state, request, error, now_ms)
+
+
+def _drop_queued(state, request, error, now_ms):
+    remove_request(state.queue(request.pool), request)
+    fail_request(state, request, error, now_ms)
--- /dev/null
+++ b/bluebellbeam/node/attempts.py
@@ -0,0 +1,256 @@
+"""Attempt system: answers, failures, retries, resumes and hedges."""
+
+from bluebellbeam.admission import push_request, remove_request
+from bluebellbeam.borrowing import drop_lender
+from bluebellbeam.node.command import CancelAttempt
+from bluebellbeam.node.dispatch import (
+    end_attempt,
+    end_request,
+    fail_request,
+    pump,
+    start_elsewhere,
+)
+from bluebellbeam.node.lending import REFUSED_MS
+from bluebellbeam.node.loads import take_load
+from bluebellbeam.node.outcome import make_error
+from bluebellbeam.operations import mark_not_run, record_answer
+from bluebellbeam.recovery import note_failure, note_speed, note_success, spend
+from bluebellbeam.routing import reindex
+
+__all__ = [
+    "attempt_failed",
+    "attempt_finished",
+    "attempt_refused",
+    "attempt_started",
+    "caller_left",
+    "tick_requests",
+]
+
+HEDGE_FACTOR = 3.0
+"""A lookup is hedged after this many times its expected time."""
+
+HEDGE_MARGIN_MS = 20
+"""Least time before a lookup is hedged."""
+
+STALL_FACTOR = 4.0
+"""A first token is overdue after this many times its expected time."""
+
+STALL_MARGIN_MS = 2500
+"""Least time before a first token is overdue."""
+
+FINAL_REFUSALS = frozenset({"not_permitted", "region_not_permitted", "bad_request"})
+"""Refusals that no other backend server would answer differently."""
+
+
+def attempt_started(state, event, now_ms):
+    """Record a first token, and stop the other attempts of the request."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None or attempt.first_ms is not None:
+        return
+    attempt.first_ms = now_ms
+    request = attempt.request
+    request.started = True
+    for other in list(request.running):
+        if other is not attempt:
+            state.emit(CancelAttempt(other.attempt_id))
+            end_attempt(state, other, now_ms, completed=False)
+    row = state.replicas.rows.get(attempt.server)
+    if row is None:
+        return
+    row.inflight_tokens = max(0, row.inflight_tokens - attempt.tokens)
+    observed_ms = now_ms - attempt.started_ms
+    note_speed(state.replicas, row, observed_ms, attempt.expected_ms)
+
+
+def attempt_finished(state, event, now_ms):
+    """Record a whole answer."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return
+    if attempt.first_ms is None:
+        attempt_started(state, event, now_ms)
+    request = attempt.request
+    row = state.replicas.rows.get(attempt.server)
+    if row is not None:
+        note_success(row)
+    end_attempt(state, attempt, now_ms, completed=True)
+    if row is not None and event.load is not None:
+        take_load(state, row, event.load, now_ms)
+    end_request(state, request)
+    state.counters.answered += 1
+    if not request.idempotent and not request.origin:
+        record_answer(state.ledger, request.operation_id, "ran", event.answer)
+    state.decide(
+        request.request_id, ("answered", now_ms, attempt.server or attempt.peer)
+    )
+    pump(state, request.pool, now_ms)
+
+
+def attempt_refused(state, event, now_ms):
+    """Handle an error that the far side has answered."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return
+    request = attempt.request
+    error = event.error
+    not_run = error.outcome == "not_run"
+    end_attempt(state, attempt, now_ms, completed=False)
+    state.counters.refused += 1
+    if attempt.peer:
+        until_ms = now_ms + max(REFUSED_MS, min(error.retry_after_ms, 10_000))
+        key = (attempt.peer, request.pool)
+        state.borrower.refused_until_ms[key] = until_ms
+        state.borrower.rows.pop(attempt.lease_id, None)
+    row = state.replicas.rows.get(attempt.server)
+    if row is not None:
+        _note_refusal(state, row, event, now_ms)
+    if not not_run:
+        request.touched = True
+    if error.code in FINAL_REFUSALS:
+        fail_request(state, request, error, now_ms)
+    else:
+        _again_or_fail(state, request, attempt, not_run, error.code, now_ms)
+    pump(state, request.pool, now_ms)
+
+
+def _note_refusal(state, row, event, now_ms):
+    if event.load is not None:
+        take_load(state, row, event.load, now_ms)
+        return
+    row.others = max(row.others, row.slots * (1.0 + state.slack) - row.inflight)
+    reindex(state.replicas, row)
+    note_failure(state.replicas, row, state.policy, now_ms, state.rng)
+
+
+def attempt_failed(state, event, now_ms):
+    """Handle an attempt that gave no whole answer."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return
+    request = attempt.request
+    end_attempt(state, attempt, now_ms, completed=False)
+    request.touched = request.touched or event.sent
+    request.emitted_tokens = max(request.emitted_tokens, event.emitted_tokens)
+    row = state.replicas.rows.get(attempt.server)
+    if row is not None:
+        note_failure(state.replicas, row, state.policy, now_ms, state.rng)
+    if attempt.peer:
+        drop_lender(state.borrower, attempt.peer)
+    _again_or_fail(
+        state, request, attempt, not event.sent, _failure_code(request, event), now_ms
+    )
+    pump(state, request.pool, now_ms)
+
+
+def _failure_code(request, event):
+    if request.started or event.emitted_tokens:
+        return "upstream_truncated"
+    if event.reason == "timeout":
+        return "upstream_timeout"
+    return "upstream_failed" if event.sent else "no_backend"
+
+
+def _again_or_fail(state, request, attempt, not_run, code, now_ms):
+    if request.state == "ended" or request.running:
+        return
+    request.tried.add(attempt.server or attempt.peer)
+    entry = ("failed", now_ms, attempt.server or attempt.peer, code)
+    state.decide(request.request_id, entry)
+    if _may_try_again(state, request, not_run, now_ms):
+        if not request.idempotent and not request.origin:
+            mark_not_run(state.ledger, request.operation_id)
+        _requeue(state, request)
+        return
+    outcome = "unknown" if request.touched else "not_run"
+    fail_request(state, request, make_error(code, outcome=outcome), now_ms)
+
+
+def _may_try_again(state, request, not_run, now_ms):
+    if not request.idempotent and not not_run:
+        return False
+    if request.attempts >= state.policy.max_attempts:
+        return False
+    if not request.started and now_ms >= request.deadline_ms:
+        return False
+    if not spend(state.retries):
+        return False
+    state.counters.retries += 1
+    if request.started:
+        state.counters.resumes += 1
+        request.deadline_ms = max(request.deadline_ms, now_ms + RESUME_MS)
+    return True
+
+
+RESUME_MS = 5000
+"""Time that a broken stream may wait for another engine."""
+
+
+def _requeue(state, request):
+    request.state = "queued"
+    weight = state.base.workspaces[request.workspace].weight
+    push_request(state.queue(request.pool), request, weight, front=True)
+
+
+def caller_left(state, event, now_ms):
+    """Cancel what is done for a caller that has hung up."""
+    request = state.requests.get(event.request_id)
+    if request is None:
+        return
+    if request.state == "queued":
+        remove_request(state.queue(request.pool), request)
+    fail_request(state, request, make_error("caller_left"), now_ms)
+    pump(state, request.pool, now_ms)
+
+
+def tick_requests(state, now_ms):
+    """End what is past its deadline; try overdue attempts elsewhere."""
+    for request in list(state.requests.values()):
+        if request.state == "queued":
+            _tick_queued(state, request, now_ms)
+        elif request.state == "running" and not request.started:
+            _tick_waiting(state, request, now_ms)
+
+
+def _tick_queued(state, request, now_ms):
+    if now_ms < request.deadline_ms:
+        return
+    remove_request(state.queue(request.pool), request)
+    code = "upstream_truncated" if request.started else "deadline_passed"
+    fail_request(state, request, make_error(code), now_ms)
+
+
+def _tick_waiting(state, request, now_ms):
+    if now_ms >= request.deadline_ms + _grace_ms(request):
+        fail_request(state, request, make_error("upstream_timeout"), now_ms)
+        pump(state, request.pool, now_ms)
+        return
+    if len(request.running) != 1 or not request.idempotent or request.origin:
+        return
+    attempt = request.running[0]
+    waited_ms = now_ms - attempt.started_ms
+    if request.service:
+        due_ms = max(HEDGE_MARGIN_MS, HEDGE_FACTOR * attempt.expected_ms)
+        if waited_ms >= due_ms and spend(state.hedges):
+            _hedge(state, request, now_ms)
+        return
+    due_ms = max(STALL_MARGIN_MS, STALL_FACTOR * attempt.expected_ms)
+    if waited_ms < due_ms or request.stalled or not attempt.server:
+        return
+    request.stalled = True
+    row = state.replicas.rows.get(attempt.server)
+    if row is not None:
+        note_speed(state.replicas, row, waited_ms, attempt.expected_ms)
+        note_failure(state.replicas, row, state.policy, now_ms, state.rng)
+    if spend(state.retries):
+        state.counters.retries += 1
+        start_elsewhere(state, request, now_ms)
+
+
+def _hedge(state, request, now_ms):
+    if start_elsewhere(state, request, now_ms) is not None:
+        state.counters.hedges += 1
+
+
+def _grace_ms(request):
+    """Return how long a running request may overrun its deadline."""
+    return 0 if request.service else 2000
--- /dev/null
+++ b/bluebellbeam/node/dispatch.py
@@ -0,0 +1,355 @@
+"""Dispatch system: requests leave their queue for a server or a lender."""
+
+import msgspec
+
+from bluebellbeam.admission import next_requests, pop_request
+from bluebellbeam.borrowing import find_held, note_running
+from bluebellbeam.membership import usable_members
+from bluebellbeam.node.command import AnswerError, CancelAttempt, StartAttempt
+from bluebellbeam.node.lending import is_local, remote_score
+from bluebellbeam.node.outcome import make_error
+from bluebellbeam.node.request import Attempt
+from bluebellbeam.node.waiting import demand_share, local_wait_ms, pool_rows
+from bluebellbeam.operations import mark_sent, record_answer, release_operation
+from bluebellbeam.recovery import earn
+from bluebellbeam.routing import (
+    choose_replica,
+    note_finished,
+    note_prefix,
+    note_started,
+)
+from bluebellbeam.routing.policies import is_baseline, order_baseline
+
+__all__ = [
+    "end_attempt",
+    "end_request",
+    "fail_request",
+    "pump",
+    "pump_all",
+    "start_elsewhere",
+]
+
+
+def pump_all(state, now_ms):
+    """Dispatch what can be dispatched from every queue."""
+    for pool in [pool for pool, queue in state.queues.items() if queue.size]:
+        pump(state, pool, now_ms)
+
+
+def pump(state, pool, now_ms):
+    """Dispatch requests of `pool` while there is room for one.
+
+    Requests are taken in the order of service. Once the own region has no
+    room, only workspaces with a lease elsewhere are looked at.
+    """
+    queue = state.queues.get(pool)
+    while queue is not None and queue.size:
+        if not _dispatch_one(state, queue, pool, now_ms):
+            return
+
+
+def _dispatch_one(state, queue, pool, now_ms):
+    full = _is_quota_used(state, pool, now_ms)
+    leased = {lease.workspace for lease in state.borrower.rows.values()}
+    for request in next_requests(queue, now_ms):
+        if now_ms >= request.deadline_ms:
+            pop_request(queue, request)
+            fail_request(state, request, make_error("deadline_passed"), now_ms)
+            return True
+        if full and request.workspace not in leased and is_local(state, request):
+            continue
+        started, no_room = _try_start(state, queue, request, full, now_ms)
+        if started:
+            return True
+        full = full or no_room
+        if full and not leased:
+            return False
+    return False
+
+
+def _is_quota_used(state, pool, now_ms):
+    share = demand_share(state, pool, now_ms)
+    if share >= 1.0:
+        return False
+    slots = sum(row.slots for row in pool_rows(state, pool))
+    quota = max(1.0, slots * (1.0 + state.slack) * share)
+    return state.inflight.get(pool, 0) >= quota
+
+
+def _try_start(state, queue, request, full, now_ms):
+    """Return ``(started, whether the own region has no room)``."""
+    if is_baseline(state.policy_name):
+        return _start_baseline(state, queue, request, now_ms), False
+    local = []
+    if not full and is_local(state, request):
+        local = choose_replica(state, request, now_ms)
+    lease = find_held(
+        state.borrower, request.pool, request.workspace, request.allowed, now_ms
+    )
+    if lease is not None and lease.lender in request.tried:
+        lease = None
+    if lease is not None and _prefers_lease(state, request, local, lease):
+        return _start_at_peer(state, queue, request, lease, now_ms), False
+    if local:
+        return _start_at_server(state, queue, request, local, now_ms), False
+    return False, is_local(state, request) and not request.tried
+
+
+def _prefers_lease(state, request, local, lease):
+    if not is_local(state, request):
+        return True
+    offer = state.borrower.offers.get((lease.lender, lease.pool))
+    if offer is None:
+        return not local
+    away = remote_score(state, request, offer)
+    if local:
+        return away < local[0].score
+    stay_ms = local_wait_ms(state, request.pool, request)
+    if stay_ms is None:
+        return True
+    return away < stay_ms * state.objective.latency_weight
+
+
+def _start_at_server(state, queue, request, candidates, now_ms):
+    best = candidates[0]
+    row = state.replicas.rows[best.server]
+    due_ms = request.deadline_ms - now_ms
+    if best.estimate.first_token_ms > due_ms and not request.started:
+        pop_request(queue, request)
+        wait_ms = int(best.estimate.first_token_ms)
+        error = make_error("deadline_unreachable", retry_after_ms=wait_ms)
+        fail_request(state, request, error, now_ms)
+        return True
+    pop_request(queue, request)
+    if not _claim_send(state, request, now_ms):
+        return True
+    attempt = _new_attempt(state, request, now_ms)
+    _send_to_server(state, attempt, row, best, now_ms)
+    state.decide(request.request_id, ("server", now_ms, candidates[:6]))
+    return True
+
+
+def _send_to_server(state, attempt, row, candidate, now_ms):
+    request = attempt.request
+    attempt.server = row.name
+    attempt.expected_ms = candidate.estimate.first_token_ms
+    attempt.tokens = candidate.estimate.uncached_tokens
+    note_started(state.replicas, row, attempt.tokens)
+    state.inflight[request.pool] = state.inflight.get(request.pool, 0) + 1
+    if request.blocks:
+        note_prefix(state.prefixes, row.name, request.blocks)
+    state.emit(
+        StartAttempt(
+            attempt.attempt_id,
+            request,
+            server=row.name,
+            incarnation=row.incarnation,
+            address=row.address,
+            resume_tokens=request.emitted_tokens,
+            expires_ms=request.deadline_ms,
+        )
+    )
+
+
+def _start_at_peer(state, queue, request, lease, now_ms):
+    member = state.members.rows.get(lease.lender)
+    if member is None:
+        return False
+    pop_request(queue, request)
+    if not _claim_send(state, request, now_ms):
+        return True
+    attempt = _new_attempt(state, request, now_ms)
+    attempt.lease_id = lease.lease_id
+    lease.used += 1
+    _send_to_peer(state, attempt, member)
+    entry = ("peer", now_ms, lease.lender, lease.region, lease.lease_id)
+    state.decide(request.request_id, entry)
+    return True
+
+
+def _send_to_peer(state, attempt, member):
+    request = attempt.request
+    attempt.peer = member.name
+    note_running(state.borrower, request.pool, request.workspace, 1)
+    state.counters.forwarded += 1
+    if request.blocks:
+        note_prefix(state.prefixes, f"peer:{member.name}", request.blocks)
+    state.emit(
+        StartAttempt(
+            attempt.attempt_id,
+            request,
+            peer=member.name,
+            peer_address=member.peer_address,
+            lease_id=attempt.lease_id,
+            resume_tokens=request.emitted_tokens,
+            expires_ms=request.deadline_ms,
+        )
+    )
+
+
+def _start_baseline(state, queue, request, now_ms):
+    targets = _baseline_targets(state, request, now_ms)
+    if not targets:
+        return False
+    state.round_robin += 1
+    name = order_baseline(state.policy_name, targets, state.round_robin)
+    pop_request(queue, request)
+    if not _claim_send(state, request, now_ms):
+        return True
+    attempt = _new_attempt(state, request, now_ms)
+    member = state.members.rows.get(name)
+    if member is not None:
+        _send_to_peer(state, attempt, member)
+        return True
+    row = state.replicas.rows[name]
+    attempt.server = name
+    note_started(state.replicas, row, 0)
+    state.inflight[request.pool] = state.inflight.get(request.pool, 0) + 1
+    state.emit(
+        StartAttempt(
+            attempt.attempt_id,
+            request,
+            server=row.name,
+            incarnation=row.incarnation,
+            address=row.address,
+            resume_tokens=request.emitted_tokens,
+            expires_ms=request.deadline_ms,
+        )
+    )
+    return True
+
+
+def _baseline_targets(state, request, now_ms):
+    targets = []
+    if is_local(state, request):
+        targets = [
+            (row.name, row.inflight)
+            for row in pool_rows(state, request.pool)
+            if row.ejected_until_ms <= now_ms and row.name not in request.tried
+        ]
+    if not request.origin:
+        targets += _baseline_peers(state, request)
+    return sorted(targets)
+
+
+def _baseline_peers(state, request):
+    running = {}
+    for attempt in state.attempts.values():
+        if attempt.peer:
+            running[attempt.peer] = running.get(attempt.peer, 0) + 1
+    return [
+        (row.name, running.get(row.name, 0))
+        for row in usable_members(state.members)
+        if row.region != state.region
+        and row.region in request.allowed
+        and row.status == "alive"
+        and row.name not in request.tried
+    ]
+
+
+def _claim_send(state, request, now_ms):
+    if request.idempotent or request.origin:
+        return True
+    if mark_sent(state.ledger, request.operation_id):
+        return True
+    fail_request(state, request, make_error("operation_unknown"), now_ms)
+    return False
+
+
+def _new_attempt(state, request, now_ms):
+    state.next_attempt += 1
+    attempt = Attempt(state.next_attempt, request, "", "", now_ms)
+    state.attempts[attempt.attempt_id] = attempt
+    request.running.append(attempt)
+    request.state = "running"
+    if request.attempts == 0:
+        earn(state.retries)
+        earn(state.hedges)
+    request.attempts += 1
+    state.counters.attempts += 1
+    return attempt
+
+
+def start_elsewhere(state, request, now_ms):
+    """Start a second attempt of a running request at another server.
+
+    Returns
+    -------
+    Attempt or None
+        None when no other server has room.
+    """
+    used = {attempt.server for attempt in request.running}
+    tried = request.tried
+    request.tried = tried | used
+    candidates = choose_replica(state, request, now_ms)
+    request.tried = tried
+    if not candidates or not is_local(state, request):
+        return None
+    attempt = _new_attempt(state, request, now_ms)
+    attempt.hedge = True
+    row = state.replicas.rows[candidates[0].server]
+    _send_to_server(state, attempt, row, candidates[0], now_ms)
+    state.decide(request.request_id, ("hedge", now_ms, candidates[:6]))
+    return attempt
+
+
+def end_attempt(state, attempt, now_ms, completed):
+    """Remove an attempt and give back what it held."""
+    state.attempts.pop(attempt.attempt_id, None)
+    request = attempt.request
+    if attempt in request.running:
+        request.running.remove(attempt)
+    if attempt.peer:
+        note_running(state.borrower, request.pool, request.workspace, -1)
+        lease = state.borrower.rows.get(attempt.lease_id)
+        if lease is not None:
+            lease.used -= 1
+        return
+    state.inflight[request.pool] = max(0, state.inflight.get(request.pool, 0) - 1)
+    row = state.replicas.rows.get(attempt.server)
+    if row is None:
+        return
+    if attempt.first_ms is None:
+        row.inflight_tokens = max(0, row.inflight_tokens - attempt.tokens)
+    held_ms = now_ms - attempt.started_ms if completed else None
+    note_finished(state.replicas, row, held_ms)
+    if completed:
+        old_ms = state.pool_service_ms.get(request.pool, float(held_ms))
+        state.pool_service_ms[request.pool] = old_ms + (held_ms - old_ms) * 0.1
+
+
+def end_request(state, request):
+    """Forget a request that has its final answer."""
+    request.state = "ended"
+    state.requests.pop(request.request_id, None)
+    if request.lease_id:
+        lease = state.lender.rows.get(request.lease_id)
+        if lease is not None:
+            lease.used -= 1
+
+
+def fail_request(state, request, error, now_ms):
+    """Give a request its final error at once and stop its attempts."""
+    if request.state == "ended":
+        return
+    maybe_run = request.touched or bool(request.running)
+    if maybe_run and error.outcome == "not_run":
+        error = msgspec.structs.replace(error, outcome="unknown")
+    for attempt in list(request.running):
+        state.emit(CancelAttempt(attempt.attempt_id))
+        end_attempt(state, attempt, now_ms, completed=False)
+    end_request(state, request)
+    _settle_operation(state, request, error)
+    errors = state.counters.errors
+    errors[error.code] = errors.get(error.code, 0) + 1
+    state.decide(request.request_id, ("error", now_ms, error.code, error.outcome))
+    state.emit(AnswerError(request.request_id, error))
+
+
+def _settle_operation(state, request, error):
+    if request.idempotent or request.origin:
+        return
+    if error.outcome == "not_run":
+        release_operation(state.ledger, request.operation_id)
+    else:
+        record_answer(state.ledger, request.operation_id, "unknown", None)
--- /dev/null
+++ b/bluebellbeam/node/dump.py
@@ -0,0 +1,340 @@
+"""The state of a node as typed rows, for operators and golden files."""
+
+from msgspec import Struct
+
+from bluebellbeam.membership import usable_members
+from bluebellbeam.node.waiting import local_wait_ms, pool_slots
+from bluebellbeam.routing.choose import Candidate
+
+__all__ = ["TABLES", "dump_state", "explain_request"]
+
+
+class FeedRow(Struct):
+    """A feed; see :class:`bluebellbeam.feeds.Feed`."""
+
+    key: str
+    version: int
+    digest: str
+    parts: int
+    source: str
+    changed_ms: int
+    ignored_lower: int
+    refused_version: int
+    refused_reason: str
+
+
+class MemberRow(Struct):
+    """An entry VM; see :class:`bluebellbeam.membership.Member`."""
+
+    name: str
+    region: str
+    failure_domain: str
+    incarnation: int
+    status: str
+    leaving: bool
+    listed: bool
+    heard_ms: int
+    answered_ms: int
+
+
+class ReplicaRow(Struct):
+    """A backend server; see :class:`bluebellbeam.routing.Replica`."""
+
+    name: str
+    incarnation: int
+    role: str
+    pools: tuple[str, ...]
+    slots: int
+    inflight: int
+    others: float
+    slowness: float
+    identified: bool
+    leaving: bool
+    failures: int
+    ejected_until_ms: int
+    reported_ms: int | None
+
+
+class PoolRow(Struct):
+    """A pool and its queue."""
+
+    pool: str
+    slots: int
+    queued: int
+    inflight: int
+    wait_ms: float | None
+    service_ms: float
+
+
+class RequestRow(Struct):
+    """A request without a final answer."""
+
+    request_id: str
+    workspace: str
+    pool: str
+    state: str
+    origin: str
+    priority: str
+    attempts: int
+    age_ms: int
+    left_ms: int
+
+
+class LeaseRow(Struct):
+    """A lease, granted or held."""
+
+    side: str
+    lease_id: str
+    other: str
+    pool: str
+    workspace: str
+    slots: int
+    used: int
+    left_ms: int
+
+
+class OperationsRow(Struct):
+    """Count of operations in one state."""
+
+    state: str
+    count: int
+
+
+class CounterRow(Struct):
+    """A total since the start of the process."""
+
+    name: str
+    total: int
+
+
+class NodeRow(Struct):
+    """The daemon itself."""
+
+    vm: str
+    incarnation: int
+    region: str
+    failure_domain: str
+    site: str
+    ready: bool
+    leaving: bool
+    revision: int
+    digest: str
+
+
+def _node_rows(state, now_ms):
+    own = state.identity
+    config = state.config
+    return [
+        NodeRow(
+            own.vm,
+            own.incarnation,
+            own.region,
+            own.failure_domain,
+            own.site,
+            state.ready,
+            state.leaving,
+            config.revision if config else 0,
+            config.digest if config else "",
+        )
+    ]
+
+
+def _feed_rows(state, now_ms):
+    return [
+        FeedRow(
+            feed.key,
+            feed.version,
+            feed.digest,
+            len(feed.parts),
+            feed.source,
+            feed.changed_ms,
+            feed.ignored_lower,
+            feed.refused_version,
+            feed.refused_reason,
+        )
+        for _, feed in sorted(state.feeds.items())
+    ]
+
+
+def _member_rows(state, now_ms):
+    return [
+        MemberRow(
+            row.name,
+            row.region,
+            row.failure_domain,
+            row.incarnation,
+            row.status,
+            row.leaving,
+            row.listed,
+            row.heard_ms,
+            row.answered_ms,
+        )
+        for _, row in sorted(state.members.rows.items())
+    ]
+
+
+def _replica_rows(state, now_ms):
+    return [
+        ReplicaRow(
+            row.name,
+            row.incarnation,
+            row.role,
+            row.pools,
+            row.slots,
+            row.inflight,
+            round(row.others, 2),
+            round(row.slowness, 2),
+            row.identified,
+            row.leaving,
+            row.failures,
+            row.ejected_until_ms,
+            row.reported_ms,
+        )
+        for _, row in sorted(state.replicas.rows.items())
+    ]
+
+
+def _pool_rows(state, now_ms):
+    if state.config is None:
+        return []
+    names = set(state.queues) | {p for p in state.replicas.pools if "@" not in p}
+    return [
+        PoolRow(
+            pool,
+            pool_slots(state, pool),
+            state.queues[pool].size if pool in state.queues else 0,
+            state.inflight.get(pool, 0),
+            local_wait_ms(state, pool),
+            round(state.pool_service_ms.get(pool, 0.0), 1),
+        )
+        for pool in sorted(names)
+    ]
+
+
+def _request_rows(state, now_ms):
+    return [
+        RequestRow(
+            request.request_id,
+            request.workspace,
+            request.pool,
+            request.state,
+            request.origin,
+            request.priority,
+            request.attempts,
+            now_ms - request.arrival_ms,
+            request.deadline_ms - now_ms,
+        )
+        for _, request in sorted(state.requests.items())
+    ]
+
+
+def _lease_rows(state, now_ms):
+    granted = [
+        LeaseRow(
+            "lender",
+            lease.lease_id,
+            lease.borrower,
+            lease.pool,
+            lease.workspace,
+            lease.slots,
+            lease.used,
+            lease.expires_ms - now_ms,
+        )
+        for _, lease in sorted(state.lender.rows.items())
+    ]
+    held = [
+        LeaseRow(
+            "borrower",
+            lease.lease_id,
+            lease.lender,
+            lease.pool,
+            lease.workspace,
+            lease.slots,
+            lease.used,
+            lease.expires_ms - now_ms,
+        )
+        for _, lease in sorted(state.borrower.rows.items())
+    ]
+    return granted + held
+
+
+def _operation_rows(state, now_ms):
+    counts = {"issued": state.ledger.issued}
+    for row in state.ledger.rows.values():
+        counts[row.state] = counts.get(row.state, 0) + 1
+    return [OperationsRow(name, counts[name]) for name in sorted(counts)]
+
+
+def _counter_rows(state, now_ms):
+    counters = state.counters
+    rows = [
+        CounterRow(name, getattr(counters, name))
+        for name in sorted(counters.__slots__)
+        if name != "errors"
+    ]
+    rows.append(CounterRow("lease_switches", state.borrower.switches))
+    rows.append(CounterRow("leases_granted", state.lender.granted))
+    rows.append(CounterRow("leases_refused", state.lender.refused))
+    rows.append(CounterRow("usable_members", len(usable_members(state.members))))
+    for code, count in sorted(counters.errors.items()):
+        rows.append(CounterRow(f"error_{code}", count))
+    return rows
+
+
+TABLES = {
+    "node": _node_rows,
+    "feeds": _feed_rows,
+    "members": _member_rows,
+    "replicas": _replica_rows,
+    "pools": _pool_rows,
+    "requests": _request_rows,
+    "leases": _lease_rows,
+    "operations": _operation_rows,
+    "counters": _counter_rows,
+}
+"""Function that lists the rows of each table of the dump."""
+
+
+def dump_state(state, now_ms, tables=None):
+    """Return the rows of `tables`, or of every table, by table name.
+
+    Raises
+    ------
+    KeyError
+        If a table is not known.
+    """
+    return {name: TABLES[name](state, now_ms) for name in tables or TABLES}
+
+
+class Step(Struct):
+    """One decision about a request.
+
+    Parameters
+    ----------
+    kind : str
+        server, peer, hedge, failed, error or answered.
+    at_ms : int
+    detail : tuple of str
+    candidates : list of Candidate
+        Scored candidates, best first.
+    """
+
+    kind: str
+    at_ms: int
+    detail: tuple[str, ...] = ()
+    candidates: list[Candidate] = []
+
+
+def explain_request(state, request_id):
+    """Return the decisions about a recent request, oldest first, or None."""
+    entries = state.decisions.get(request_id)
+    if entries is None:
+        return None
+    return [_step(entry) for entry in entries]
+
+
+def _step(entry):
+    kind, at_ms, *rest = entry
+    if rest and isinstance(rest[0], list):
+        return Step(kind, at_ms, (), rest[0])
+    return Step(kind, at_ms, tuple(str(item) for item in rest))
--- /dev/null
+++ b/bluebellbeam/node/event.py
@@ -0,0 +1,168 @@
+"""What happens to a node: the inputs of its decisions."""
+
+from msgspec import Struct
+
+from bluebellbeam.feeds.feed import Snapshot
+from bluebellbeam.node.outcome import CallerError
+from bluebellbeam.platform.records import CacheEvents, LoadReport
+
+__all__ = [
+    "AttemptFailed",
+    "AttemptFinished",
+    "AttemptRefused",
+    "AttemptStarted",
+    "CacheEventsHeard",
+    "CallerLeft",
+    "FeedRead",
+    "FeedUnavailable",
+    "LoadMissed",
+    "LoadReported",
+    "OrderAnswered",
+    "PeerHeard",
+    "PeerUnreachable",
+    "RequestArrived",
+    "StopRequested",
+]
+
+
+class RequestArrived(Struct):
+    """A request came through the caller or the peer listener.
+
+    Parameters
+    ----------
+    request : Request
+    """
+
+    request: object
+
+
+class CallerLeft(Struct, frozen=True):
+    """The caller of a request has closed its connection."""
+
+    request_id: str
+
+
+class AttemptStarted(Struct, frozen=True):
+    """The answer of an attempt has begun."""
+
+    attempt_id: int
+
+
+class AttemptFinished(Struct, frozen=True):
+    """The whole answer of an attempt has been received.
+
+    Parameters
+    ----------
+    output_tokens : int
+    answer : object
+        Answer kept for a repeat of a non-idempotent call, or None.
+    load : LoadReport or None
+        Load that the backend server told on its answer.
+    """
+
+    attempt_id: int
+    output_tokens: int = 0
+    answer: object = None
+    load: LoadReport | None = None
+
+
+class AttemptFailed(Struct, frozen=True):
+    """An attempt gave no whole answer.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether a byte of the request may have left.
+    emitted_tokens : int
+        Tokens of this request passed on to the caller so far.
+    reason : str
+    """
+
+    attempt_id: int
+    sent: bool
+    emitted_tokens: int = 0
+    reason: str = "failed"
+
+
+class AttemptRefused(Struct, frozen=True):
+    """The far side has answered with an error.
+
+    Parameters
+    ----------
+    error : CallerError
+        With the outcome that the far side has said.
+    """
+
+    attempt_id: int
+    error: CallerError
+    load: LoadReport | None = None
+
+
+class FeedRead(Struct, frozen=True):
+    """The platform has answered a read or watch of a feed."""
+
+    snapshot: Snapshot
+
+
+class FeedUnavailable(Struct, frozen=True):
+    """The platform has not answered a read or watch of a feed."""
+
+    key: str
+    reason: str
+
+
+class LoadReported(Struct, frozen=True):
+    """The address of a backend server has answered with a load report.
+
+    Parameters
+    ----------
+    server : str
+        The server that was asked; the report may name another.
+    """
+
+    server: str
+    report: LoadReport
+
+
+class LoadMissed(Struct, frozen=True):
+    """A backend server has not answered for its load."""
+
+    server: str
+
+
+class CacheEventsHeard(Struct, frozen=True):
+    """An engine has published cache events."""
+
+    events: CacheEvents
+
+
+class OrderAnswered(Struct, frozen=True):
+    """An engine has answered an order."""
+
+    server: str
+    accepted: bool
+    reason: str = ""
+
+
+class PeerHeard(Struct, frozen=True):
+    """Messages of a peer have been received.
+
+    Parameters
+    ----------
+    envelope : Envelope
+    answer : bool
+        Whether they answer a message of ours.
+    """
+
+    envelope: object
+    answer: bool = False
+
+
+class PeerUnreachable(Struct, frozen=True):
+    """A message to a peer could not be delivered."""
+
+    vm: str
+
+
+class StopRequested(Struct, frozen=True):
+    """The operator has asked for a graceful shutdown."""
--- /dev/null
+++ b/bluebellbeam/node/gossip.py
@@ -0,0 +1,221 @@
+"""Membership system: probes, rumors and what travels with them."""
+
+from bluebellbeam.borrowing import drop_lender, note_offers
+from bluebellbeam.membership import (
+    INDIRECT_PROBES,
+    Probe,
+    Rumor,
+    apply_rumor,
+    expire_probes,
+    expire_suspicions,
+    next_targets,
+    note_heard,
+    spread_rumor,
+    suspect,
+    take_rumors,
+    usable_members,
+)
+from bluebellbeam.node.command import Log, SendPeer
+from bluebellbeam.node.lending import capacity_offers, own_demand
+from bluebellbeam.node.message import Ping, Pong, ProbeFor, TargetAlive
+from bluebellbeam.node.state import backends_feed
+from bluebellbeam.routing import mark_leaving
+
+__all__ = [
+    "announce_leaving",
+    "hear_ping",
+    "hear_pong",
+    "hear_probe_for",
+    "hear_target_alive",
+    "note_unreachable",
+    "send_to",
+    "tick_membership",
+]
+
+
+def tick_membership(state, now_ms):
+    """Probe members and move the suspicions on."""
+    policy = state.policy
+    ring = state.ring
+    unanswered, failed = expire_probes(ring, now_ms, policy.probe_interval_ms)
+    for target in unanswered:
+        _probe_indirectly(state, target)
+    for target in failed:
+        if suspect(state.members, target, now_ms):
+            state.emit(Log("membership", f"suspect {target}"))
+    dead = expire_suspicions(state.members, now_ms, policy.suspect_timeout_ms)
+    for name in dead:
+        drop_lender(state.borrower, name)
+        state.emit(Log("membership", f"declare {name} dead"))
+    if now_ms < ring.next_ms:
+        return
+    ring.next_ms = now_ms + policy.probe_interval_ms
+    _probe_round(state, now_ms)
+
+
+def _probe_round(state, now_ms):
+    own = state.identity
+    targets = next_targets(state.ring, state.members, own.vm, own.region, state.rng)
+    for name in targets:
+        state.ring.pending.setdefault(name, Probe(name, now_ms))
+        send_to(state, name, (make_ping(state, name, now_ms),))
+    if not targets or not state.peers_heard:
+        _ask_seeds(state, now_ms)
+
+
+def _ask_seeds(state, now_ms):
+    ping = Ping(feed_versions(state, same_region=True))
+    for address in state.identity.seed_peers:
+        state.emit(SendPeer("", address, (ping,)))
+
+
+def feed_versions(state, same_region):
+    """Return the version held of each feed that a peer may share."""
+    local = backends_feed(state.region)
+    return {
+        key: feed.version
+        for key, feed in state.feeds.items()
+        if same_region or key != local
+    }
+
+
+def make_ping(state, name, now_ms, kind=Ping, on_behalf_of=""):
+    """Return the :class:`Ping` or :class:`Pong` for member `name`."""
+    row = state.members.rows.get(name)
+    same_region = row is not None and row.region == state.region
+    offers = {} if same_region else capacity_offers(state, now_ms)
+    demand = own_demand(state) if same_region else {}
+    return kind(
+        feed_versions(state, same_region),
+        take_rumors(state.members),
+        offers,
+        demand,
+        on_behalf_of,
+    )
+
+
+def send_to(state, name, messages):
+    """Send `messages` to member `name`, if its address is known."""
+    row = state.members.rows.get(name)
+    if row is not None and row.peer_address:
+        state.emit(SendPeer(name, row.peer_address, tuple(messages)))
+
+
+def hear_ping(state, sender, ping, now_ms):
+    """Answer a probe and take in what came with it."""
+    _take_in(state, sender, ping, now_ms)
+    send_to(
+        state,
+        sender,
+        (make_ping(state, sender, now_ms, Pong, ping.on_behalf_of),),
+    )
+
+
+def hear_pong(state, sender, pong, now_ms):
+    """Take in the answer to a probe."""
+    state.ring.pending.pop(sender, None)
+    state.peers_heard.add(sender)
+    state.peer_replies += 1
+    _take_in(state, sender, pong, now_ms)
+    if pong.on_behalf_of:
+        row = state.members.rows.get(sender)
+        if row is not None:
+            alive = TargetAlive(sender, row.incarnation)
+            send_to(state, pong.on_behalf_of, (alive,))
+
+
+def hear_probe_for(state, sender, message, now_ms):
+    """Probe a member for another one."""
+    ping = make_ping(state, message.target, now_ms, Ping, sender)
+    send_to(state, message.target, (ping,))
+
+
+def hear_target_alive(state, message, now_ms):
+    """Take in that a member has answered somebody else's probe."""
+    state.ring.pending.pop(message.target, None)
+    row = state.members.rows.get(message.target)
+    if row is None or message.incarnation < row.incarnation:
+        return
+    if row.status == "suspect":
+        row.status = "alive"
+        state.members.generation += 1
+
+
+def note_unreachable(state, name, now_ms):
+    """Record that a message could not be delivered to member `name`.
+
+    A lender that cannot be reached directly lends nothing, whether or not
+    others can reach it.
+    """
+    drop_lender(state.borrower, name)
+    row = state.members.rows.get(name)
+    if row is not None:
+        row.answered_ms = 0
+
+
+def announce_leaving(state, now_ms):
+    """Tell every usable member of the region that this daemon is leaving."""
+    own = state.identity
+    rumor = Rumor("m", own.vm, own.incarnation, 0, "leaving")
+    spread_rumor(state.members, rumor)
+    for row in usable_members(state.members):
+        if row.name != own.vm:
+            ping = make_ping(state, row.name, now_ms)
+            if rumor not in ping.rumors:
+                ping = Ping(ping.versions, (*ping.rumors, rumor))
+            send_to(state, row.name, (ping,))
+
+
+def _take_in(state, sender, message, now_ms):
+    row = state.members.rows.get(sender)
+    for rumor in message.rumors:
+        _apply(state, rumor, now_ms)
+    if row is None:
+        return
+    if row.region != state.region:
+        note_offers(state.borrower, sender, row.region, message.offers, now_ms)
+        return
+    for share in state.shares.values():
+        share.pop(sender, None)
+    for pool, weight in message.demand.items():
+        state.shares.setdefault(pool, {})[sender] = (weight, now_ms)
+
+
+def _apply(state, rumor, now_ms):
+    own = state.identity
+    if rumor.kind == "s":
+        if mark_leaving(state.replicas, rumor.name, rumor.incarnation):
+            spread_rumor(state.members, rumor)
+        return
+    if rumor.name != own.vm:
+        apply_rumor(state.members, rumor, now_ms)
+        return
+    contradicts = rumor.status in ("suspect", "dead")
+    if not contradicts or rumor.incarnation != own.incarnation:
+        return
+    row = state.members.rows.get(own.vm)
+    if row is None or rumor.refutation < row.refutation:
+        return
+    row.refutation = rumor.refutation + 1
+    alive = Rumor("m", own.vm, own.incarnation, row.refutation, "alive")
+    spread_rumor(state.members, alive)
+
+
+def _probe_indirectly(state, target):
+    helpers = [
+        row.name
+        for row in usable_members(state.members)
+        if row.name not in (target, state.identity.vm) and row.status == "alive"
+    ]
+    state.rng.shuffle(helpers)
+    for name in helpers[:INDIRECT_PROBES]:
+        send_to(state, name, (ProbeFor(target),))
+
+
+def note_sender(state, envelope, now_ms, answer):
+    """Record the sender of an envelope; False when it must be ignored."""
+    if envelope.sender == state.identity.vm:
+        return False
+    return note_heard(
+        state.members, envelope.sender, envelope.incarnation, now_ms, answer
+    )
--- /dev/null
+++ b/bluebellbeam/node/lending.py
@@ -0,0 +1,274 @@
+"""Lending and borrowing systems: leases of capacity between regions."""
+
+from bluebellbeam.borrowing import (
+    RESERVE_SHARE,
+    HeldLease,
+    best_offer,
+    expire_granted,
+    expire_held,
+    fresh_offers,
+    grant_lease,
+    leased_slots,
+    used_slots,
+)
+from bluebellbeam.membership import usable_members
+from bluebellbeam.node.command import SendPeer
+from bluebellbeam.node.message import LeaseAnswer, LeaseWanted
+from bluebellbeam.node.waiting import local_wait_ms, pool_slots
+from bluebellbeam.routing import cached_blocks, estimate_remote, score_estimate
+from bluebellbeam.routing.entry import entry_set_size, is_in_entry_set
+from bluebellbeam.routing.policies import EstimatePolicy
+
+__all__ = [
+    "borrow_for",
+    "capacity_offers",
+    "hear_lease_answer",
+    "hear_lease_wanted",
+    "is_local",
+    "lease_limit",
+    "own_demand",
+    "remote_score",
+    "tick_leases",
+]
+
+ASK_INTERVAL_MS = 250
+"""Time between two lease requests for the same pool and workspace."""
+
+REFUSED_MS = 1000
+"""Time a lender that refused is left alone."""
+
+LEAVE_FACTOR = 1.2
+"""Work leaves the region when staying scores this much worse."""
+
+RETURN_FACTOR = 0.6
+"""Borrowed work returns when staying scores this much better."""
+
+OFFERED_POOLS = 32
+"""Pools named in one message, so that its size is bounded."""
+
+
+def own_demand(state):
+    """Return the weight of the workspaces that wait, by pool."""
+    demand = {}
+    for pool, queue in state.queues.items():
+        if queue.size == 0:
+            continue
+        weights = {}
+        for lanes in queue.lanes.values():
+            for name, lane in lanes.items():
+                if lane.requests:
+                    weights[name] = lane.weight
+        demand[pool] = sum(weights.values())
+    return demand
+
+
+def sharing_daemons(state):
+    """Return how many daemons of the region share its backend servers."""
+    return max(1, len(usable_members(state.members, state.region)))
+
+
+def spare_slots(state, pool):
+    """Return the free slots of `pool` that this daemon may lend now."""
+    queue = state.queues.get(pool)
+    if queue is not None and queue.size:
+        return 0.0
+    rows = state.replicas.pool(pool)
+    free = sum(max(0.0, row.free_slots()) for row in rows)
+    slots = sum(row.slots for row in rows)
+    usable = (free - RESERVE_SHARE * slots) / sharing_daemons(state)
+    return max(0.0, usable - leased_slots(state.lender, pool))
+
+
+def capacity_offers(state, now_ms):
+    """Return ``(spare slots, wait in ms)`` of each pool with spare slots."""
+    if state.config is None or state.leaving:
+        return {}
+    offers = {}
+    for pool in sorted(state.replicas.pools):
+        if "@" in pool:
+            continue
+        spare = spare_slots(state, pool)
+        if spare >= 1.0:
+            offers[pool] = (round(spare, 1), round(local_wait_ms(state, pool), 0))
+        if len(offers) == OFFERED_POOLS:
+            break
+    return offers
+
+
+def hear_lease_wanted(state, sender, wanted, now_ms):
+    """Answer a daemon of another region that wants slots."""
+    lease = None
+    if _may_lend(state, wanted):
+        number = state.lender.granted + 1
+        lease_id = f"{state.identity.vm}.{state.identity.incarnation}.{number}"
+        spare = _lendable(state, wanted)
+        lease = grant_lease(
+            state.lender, lease_id, wanted, spare, now_ms, state.policy.lease_ms
+        )
+    if lease is None:
+        answer = LeaseAnswer(wanted.pool, wanted.workspace, "", 0, 0, REFUSED_MS)
+    else:
+        answer = LeaseAnswer(
+            wanted.pool,
+            wanted.workspace,
+            lease.lease_id,
+            lease.slots,
+            state.policy.lease_ms,
+        )
+    row = state.members.rows.get(sender)
+    if row is not None:
+        state.emit(SendPeer(sender, row.peer_address, (answer,)))
+
+
+def _lendable(state, wanted):
+    workspace = state.base.workspaces[wanted.workspace]
+    if workspace.home_region == state.region:
+        return max(spare_slots(state, wanted.pool), float(wanted.slots))
+    return spare_slots(state, wanted.pool)
+
+
+def _may_lend(state, wanted):
+    if state.config is None or state.leaving or not state.ready:
+        return False
+    if wanted.revision > state.config.revision:
+        return False
+    workspace = state.base.workspaces.get(wanted.workspace)
+    return workspace is not None and state.region in workspace.allowed_regions
+
+
+def hear_lease_answer(state, sender, answer, now_ms):
+    """Take in the answer of a lender."""
+    row = state.members.rows.get(sender)
+    if row is None:
+        return
+    if answer.slots < 1:
+        until_ms = now_ms + answer.retry_after_ms
+        state.borrower.refused_until_ms[(sender, answer.pool)] = until_ms
+        return
+    state.borrower.rows[answer.lease_id] = HeldLease(
+        answer.lease_id,
+        sender,
+        row.region,
+        answer.pool,
+        answer.workspace,
+        answer.slots,
+        0,
+        now_ms + answer.duration_ms,
+    )
+
+
+def tick_leases(state, now_ms):
+    """End leases, and ask for slots where waiting costs more than leaving."""
+    expire_granted(state.lender, now_ms)
+    expire_held(state.borrower, now_ms)
+    if state.config is None or not isinstance(state.policy_name, EstimatePolicy):
+        return
+    for pool, queue in state.queues.items():
+        if queue.size == 0:
+            continue
+        for lanes in queue.lanes.values():
+            for lane in lanes.values():
+                if lane.requests and not lane.requests[0].origin:
+                    borrow_for(state, pool, lane, now_ms)
+    _note_returns(state, now_ms)
+
+
+def _note_returns(state, now_ms):
+    idle_ms = 2 * state.policy.lease_ms
+    away = state.borrower.away_ms
+    for key in [k for k, at_ms in away.items() if now_ms - at_ms > idle_ms]:
+        del away[key]
+        state.borrower.switches += 1
+
+
+def borrow_for(state, pool, lane, now_ms):
+    """Ask for slots for the waiting requests of one workspace, if worth it.
+
+    Parameters
+    ----------
+    pool : str
+    lane : Lane
+    now_ms : int
+    """
+    request = lane.requests[0]
+    key = (pool, lane.workspace)
+    table = state.borrower
+    if now_ms - table.asked_ms.get(key, -ASK_INTERVAL_MS) < ASK_INTERVAL_MS:
+        return
+    limit = lease_limit(state, request)
+    room = limit - used_slots(table, pool, lane.workspace)
+    if room < 1:
+        return
+    allowed = request.allowed - {state.region}
+    offers = fresh_offers(table, pool, allowed, now_ms)
+    best = best_offer(offers, lambda offer: remote_score(state, request, offer))
+    if best is None or not _is_leaving_better(state, request, best[0], key):
+        return
+    table.asked_ms[key] = now_ms
+    offer = best[1]
+    row = state.members.rows.get(offer.lender)
+    if row is None:
+        return
+    slots = max(1, min(room, len(lane.requests)))
+    wanted = LeaseWanted(
+        state.identity.vm, pool, lane.workspace, slots, state.config.revision
+    )
+    if key not in table.away_ms:
+        table.switches += 1
+    table.away_ms[key] = now_ms
+    state.emit(SendPeer(offer.lender, row.peer_address, (wanted,)))
+
+
+def is_local(state, request):
+    """Return whether the own region may run `request`."""
+    return state.region in request.allowed
+
+
+def _is_leaving_better(state, request, score, key):
+    if not is_local(state, request):
+        return True
+    stay_ms = local_wait_ms(state, request.pool, request)
+    if stay_ms is None:
+        return True
+    stay = stay_ms * state.objective.latency_weight
+    away = key in state.borrower.away_ms
+    return stay > score * (RETURN_FACTOR if away else LEAVE_FACTOR)
+
+
+def lease_limit(state, request):
+    """Return the slots that this daemon may borrow for a workspace.
+
+    The declared limit is split over the daemons of the workspace's entry
+    set; a daemon outside the set borrows only for work that cannot run in
+    its region at all.
+    """
+    workspace = state.base.workspaces[request.workspace]
+    home_elsewhere = not is_local(state, request)
+    members = [row.name for row in usable_members(state.members, state.region)]
+    total = sum(w.weight for w in state.base.workspaces.values())
+    size = entry_set_size(
+        workspace, total, max(1, len(members)), state.policy.entry_set_size
+    )
+    if home_elsewhere:
+        return max(workspace.borrow_slots, pool_slots(state, request.pool), 8)
+    own = state.identity.vm
+    if not is_in_entry_set(own, request.workspace, members or [own], size):
+        return 0
+    return -(-workspace.borrow_slots // size)
+
+
+def remote_score(state, request, offer):
+    """Return the score in ms of running `request` at the lender of `offer`."""
+    base = state.base
+    region = base.regions[state.region]
+    far = base.regions[offer.region]
+    delay_ms = region.one_way_delay_ms.get(offer.region, 50.0)
+    model = base.models.get(request.model) if request.model else None
+    blocks = cached_blocks(state.prefixes, f"peer:{offer.lender}", request.blocks)
+    cached = min(blocks * state.block_tokens, request.prompt_tokens)
+    estimate = estimate_remote(offer, request, model, far, 2 * delay_ms, cached)
+    home = base.workspaces[request.workspace].home_region
+    score = score_estimate(estimate, state.objective)
+    if home == offer.region:
+        score -= state.objective.away_penalty_ms
+    return score
--- /dev/null
+++ b/bluebellbeam/node/loads.py
@@ -0,0 +1,96 @@
+"""Load system: which backend servers are used and what is known of them."""
+
+from bluebellbeam.membership import Rumor, spread_rumor, usable_members
+from bluebellbeam.node.command import Log, ReadLoad
+from bluebellbeam.node.state import backends_feed
+from bluebellbeam.node.sync import listed_backends
+from bluebellbeam.recovery import note_failure
+from bluebellbeam.routing import (
+    apply_load,
+    forget_server,
+    mark_leaving,
+    reindex,
+    server_subset,
+    update_replicas,
+)
+
+__all__ = ["note_load", "note_load_missed", "take_load", "tick_loads"]
+
+
+def tick_loads(state, now_ms):
+    """Choose the servers to use and ask those that have said nothing lately."""
+    _refresh_subset(state)
+    policy = state.policy
+    for row in state.replicas.rows.values():
+        due_ms = policy.load_interval_ms
+        known_ms = max(row.asked_ms, row.reported_ms or -due_ms)
+        if row.leaving and row.identified and row.inflight == 0:
+            due_ms *= 4
+        if row.asked_ms < 0 or now_ms - known_ms >= due_ms:
+            row.asked_ms = now_ms
+            state.emit(ReadLoad(row.name, row.address))
+        if row.identified and not row.has_fresh_report(now_ms, policy.load_stale_ms):
+            row.identified = False
+            reindex(state.replicas, row)
+
+
+def _refresh_subset(state):
+    feed = state.feeds[backends_feed(state.region)]
+    key = (feed.version, state.members.generation, state.config is not None)
+    if key == state.subset_key:
+        return
+    state.subset_key = key
+    own = state.identity.vm
+    members = [row.name for row in usable_members(state.members, state.region)]
+    if own not in members:
+        members.append(own)
+    records = listed_backends(state)
+    chosen = []
+    for kind in sorted({(item.role, item.service) for item in records}):
+        names = sorted(i.name for i in records if (i.role, i.service) == kind)
+        size = state.policy.subset_size
+        chosen.extend(server_subset(own, members, names, size))
+    wanted = set(chosen)
+    before = {row.name: row.incarnation for row in state.replicas.rows.values()}
+    update_replicas(state.replicas, [r for r in records if r.name in wanted])
+    for name, incarnation in before.items():
+        row = state.replicas.rows.get(name)
+        if row is None or row.incarnation != incarnation:
+            forget_server(state.prefixes, name)
+
+
+def note_load(state, event, now_ms):
+    """Take in the answer of a backend server's address."""
+    row = state.replicas.rows.get(event.server)
+    if row is not None:
+        take_load(state, row, event.report, now_ms)
+
+
+def take_load(state, row, report, now_ms):
+    """Apply a load report and pass on that the server is leaving."""
+    if not apply_load(state.replicas, row, report, now_ms):
+        state.counters.identity_mismatches += 1
+        return
+    if report.region != state.region:
+        state.counters.region_refusals += 1
+        row.identified = False
+        reindex(state.replicas, row)
+        return
+    if not report.leaving:
+        return
+    if mark_leaving(state.replicas, row.name, row.incarnation):
+        spread_leaving(state, row)
+
+
+def spread_leaving(state, row):
+    """Tell the peers that a backend server takes no new work."""
+    rumor = Rumor("s", row.name, row.incarnation, 0, "leaving")
+    spread_rumor(state.members, rumor)
+    state.emit(Log("routing", f"stop new work to leaving {row.name}"))
+
+
+def note_load_missed(state, server, now_ms):
+    """Count a load question without an answer as a failure."""
+    row = state.replicas.rows.get(server)
+    if row is not None:
+        note_failure(state.replicas, row, state.policy, now_ms, state.rng)
--- /dev/null
+++ b/bluebellbeam/node/message.py
@@ -0,0 +1,161 @@
+"""Messages between daemons; they travel as JSON over HTTP.
+
+Every type is encoded as an array whose first item is its tag.
+"""
+
+import msgspec
+from msgspec import Struct
+
+from bluebellbeam.feeds.feed import Delta, Snapshot
+from bluebellbeam.membership.table import Rumor
+
+__all__ = [
+    "Envelope",
+    "FeedPull",
+    "LeaseAnswer",
+    "LeaseWanted",
+    "Ping",
+    "Pong",
+    "ProbeFor",
+    "decode_envelope",
+    "encode_envelope",
+]
+
+
+class Ping(Struct, frozen=True, array_like=True, tag="pi"):
+    """Ask a member whether it runs.
+
+    Parameters
+    ----------
+    versions : dict of str to int
+        Version held of each feed.
+    rumors : tuple of Rumor
+    offers : dict of str to (float, float)
+        Spare slots and wait in ms by pool; sent to other regions.
+    demand : dict of str to float
+        Weight of the workspaces with work, by pool; sent within the region.
+    on_behalf_of : str
+        Member that asked for this probe.
+    """
+
+    versions: dict[str, int]
+    rumors: tuple[Rumor, ...] = ()
+    offers: dict[str, tuple[float, float]] = {}
+    demand: dict[str, float] = {}
+    on_behalf_of: str = ""
+
+
+class Pong(Struct, frozen=True, array_like=True, tag="po"):
+    """Answer to :class:`Ping`; fields as there."""
+
+    versions: dict[str, int]
+    rumors: tuple[Rumor, ...] = ()
+    offers: dict[str, tuple[float, float]] = {}
+    demand: dict[str, float] = {}
+    on_behalf_of: str = ""
+
+
+class ProbeFor(Struct, frozen=True, array_like=True, tag="pf"):
+    """Ask a member to probe `target` for the sender."""
+
+    target: str
+
+
+class TargetAlive(Struct, frozen=True, array_like=True, tag="ta"):
+    """Tell the member that asked that `target` has answered."""
+
+    target: str
+    incarnation: int
+
+
+class FeedPull(Struct, frozen=True, array_like=True, tag="fp"):
+    """Ask for what follows `version` of a feed."""
+
+    key: str
+    version: int
+
+
+class LeaseWanted(Struct, frozen=True, array_like=True, tag="lw"):
+    """Ask a lender for slots.
+
+    Parameters
+    ----------
+    borrower, pool, workspace : str
+    slots : int
+    revision : int
+        Configuration revision of the borrower.
+    """
+
+    borrower: str
+    pool: str
+    workspace: str
+    slots: int
+    revision: int
+
+
+class LeaseAnswer(Struct, frozen=True, array_like=True, tag="la"):
+    """Answer of a lender; `slots` of 0 is a refusal.
+
+    Parameters
+    ----------
+    duration_ms : int
+        How long the lease lasts, counted from the lender's answer.
+    retry_after_ms : int
+        When to ask again after a refusal.
+    """
+
+    pool: str
+    workspace: str
+    lease_id: str
+    slots: int
+    duration_ms: int
+    retry_after_ms: int = 0
+
+
+Message = (
+    Ping
+    | Pong
+    | ProbeFor
+    | TargetAlive
+    | FeedPull
+    | LeaseWanted
+    | LeaseAnswer
+    | Delta
+    | Snapshot
+)
+
+
+class Envelope(Struct, frozen=True, array_like=True):
+    """Messages of one process to another.
+
+    Parameters
+    ----------
+    sender : str
+        VM of the sending process.
+    incarnation : int
+    messages : tuple of Message
+    """
+
+    sender: str
+    incarnation: int
+    messages: tuple[Message, ...]
+
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(Envelope)
+
+
+def encode_envelope(envelope):
+    """Return the JSON bytes of `envelope`."""
+    return _ENCODER.encode(envelope)
+
+
+def decode_envelope(raw):
+    """Return the envelope in `raw`.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If `raw` is not an envelope.
+    """
+    return _DECODER.decode(raw)
--- /dev/null
+++ b/bluebellbeam/node/node.py
@@ -0,0 +1,219 @@
+"""The node: one place where events come in and commands go out.
+
+A node does no I/O and reads no clock. The same node runs in the daemon, in
+the scenarios under virtual time and in the benchmarks.
+"""
+
+from bluebellbeam.admission import prune_buckets, prune_lanes
+from bluebellbeam.feeds import Delta, Snapshot
+from bluebellbeam.node import event as ev
+from bluebellbeam.node import message as msg
+from bluebellbeam.node.arrivals import narrow_requests, receive_request
+from bluebellbeam.node.attempts import (
+    attempt_failed,
+    attempt_finished,
+    attempt_refused,
+    attempt_started,
+    caller_left,
+    tick_requests,
+)
+from bluebellbeam.node.command import Log
+from bluebellbeam.node.dispatch import pump_all
+from bluebellbeam.node.gossip import (
+    hear_ping,
+    hear_pong,
+    hear_probe_for,
+    hear_target_alive,
+    note_sender,
+    note_unreachable,
+    tick_membership,
+)
+from bluebellbeam.node.lending import (
+    hear_lease_answer,
+    hear_lease_wanted,
+    tick_leases,
+)
+from bluebellbeam.node.loads import note_load, note_load_missed, tick_loads
+from bluebellbeam.node.ordering import (
+    note_fresh_load,
+    note_order_answer,
+    tick_orders,
+)
+from bluebellbeam.node.pause import detect_pause
+from bluebellbeam.node.readiness import (
+    begin_leaving,
+    tick_leaving,
+    tick_readiness,
+)
+from bluebellbeam.node.state import make_node_state
+from bluebellbeam.node.sync import (
+    compare_versions,
+    hear_delta,
+    hear_pull,
+    hear_snapshot,
+    note_feed_read,
+    note_feed_unavailable,
+    tick_feeds,
+)
+from bluebellbeam.operations import expire_operations, issue_operation
+from bluebellbeam.routing import apply_cache_events
+from bluebellbeam.routing.policies import EstimatePolicy
+
+__all__ = ["Node", "make_node"]
+
+SLOW_TICK_MS = 500
+"""Interval of the systems that need no quick reaction."""
+
+
+class Node:
+    """The decisions of one daemon.
+
+    Attributes
+    ----------
+    state : NodeState
+    """
+
+    __slots__ = ("state",)
+
+    def __init__(self, state):
+        self.state = state
+
+    def handle(self, event, now_ms):
+        """Return the commands that follow from `event` at `now_ms`."""
+        state = self.state
+        detect_pause(state, now_ms)
+        _handle_event(state, event, now_ms)
+        return _take_commands(state)
+
+    def tick(self, now_ms):
+        """Run every system once and return the commands that follow."""
+        state = self.state
+        if state.last_tick_ms is None:
+            state.started_ms = now_ms
+        detect_pause(state, now_ms)
+        state.last_tick_ms = now_ms
+        tick_feeds(state, now_ms)
+        tick_membership(state, now_ms)
+        tick_requests(state, now_ms)
+        if state.config is not None:
+            tick_loads(state, now_ms)
+            tick_leases(state, now_ms)
+            pump_all(state, now_ms)
+        tick_readiness(state, now_ms)
+        tick_leaving(state, now_ms)
+        if now_ms >= state.next_slow_ms:
+            state.next_slow_ms = now_ms + SLOW_TICK_MS
+            _slow_tick(state, now_ms)
+        return _take_commands(state)
+
+    def issue_operation(self, workspace, now_ms):
+        """Return an operation id that only this process will run."""
+        ttl_ms = self.state.policy.operation_ttl_ms
+        return issue_operation(self.state.ledger, workspace, now_ms, ttl_ms)
+
+
+def make_node(identity, seed, operation_key, policy=None):
+    """Return a node without any state yet.
+
+    Parameters
+    ----------
+    identity : NodeIdentity
+    seed : int
+    operation_key : bytes
+    policy : EstimatePolicy or a baseline, optional
+    """
+    state = make_node_state(identity, seed, operation_key)
+    state.policy_name = policy or EstimatePolicy()
+    return Node(state)
+
+
+def _take_commands(state):
+    commands = state.out
+    state.out = []
+    return commands
+
+
+def _slow_tick(state, now_ms):
+    tick_orders(state, now_ms)
+    expire_operations(state.ledger, now_ms)
+    prune_buckets(state.rates, now_ms)
+    for queue in state.queues.values():
+        prune_lanes(queue)
+
+
+def _handle_event(state, event, now_ms):
+    match event:
+        case ev.RequestArrived(request):
+            receive_request(state, request, now_ms)
+        case ev.AttemptStarted():
+            attempt_started(state, event, now_ms)
+        case ev.AttemptFinished():
+            attempt_finished(state, event, now_ms)
+        case ev.AttemptFailed():
+            attempt_failed(state, event, now_ms)
+        case ev.AttemptRefused():
+            attempt_refused(state, event, now_ms)
+        case ev.CallerLeft():
+            caller_left(state, event, now_ms)
+        case ev.LoadReported():
+            note_load(state, event, now_ms)
+            note_fresh_load(state, event.server, now_ms)
+        case ev.LoadMissed(server):
+            note_load_missed(state, server, now_ms)
+        case ev.CacheEventsHeard(events):
+            apply_cache_events(state.prefixes, events)
+        case ev.OrderAnswered():
+            note_order_answer(state, event, now_ms)
+        case ev.FeedRead(snapshot):
+            _with_config_check(state, now_ms, note_feed_read, snapshot)
+        case ev.FeedUnavailable(key):
+            note_feed_unavailable(state, key, now_ms)
+        case ev.PeerHeard(envelope, answer):
+            _hear_peer(state, envelope, answer, now_ms)
+        case ev.PeerUnreachable(vm):
+            note_unreachable(state, vm, now_ms)
+        case ev.StopRequested():
+            begin_leaving(state, now_ms)
+        case _:
+            state.emit(Log("node", f"unknown event {type(event).__name__}"))
+
+
+def _with_config_check(state, now_ms, step, *values):
+    """Run `step` and apply a configuration that it has put in force."""
+    before = state.config
+    step(state, *values, now_ms)
+    if state.config is not before:
+        narrow_requests(state, now_ms)
+        pump_all(state, now_ms)
+
+
+def _hear_peer(state, envelope, answer, now_ms):
+    if not note_sender(state, envelope, now_ms, answer):
+        return
+    sender = envelope.sender
+    for message in envelope.messages:
+        _with_config_check(state, now_ms, _hear_message, sender, message)
+
+
+def _hear_message(state, sender, message, now_ms):
+    match message:
+        case msg.Ping(versions):
+            hear_ping(state, sender, message, now_ms)
+            compare_versions(state, sender, versions)
+        case msg.Pong(versions):
+            hear_pong(state, sender, message, now_ms)
+            compare_versions(state, sender, versions)
+        case msg.ProbeFor():
+            hear_probe_for(state, sender, message, now_ms)
+        case msg.TargetAlive():
+            hear_target_alive(state, message, now_ms)
+        case msg.FeedPull():
+            hear_pull(state, sender, message)
+        case Delta():
+            hear_delta(state, sender, message, now_ms)
+        case Snapshot():
+            hear_snapshot(state, sender, message, now_ms)
+        case msg.LeaseWanted():
+            hear_lease_wanted(state, sender, message, now_ms)
+        case msg.LeaseAnswer():
+            hear_lease_answer(state, sender, message, now_ms)
