--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -179,6 +179,8 @@
                     self._answer_error(request_id, error)
                 case cmd.AnswerRecorded(request_id, answer):
                     self._answer_recorded(request_id, answer)
+                case cmd.SendPeer(address=""):
+                    continue
                 case cmd.SendPeer():
                     self._spawn(self._send_peer(command))
                 case cmd.ReadFeed():
--- a/bluebellbeam/node/gossip.py
+++ b/bluebellbeam/node/gossip.py
@@ -95,10 +95,14 @@
 
 
 def send_to(state, name, messages):
-    """Send `messages` to member `name`, if its address is known."""
+    """Send `messages` to member `name`.
+
+    Without a known address they can only ride on the answer to a message of
+    that member: so a daemon that has just started can be told what it lacks.
+    """
     row = state.members.rows.get(name)
-    if row is not None and row.peer_address:
-        state.emit(SendPeer(name, row.peer_address, tuple(messages)))
+    address = row.peer_address if row is not None else ""
+    state.emit(SendPeer(name, address, tuple(messages)))
 
 
 def hear_ping(state, sender, ping, now_ms):
--- /dev/null
+++ b/bluebellbeam/scenario/promises.py
@@ -0,0 +1,106 @@
+"""Checks of what must always hold, over a whole session."""
+
+__all__ = ["PROMISES", "broken_promises"]
+
+def broken_promises(world):
+    """Return what did not hold, as a dict of promise to list of cases.
+
+    Parameters
+    ----------
+    world : World
+        After the end of its session.
+    """
+    found = {name: check(world) for name, check in PROMISES.items()}
+    return {name: cases for name, cases in found.items() if cases}
+
+
+def _regions(world):
+    """Requests ran only where some configuration still in force allowed it."""
+    cases = []
+    for ticket in world.tickets.values():
+        allowed = _allowed_regions(world, ticket.workspace)
+        for region in ticket.regions:
+            if region not in allowed:
+                cases.append(f"{ticket.ticket_id} ran in {region}")
+    return cases
+
+
+def _allowed_regions(world, workspace):
+    regions = set()
+    for rules in world.revisions.values():
+        regions |= rules.get(workspace, frozenset())
+    return regions
+
+
+def _loops(world):
+    """No request was forwarded more than once."""
+    return [item for item in world.violations if item.startswith("loop")]
+
+
+def _answers(world):
+    """Each caller got one final answer, whole or an explicit error."""
+    cases = []
+    for ticket in world.tickets.values():
+        if ticket.result == "open":
+            cases.append(f"{ticket.ticket_id} has no answer")
+        if ticket.final > 1:
+            cases.append(f"{ticket.ticket_id} has {ticket.final} answers")
+        if ticket.result == "whole" and ticket.tokens != ticket.expected_tokens:
+            cases.append(f"{ticket.ticket_id} is short: {ticket.tokens} tokens")
+    return cases
+
+
+def _not_run(world):
+    """A caller was told ``not_run`` only when nothing ran."""
+    return [
+        f"{ticket.ticket_id} was told not_run ({ticket.result}) and ran"
+        for ticket in world.tickets.values()
+        if ticket.outcome == "not_run" and ticket.regions
+    ]
+
+
+def _once(world):
+    """No change took effect twice."""
+    effects = {}
+    for service in world.fleet.services.values():
+        for key, count in service.effects.items():
+            effects[key] = effects.get(key, 0) + count
+    return [f"{key} ran {count} times" for key, count in effects.items() if count > 1]
+
+
+def _reverts(world):
+    """No process put a lower revision in force."""
+    return [item for item in world.violations if item.startswith("revert")]
+
+
+def _in_force(world):
+    """After a quiet end every daemon holds the newest revision."""
+    return [item for item in world.violations if item.startswith("behind")]
+
+
+def _leaving(world):
+    """No leaving backend server got new work after the limit."""
+    return [item for item in world.violations if item.startswith("leaving")]
+
+
+def _shutdown(world):
+    """A planned stop cut off no request."""
+    return [
+        f"{ticket.ticket_id} was cut off by the stop of {ticket.vm}"
+        for ticket in world.tickets.values()
+        if ticket.result == "lost" and ticket.vm in world.ended
+    ]
+
+
+PROMISES = {
+    "data stays in its regions": _regions,
+    "no loops": _loops,
+    "whole and own answers": _answers,
+    "not run is true": _not_run,
+    "at most once": _once,
+    "configuration never reverts": _reverts,
+    "configuration in force in time": _in_force,
+    "leaving gets no new work": _leaving,
+    "graceful shutdown": _shutdown,
+}
+"""Check of each promise, by its name."""
--- /dev/null
+++ b/bluebellbeam/scenario/steps.py
@@ -0,0 +1,391 @@
+"""What each step of a scenario does."""
+
+import msgspec
+
+from bluebellbeam.exception import ScenarioError
+from bluebellbeam.scenario.promises import broken_promises
+
+__all__ = ["STEPS", "Session", "narrow_workspace", "request_spec"]
+
+DEFAULT_TOKENS = (400, 20)
+BLOCK_TOKENS = 64
+_RUNG = 1_000_003
+
+
+class Session:
+    """A running scenario.
+
+    Attributes
+    ----------
+    world : World
+    operations : dict of str to (str, str)
+        Operation id and issuing VM of each labelled change.
+    expectations : int
+        Expectations that held.
+    """
+
+    __slots__ = ("world", "operations", "expectations", "loads")
+
+    def __init__(self, world):
+        self.world = world
+        self.operations = {}
+        self.expectations = 0
+        self.loads = 0
+
+    def expect(self, holds, text):
+        """Count an expectation that holds; raise one that does not."""
+        if not holds:
+            raise ScenarioError(f"at {int(self.world.now_ms)} ms: {text}")
+        self.expectations += 1
+
+    def ticket(self, name):
+        """Return the ticket called `name`."""
+        ticket = self.world.tickets.get(name)
+        if ticket is None:
+            raise ScenarioError(f"there is no request '{name}'")
+        return ticket
+
+    def state(self, vm):
+        """Return the node state of the daemon on `vm`."""
+        host = self.world.hosts.get(vm)
+        if host is None or host.node is None:
+            raise ScenarioError(f"no daemon runs on '{vm}'")
+        return host.node.state
+
+
+def request_spec(world, kind, tokens=DEFAULT_TOKENS, prefix=0):
+    """Return the fields of a request of `kind` in the deployment of `world`."""
+    if kind == "chat":
+        prompt, output = tokens
+        model = next(iter(world.base["models"]))
+        count = prompt // BLOCK_TOKENS if prefix else 0
+        blocks = tuple(prefix * _RUNG + i for i in range(count))
+        return {
+            "kind": kind,
+            "model": model,
+            "prompt_tokens": prompt,
+            "max_output_tokens": output,
+            "blocks": blocks,
+        }
+    service, item = next(iter(world.base["services"].items()))
+    call = next(c for c in item["calls"] if c.get("idempotent", False) == (kind == "read"))
+    return {
+        "kind": kind,
+        "service": service,
+        "method": call["method"],
+        "path": f"{call['path_prefix']}/7",
+    }
+
+
+def _send(session, kind, name, workspace, vm, *options):
+    world = session.world
+    chosen = {item[0]: item[1:] for item in options}
+    tokens = chosen.get("tokens", DEFAULT_TOKENS)
+    prefix = chosen.get("prefix", (0,))[0]
+    spec = request_spec(world, kind, tokens, prefix)
+    if kind == "change":
+        label = chosen.get("operation", (name,))[0]
+        issuer = chosen.get("issued_by", (vm,))[0]
+        issued = world.issue_operation(issuer, workspace)
+        session.operations[label] = (issued, vm)
+        spec |= {"operation": label, "operation_id": issued, "fingerprint": 1}
+    world.note(f"send {kind} {name} from {workspace} to {vm}")
+    world.send(name, workspace, vm, **spec)
+
+
+def _repeat(session, name, new_name, vm):
+    old = session.ticket(name)
+    spec = request_spec(session.world, old.kind)
+    if old.kind == "change":
+        issued, _ = session.operations[old.operation]
+        spec |= {
+            "operation": old.operation,
+            "operation_id": issued,
+            "fingerprint": 1,
+        }
+    session.world.note(f"repeat {name} as {new_name} at {vm}")
+    session.world.send(new_name, old.workspace, vm, **spec)
+
+
+def _load(session, rate, for_ms, workspaces):
+    world = session.world
+    session.loads += 1
+    vms = sorted(world.hosts)
+    for i in range(rate * for_ms // 1000):
+        at_ms = world.now_ms + i * 1000 / rate
+        kind = "read" if i % 4 == 3 else "chat"
+        name = f"load{session.loads}.{i}"
+        workspace = workspaces[i % len(workspaces)]
+        vm = vms[(i // len(workspaces)) % len(vms)]
+        world.at(at_ms, _send_alive, session, kind, name, workspace, vm)
+
+
+def _send_alive(session, kind, name, workspace, vm):
+    world = session.world
+    region = world.hosts[vm].region
+    alive = world.usable_daemons(region) or world.usable_daemons()
+    target = vm if vm in alive else alive[0]
+    world.send(name, workspace, target, **request_spec(world, kind))
+
+
+def _run(session, for_ms):
+    session.world.run_until(session.world.now_ms + for_ms)
+
+
+def _world_step(method):
+    def step(session, *values):
+        session.world.note(" ".join((method, *map(str, values))))
+        getattr(session.world, method)(*values)
+
+    return step
+
+
+def _slow_server(session, name, factor):
+    session.world.fleet.server(name).slow_factor = float(factor)
+
+
+def _mute_server(session, name):
+    session.world.fleet.server(name).mute_reports = True
+
+
+def _swap_address(session, name, other):
+    addresses = session.world.addresses
+    first = session.world.fleet.backends[name].address
+    second = session.world.fleet.backends[other].address
+    addresses[first], addresses[second] = addresses[second], addresses[first]
+
+
+def _cut_way(session, here, there):
+    hosts = session.world.hosts
+    if here in hosts and there in hosts:
+        session.world.vm_cuts.add((here, there))
+    else:
+        session.world.cuts.add((here, there))
+
+
+def _lose_replies(session, count):
+    session.world.lose_replies = count
+
+
+def _platform(session, mode):
+    session.world.store.down = mode == "down"
+    session.world.store.stale_version.clear()
+    if mode == "up":
+        session.world.store.down = False
+
+
+def _stale(session, revision):
+    session.world.store.stale_version["config"] = revision
+
+
+def _edit(world, change):
+    world.base = msgspec.json.decode(msgspec.json.encode(world.base))
+    world.overlays = msgspec.json.decode(msgspec.json.encode(world.overlays))
+    change(world)
+
+
+def narrow_workspace(world, workspace, regions):
+    """Let `workspace` use only `regions` in the documents of `world`."""
+
+    def change(world):
+        item = world.base["workspaces"][workspace]
+        item["allowed_regions"] = list(regions)
+        if item.get("home_region") not in regions:
+            item.pop("home_region", None)
+        for overlay in world.overlays.values():
+            overlay.get("workspaces", {}).pop(workspace, None)
+
+    _edit(world, change)
+
+
+def _narrow(session, revision, workspace, regions):
+    narrow_workspace(session.world, workspace, regions)
+    session.world.note(f"publish {revision} narrow {workspace}")
+    session.world.publish_config(revision)
+
+
+def _version(session, revision, version, model):
+    def change(world):
+        world.base["models"][model]["version"] = version
+
+    _edit(session.world, change)
+    session.world.note(f"publish {revision} version {version}")
+    session.world.publish_config(revision)
+
+
+def _broken(session, revision):
+    world = session.world
+    base = msgspec.json.decode(msgspec.json.encode(world.base))
+    base["regions"] = {}
+    world.store.publish_config(revision, base, world.overlays)
+    world.wake_watchers()
+
+
+def _publish(session, revision):
+    session.world.note(f"publish {revision}")
+    session.world.publish_config(revision)
+
+
+def _expect_whole(session, name):
+    ticket = session.ticket(name)
+    session.expect(
+        ticket.result in ("whole", "repeated"),
+        f"{name} is {ticket.result} {ticket.outcome}, expected whole",
+    )
+
+
+def _expect_result(session, name, result, outcome=None):
+    ticket = session.ticket(name)
+    right = ticket.result == result and outcome in (None, ticket.outcome)
+    wanted = f"{result} {outcome or ''}".strip()
+    session.expect(
+        right, f"{name} is {ticket.result} {ticket.outcome}, expected {wanted}"
+    )
+
+
+def _expect_ran(session, name, region):
+    ticket = session.ticket(name)
+    session.expect(
+        region in ticket.regions, f"{name} ran in {ticket.regions}, expected {region}"
+    )
+
+
+def _expect_idle(session, name):
+    ticket = session.ticket(name)
+    session.expect(not ticket.regions, f"{name} ran in {ticket.regions}")
+
+
+def _expect_effects(session, label, count):
+    services = session.world.fleet.services.values()
+    found = sum(service.effects.get(label, 0) for service in services)
+    session.expect(found == count, f"{label} took effect {found} times, not {count}")
+
+
+def _expect_revision(session, revision, vms):
+    for vm in vms:
+        found = session.state(vm).config.revision
+        session.expect(
+            found == revision, f"{vm} is at revision {found}, expected {revision}"
+        )
+
+
+def _expect_ready(session, vms):
+    for vm in vms:
+        session.expect(session.state(vm).ready, f"{vm} is not ready")
+
+
+def _expect_unready(session, vms):
+    for vm in vms:
+        session.expect(not session.state(vm).ready, f"{vm} is ready")
+
+
+def _expect_ended(session, vm):
+    session.expect(vm in session.world.ended, f"{vm} has not ended")
+
+
+def _compare(found, relation, wanted):
+    match relation:
+        case "at least":
+            return found >= wanted
+        case "at most":
+            return found <= wanted
+        case _:
+            return found == wanted
+
+
+def _expect_counter(session, name, vm, relation, wanted):
+    found = getattr(session.state(vm).counters, name)
+    session.expect(
+        _compare(found, relation, wanted),
+        f"{name} at {vm} is {found}, expected {relation} {wanted}",
+    )
+
+
+def _expect_status(session, status, name, vm):
+    row = session.state(vm).members.rows.get(name)
+    found = "gone" if row is None else row.status
+    session.expect(found == status, f"{vm} holds {name} {found}, expected {status}")
+
+
+def _expect_loaded(session, name, server):
+    loaded = session.world.fleet.engines[server].loaded
+    session.expect(name in loaded, f"{server} holds {loaded}, expected {name}")
+
+
+def _expect_orders(session, server, relation, wanted):
+    found = len(session.world.fleet.engines[server].orders)
+    session.expect(
+        _compare(found, relation, wanted),
+        f"{server} got {found} orders, expected {relation} {wanted}",
+    )
+
+
+def _expect_no_work(session, name):
+    server = session.world.fleet.server(name)
+    last_ms = max((at_ms for _, at_ms in server.runs), default=0)
+    limit_ms = session.world.now_ms - 3000
+    session.expect(last_ms <= limit_ms, f"{name} got work at {int(last_ms)} ms")
+
+
+def _expect_share(session, prefix, relation, percent):
+    tickets = [
+        t for n, t in session.world.tickets.items() if n.startswith(f"{prefix}.")
+    ]
+    whole = sum(1 for ticket in tickets if ticket.result == "whole")
+    found = 100.0 * whole / max(1, len(tickets))
+    session.expect(
+        _compare(found, relation, percent),
+        f"{found:.1f} percent of {prefix} are whole, expected {relation} {percent}",
+    )
+
+
+def _expect_promises(session):
+    broken = broken_promises(session.world)
+    session.expect(not broken, f"broken promises: {broken}")
+
+
+STEPS = {
+    "run": _run,
+    "send": _send,
+    "repeat": _repeat,
+    "load": _load,
+    "kill_daemon": _world_step("kill_daemon"),
+    "start_daemon": _world_step("start_daemon"),
+    "stop_daemon": _world_step("stop_daemon"),
+    "freeze_daemon": _world_step("freeze_daemon"),
+    "kill_server": _world_step("kill_server"),
+    "return_server": _world_step("return_server"),
+    "leave_server": _world_step("leave_server"),
+    "freeze_server": _world_step("freeze_server"),
+    "slow_server": _slow_server,
+    "mute_server": _mute_server,
+    "swap_address": _swap_address,
+    "cut_region": _world_step("cut_region"),
+    "cut_link": _world_step("cut_link"),
+    "cut_way": _cut_way,
+    "heal": _world_step("heal"),
+    "lose_replies": _lose_replies,
+    "platform": _platform,
+    "stale": _stale,
+    "narrow": _narrow,
+    "version": _version,
+    "broken": _broken,
+    "publish": _publish,
+    "expect_whole": _expect_whole,
+    "expect_result": _expect_result,
+    "expect_ran": _expect_ran,
+    "expect_idle": _expect_idle,
+    "expect_effects": _expect_effects,
+    "expect_revision": _expect_revision,
+    "expect_ready": _expect_ready,
+    "expect_unready": _expect_unready,
+    "expect_ended": _expect_ended,
+    "expect_counter": _expect_counter,
+    "expect_status": _expect_status,
+    "expect_loaded": _expect_loaded,
+    "expect_orders": _expect_orders,
+    "expect_no_work": _expect_no_work,
+    "expect_share": _expect_share,
+    "expect_promises": _expect_promises,
+}
+"""Function that carries out each kind of step."""
--- /dev/null
+++ b/bluebellbeam/scenario/ticket.py
@@ -0,0 +1,84 @@
+"""What became of one caller's request in a scenario."""
+
+__all__ = ["Ticket"]
+
+
+class Ticket:
+    """One request as its caller sees it.
+
+    Attributes
+    ----------
+    ticket_id : str
+    workspace, vm : str
+        Caller and the entry VM that it was sent to.
+    kind : {"chat", "read", "change"}
+    operation : str
+        Label that repeats of one change share.
+    sent_ms : int
+    first_ms, done_ms : int or None
+    result : str
+        ``open``, ``whole``, ``repeated``, an error code, or ``lost`` when the
+        connection broke.
+    outcome : str
+        Outcome that the caller was told, or empty.
+    tokens, expected_tokens : int
+    retry_after_ms : int
+    regions : list of str
+        Regions in which backend servers ran it.
+    away : bool
+        Whether it was forwarded to another region.
+    final : int
+        Final answers received; more than one is a fault.
+    """
+
+    __slots__ = (
+        "ticket_id",
+        "workspace",
+        "vm",
+        "kind",
+        "operation",
+        "operation_id",
+        "sent_ms",
+        "first_ms",
+        "done_ms",
+        "result",
+        "outcome",
+        "tokens",
+        "expected_tokens",
+        "retry_after_ms",
+        "regions",
+        "away",
+        "final",
+        "spec",
+        "cost",
+        "service_runs",
+    )
+
+    def __init__(self, ticket_id, workspace, vm, kind, sent_ms):
+        self.ticket_id = ticket_id
+        self.workspace = workspace
+        self.vm = vm
+        self.kind = kind
+        self.operation = ""
+        self.operation_id = ""
+        self.sent_ms = sent_ms
+        self.first_ms = None
+        self.done_ms = None
+        self.result = "open"
+        self.outcome = ""
+        self.tokens = 0
+        self.expected_tokens = 0
+        self.retry_after_ms = 0
+        self.regions = []
+        self.away = False
+        self.final = 0
+        self.spec = None
+        self.cost = 0.0
+        self.service_runs = 0
+
+    def close(self, result, outcome, now_ms):
+        """Record the final answer."""
+        self.final += 1
+        self.result = result
+        self.outcome = outcome
+        self.done_ms = now_ms
