Add the policy benchmark with baselines

Cause: no figure spoke for or against the routing policy. Change: seeded open-loop arrivals, 13 cases, four policies, two deployments.

--- /dev/null
+++ b/benchmarks/cases.py
@@ -0,0 +1,151 @@
+"""The cases of the policy benchmark: what load and which faults."""
+
+from msgspec import Struct
+
+__all__ = ["CASES", "SESSION_MS", "START_MS", "Case", "load_factor"]
+
+START_MS = 5_000
+SESSION_MS = 90_000
+FAULT_MS = START_MS + 20_000
+FAULT_END_MS = START_MS + 55_000
+
+
+class Case(Struct, frozen=True):
+    """A case.
+
+    Parameters
+    ----------
+    cause : callable
+        Schedules the faults in a world.
+    end_ms : float or None
+        When the fault has ended.
+    """
+
+    cause: object
+    end_ms: float | None = None
+
+
+def _nothing(world, regions):
+    """Cause no fault."""
+
+
+def _lose(world, region, at_ms, end_ms):
+    for name, record in sorted(world.fleet.backends.items()):
+        if record.region == region and record.role == "engine":
+            world.at(at_ms, world.kill_server, name)
+            world.at(end_ms, world.return_server, name)
+
+
+def _capacity_loss(world, regions):
+    _lose(world, regions[0], FAULT_MS, FAULT_END_MS)
+
+
+def _partition(world, regions):
+    world.at(FAULT_MS, world.cut_region, regions[1])
+    world.at(FAULT_END_MS, world.heal)
+
+
+def _loss_and_partition(world, regions):
+    _capacity_loss(world, regions)
+    world.at(FAULT_MS, world.cut_link, regions[1], regions[2])
+    world.at(FAULT_END_MS, world.heal)
+
+
+def _cold_return(world, regions):
+    for region in regions:
+        name = f"{region}-{next(iter(world.base['models']))}-1"
+        world.at(FAULT_MS, world.kill_server, name)
+        world.at(FAULT_MS + 8_000, world.return_server, name)
+
+
+def _set_slow(world, name, factor):
+    world.fleet.engines[name].slow_factor = factor
+
+
+def _slow_replica(world, regions):
+    name = f"{regions[0]}-{next(iter(world.base['models']))}-1"
+    world.at(FAULT_MS, _set_slow, world, name, 6.0)
+    world.at(FAULT_END_MS, _set_slow, world, name, 1.0)
+
+
+def _lagged_reports(world, regions):
+    for i, engine in enumerate(world.fleet.engines.values()):
+        engine.report_lag_ms = 4000
+        engine.mute_reports = i % 3 == 2
+        engine.event_gap = 3
+
+
+def _mute_later(world):
+    _lagged_reports(world, None)
+
+
+def _configuration_down(world, regions):
+    world.at(FAULT_MS, setattr, world.store, "down", True)
+    world.at(FAULT_END_MS, setattr, world.store, "down", False)
+
+
+def _rolling_restart(world, regions):
+    for i, vm in enumerate(sorted(world.hosts)):
+        at_ms = FAULT_MS + i * 6_000
+        world.at(at_ms, world.stop_daemon, vm)
+        world.at(at_ms + 5_000, _restart, world, vm)
+
+
+def _restart(world, vm):
+    if world.hosts[vm].node is not None:
+        world.kill_daemon(vm)
+    world.start_daemon(vm)
+
+
+def _reports_lag(world, regions):
+    world.at(START_MS, _mute_later, world)
+
+
+CASES = {
+    "steady": Case(_nothing),
+    "full load": Case(_nothing),
+    "double load": Case(_nothing),
+    "peak": Case(_nothing, FAULT_END_MS),
+    "capacity loss": Case(_capacity_loss, FAULT_END_MS),
+    "partition": Case(_partition, FAULT_END_MS),
+    "loss and partition": Case(_loss_and_partition, FAULT_END_MS),
+    "cold return": Case(_cold_return, FAULT_MS + 8_000),
+    "slow replica": Case(_slow_replica, FAULT_END_MS),
+    "noisy workspace": Case(_nothing),
+    "lagged reports": Case(_reports_lag),
+    "configuration down": Case(_configuration_down, FAULT_END_MS),
+    "rolling restart": Case(_rolling_restart),
+}
+"""Every case, by its name."""
+
+FULL_LOAD = {"fraserleaf": 3.2, "fellesdepot": 3.8}
+"""Factor on the steady rates that uses the whole capacity, by deployment."""
+
+
+def load_factor(case, user, workload):
+    """Return the factor on the rates of `case`, as a function.
+
+    Returns
+    -------
+    callable
+        Of workspace, region and time in ms since the start.
+    """
+    first = []
+
+    def factor(workspace, region, since_ms):
+        if not first:
+            first.append(region)
+        in_fault = FAULT_MS - START_MS <= since_ms < FAULT_END_MS - START_MS
+        match case:
+            case "full load":
+                return FULL_LOAD[user]
+            case "double load":
+                return 2.0 * FULL_LOAD[user]
+            case "peak" if in_fault and region == first[0]:
+                return 2.5
+            case "noisy workspace" if workspace == workload.noisy and in_fault:
+                return 5.0
+            case _:
+                return 1.0
+
+    return factor
--- /dev/null
+++ b/benchmarks/policy.py
@@ -0,0 +1,370 @@
+"""Routing policies side by side, under load and faults, in virtual time.
+
+``python -m benchmarks.policy`` runs every case with every policy for both
+deployments, prints a table, checks the bounds and writes a result file. The
+node is the one that the daemon runs.
+"""
+
+import json
+import os
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import click
+import msgspec
+from hdrh.histogram import HdrHistogram
+from msgspec import Struct
+
+from benchmarks.cases import CASES, SESSION_MS, START_MS, load_factor
+from benchmarks.workload import make_arrivals, workload_of
+from bluebellbeam.examples import EXAMPLES, read_example
+from bluebellbeam.node import entry_addresses
+from bluebellbeam.routing.policies import (
+    EstimatePolicy,
+    LeastRequestsPolicy,
+    LocalOnlyPolicy,
+    RoundRobinPolicy,
+)
+from bluebellbeam.scenario.steps import request_spec
+from bluebellbeam.scenario.world import make_world
+
+__all__ = ["POLICIES", "Result", "check_bounds", "main", "run_case"]
+
+RESULTS = Path(__file__).parent / "results"
+TICK_MS = 100
+DRAIN_MS = 130_000
+CACHE_BLOCKS = 1024
+MAX_LATENCY_MS = 600_000
+
+POLICIES = {
+    "ours": EstimatePolicy(),
+    "local only": LocalOnlyPolicy(),
+    "round robin": RoundRobinPolicy(),
+    "least requests": LeastRequestsPolicy(),
+}
+"""Policies compared, by name."""
+
+
+class Result(Struct):
+    """Figures of one session.
+
+    Parameters
+    ----------
+    first_ms : dict of str to list of float
+        p50, p95 and p99 of the time to the first token, by class.
+    done_ms : dict of str to list of float
+        The same of the time to the whole answer.
+    goodput : float
+        Requests answered whole whose first token came in time, a second.
+    offered : float
+        Requests sent, a second.
+    cost : float
+        Money for each request answered whole.
+    away_share : float
+        Share of the requests that another region ran.
+    fairness : float
+        Largest over smallest share of answers in time, over equal members.
+    attempts : float
+        Attempts for each request that was taken in.
+    prefix_hits : float
+        Share of the prompt tokens that engines had in their cache.
+    switches : int
+        Times that a workspace began or ended to borrow.
+    wrong_region : int
+        Requests that ran outside the allowed regions.
+    recovery_ms : float
+        Time after the end of the fault until goodput is back at 95%.
+    """
+
+    user: str
+    case: str
+    policy: str
+    first_ms: dict[str, list[float]]
+    done_ms: dict[str, list[float]]
+    goodput: float
+    offered: float
+    cost: float
+    away_share: float
+    fairness: float
+    attempts: float
+    prefix_hits: float
+    switches: int
+    wrong_region: int
+    recovery_ms: float
+
+
+def run_case(user, case, policy, seed=1):
+    """Run one session and return its :class:`Result`."""
+    base, overlays = read_example(user)
+    world = make_world(base, overlays, seed, TICK_MS, POLICIES[policy])
+    world.check_codec = False
+    for engine in world.fleet.engines.values():
+        engine.cache_blocks = CACHE_BLOCKS
+    world.start()
+    world.run_until(START_MS)
+    workload = workload_of(user)
+    regions = sorted(base["regions"])
+    arrivals = make_arrivals(
+        workload, regions, START_MS, SESSION_MS, seed, load_factor(case, user, workload)
+    )
+    turns = dict.fromkeys(regions, 0)
+    for i, arrival in enumerate(arrivals):
+        world.at(arrival.at_ms, _send, world, f"b{i}", arrival, policy, turns)
+    CASES[case].cause(world, regions)
+    world.run_until(START_MS + SESSION_MS + DRAIN_MS)
+    return _measure(world, user, case, policy, workload)
+
+
+def _send(world, name, arrival, policy, turns):
+    vm = _entry_vm(world, arrival, policy, turns)
+    if vm is None:
+        return
+    tokens = (arrival.prompt_tokens, arrival.output_tokens)
+    spec = request_spec(world, arrival.kind, tokens)
+    if arrival.kind == "chat":
+        spec["blocks"] = arrival.blocks
+    if arrival.kind == "change":
+        issued = world.issue_operation(vm, arrival.workspace)
+        spec |= {"operation_id": issued, "fingerprint": 1}
+    world.send(name, arrival.workspace, vm, **spec)
+
+
+def _entry_vm(world, arrival, policy, turns):
+    """Return the entry VM that a caller of the region uses."""
+    near = world.usable_daemons(arrival.region) or world.usable_daemons()
+    ready = [vm for vm in near if world.hosts[vm].node.state.ready]
+    if not ready:
+        return near[0] if near else None
+    turns[arrival.region] += 1
+    asked = ready[turns[arrival.region] % len(ready)]
+    if policy in ("round robin", "least requests"):
+        return asked
+    state = world.hosts[asked].node.state
+    addresses = entry_addresses(state, arrival.workspace, include_self=True)
+    for address in addresses:
+        vm = address.partition(":")[2]
+        if vm in ready:
+            return vm
+    return asked
+
+
+def _class_of(world, ticket):
+    if ticket.kind != "chat":
+        return "service"
+    priority = world.base["workspaces"][ticket.workspace].get("priority")
+    return "batch" if priority == "batch" else "interactive"
+
+
+def _deadline_ms(world, ticket):
+    deadlines = world.base["workspaces"][ticket.workspace]["deadlines"]
+    return deadlines[f"{_class_of(world, ticket)}_ms"]
+
+
+def _in_time(world, ticket):
+    if ticket.result != "whole" or ticket.first_ms is None:
+        return False
+    return ticket.first_ms - ticket.sent_ms <= _deadline_ms(world, ticket)
+
+
+def _percentiles(values):
+    histogram = HdrHistogram(1, MAX_LATENCY_MS, 3)
+    for value in values:
+        histogram.record_value(max(1, int(value)))
+    return [float(histogram.get_value_at_percentile(p)) for p in (50, 95, 99)]
+
+
+def _measure(world, user, case, policy, workload):
+    tickets = list(world.tickets.values())
+    whole = [t for t in tickets if t.result == "whole"]
+    good = [t for t in tickets if _in_time(world, t)]
+    first, done = {}, {}
+    for name in ("interactive", "batch", "service"):
+        rows = [t for t in whole if _class_of(world, t) == name]
+        first[name] = _percentiles([t.first_ms - t.sent_ms for t in rows])
+        done[name] = _percentiles([t.done_ms - t.sent_ms for t in rows])
+    engines = world.fleet.engines.values()
+    prompt = sum(engine.prompt_tokens_total for engine in engines)
+    cached = sum(engine.cached_tokens_total for engine in engines)
+    states = [h.node.state for h in world.hosts.values() if h.node is not None]
+    attempts = sum(t.attempts for t in tickets)
+    taken = sum(1 for t in tickets if t.regions)
+    return Result(
+        user=user,
+        case=case,
+        policy=policy,
+        first_ms=first,
+        done_ms=done,
+        goodput=len(good) / (SESSION_MS / 1000.0),
+        offered=len(tickets) / (SESSION_MS / 1000.0),
+        cost=sum(t.cost for t in tickets) / max(1, len(whole)),
+        away_share=sum(1 for t in tickets if t.away) / max(1, len(tickets)),
+        fairness=_fairness(world, tickets, workload.equal),
+        attempts=attempts / max(1, taken),
+        prefix_hits=cached / max(1, prompt),
+        switches=sum(s.borrower.switches for s in states),
+        wrong_region=_wrong_region(world, tickets),
+        recovery_ms=_recovery_ms(world, case),
+    )
+
+
+def _fairness(world, tickets, equal):
+    shares = []
+    for name in equal:
+        rows = [t for t in tickets if t.workspace == name and t.kind == "chat"]
+        if rows:
+            shares.append(sum(1 for t in rows if _in_time(world, t)) / len(rows))
+    return max(shares) / max(min(shares), 0.001)
+
+
+def _wrong_region(world, tickets):
+    count = 0
+    for ticket in tickets:
+        allowed = world.base["workspaces"][ticket.workspace]["allowed_regions"]
+        count += sum(1 for region in ticket.regions if region not in allowed)
+    return count
+
+
+def _recovery_ms(world, case):
+    """Return how long after the fault the share of good answers stays low."""
+    end_ms = CASES[case].end_ms
+    if end_ms is None:
+        return 0.0
+    window_ms = 4000
+    at_ms = end_ms
+    while at_ms < START_MS + SESSION_MS - window_ms:
+        rows = [
+            t for t in world.tickets.values() if at_ms <= t.sent_ms < at_ms + window_ms
+        ]
+        good = sum(1 for t in rows if _in_time(world, t))
+        if rows and good >= 0.95 * len(rows):
+            return at_ms - end_ms
+        at_ms += 1000
+    return float(START_MS + SESSION_MS - end_ms)
+
+
+FAULTED = (
+    "peak",
+    "capacity loss",
+    "partition",
+    "loss and partition",
+    "cold return",
+    "slow replica",
+    "noisy workspace",
+    "lagged reports",
+    "configuration down",
+    "rolling restart",
+)
+MAX_P99_OF_ROUND_ROBIN = 0.5
+MAX_AWAY_STEADY = 0.02
+MAX_FAIRNESS = 1.05
+MAX_ATTEMPTS = 1.1
+MIN_OVERLOAD_GOODPUT = 0.95
+
+
+def check_bounds(results):
+    """Return the bounds that `results` miss, as lines of text.
+
+    Parameters
+    ----------
+    results : list of Result
+    """
+    table = {(r.user, r.case, r.policy): r for r in results}
+    missed = []
+    for user in EXAMPLES:
+        missed += _check_user(user, table)
+    return missed
+
+
+def _check_user(user, table):
+    missed = []
+
+    def get(case, policy):
+        return table[(user, case, policy)]
+
+    def note(case, text):
+        missed.append(f"{user}, {case}: {text}")
+
+    for case in FAULTED:
+        ours = get(case, "ours").first_ms["interactive"][2]
+        robin = get(case, "round robin").first_ms["interactive"][2]
+        least = get(case, "least requests").first_ms["interactive"][2]
+        if ours > MAX_P99_OF_ROUND_ROBIN * robin:
+            note(case, f"p99 {ours:.0f} ms over half of round robin's {robin:.0f} ms")
+        if ours >= least:
+            note(case, f"p99 {ours:.0f} ms not below least requests' {least:.0f} ms")
+    for case in CASES:
+        ours = get(case, "ours")
+        if ours.wrong_region:
+            note(case, f"{ours.wrong_region} requests outside their regions")
+        if ours.fairness > MAX_FAIRNESS:
+            note(case, f"equal members differ by {ours.fairness:.3f}")
+    steady = get("steady", "ours")
+    if steady.away_share >= MAX_AWAY_STEADY:
+        note("steady", f"share sent away {steady.away_share:.3f}")
+    double = get("double load", "ours")
+    if double.attempts > MAX_ATTEMPTS:
+        note("double load", f"{double.attempts:.2f} attempts a request")
+    capacity = get("full load", "ours").goodput
+    if double.goodput < MIN_OVERLOAD_GOODPUT * capacity:
+        note("double load", f"goodput {double.goodput:.2f}/s of {capacity:.2f}/s")
+    return missed
+
+
+def _line(result):
+    first = result.first_ms["interactive"]
+    return (
+        f"{result.user:<12}{result.case:<20}{result.policy:<16}"
+        f"{first[0]:>7.0f}{first[1]:>7.0f}{first[2]:>7.0f}"
+        f"{result.first_ms['service'][2]:>7.0f}"
+        f"{result.goodput:>7.2f}/{result.offered:<6.2f}{result.cost:>7.2f}"
+        f"{100 * result.away_share:>7.1f}{result.fairness:>7.2f}"
+        f"{result.attempts:>6.2f}{100 * result.prefix_hits:>6.0f}"
+        f"{result.switches:>5}{result.recovery_ms / 1000:>6.0f}"
+    )
+
+
+HEADER = (
+    f"{'user':<12}{'case':<20}{'policy':<16}{'p50':>7}{'p95':>7}{'p99':>7}"
+    f"{'svc99':>7}{'good/offered':>14}{'cost':>7}{'away%':>7}{'fair':>7}"
+    f"{'att':>6}{'hit%':>6}{'sw':>5}{'rec':>6}"
+)
+
+
+def _run(item):
+    return run_case(*item)
+
+
+@click.command()
+@click.option("--user", type=click.Choice(list(EXAMPLES)), multiple=True)
+@click.option("--case", "cases", type=click.Choice(list(CASES)), multiple=True)
+@click.option("--policy", "policies", type=click.Choice(list(POLICIES)), multiple=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--label", default="", help="Write benchmarks/results/LABEL.json.")
+@click.option("--jobs", default=max(1, (os.cpu_count() or 2) - 2), show_default=True)
+def main(user, cases, policies, seed, label, jobs):
+    """Compare the policies; p50, p95, p99 are ms to the first token of chats."""
+    start_s = time.monotonic()
+    items = [
+        (name, case, policy, seed)
+        for name in user or EXAMPLES
+        for case in cases or CASES
+        for policy in policies or POLICIES
+    ]
+    with ProcessPoolExecutor(jobs) as pool:
+        results = list(pool.map(_run, items))
+    click.echo(HEADER)
+    for result in results:
+        click.echo(_line(result))
+    if not (user or cases or policies):
+        for line in check_bounds(results):
+            click.echo(f"missed: {line}")
+    if label:
+        RESULTS.mkdir(exist_ok=True)
+        text = json.dumps([msgspec.to_builtins(r) for r in results], indent=1)
+        (RESULTS / f"{label}.json").write_text(text + "\n")
+    click.echo(f"{len(results)} sessions in {time.monotonic() - start_s:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- a/bluebellbeam/scenario/ticket.py
+++ b/bluebellbeam/scenario/ticket.py
@@ -29,6 +29,8 @@
         Whether it was forwarded to another region.
     final : int
         Final answers received; more than one is a fault.
+    attempts : int
+        Attempts at backend servers.
     run : int
         Process of the entry VM that it was sent to.
     """
@@ -55,6 +57,7 @@
         "cost",
         "service_runs",
         "run",
+        "attempts",
     )
 
     def __init__(self, ticket_id, workspace, vm, kind, sent_ms):
@@ -79,6 +82,7 @@
         self.cost = 0.0
         self.service_runs = 0
         self.run = 0
+        self.attempts = 0
 
     def close(self, result, outcome, now_ms):
         """Record the final answer."""
--- a/bluebellbeam/scenario/world.py
+++ b/bluebellbeam/scenario/world.py
@@ -502,6 +502,7 @@
             self._start_at_server(host, key, flight, command)
 
     def _start_at_server(self, host, key, flight, command):
+        flight.ticket.attempts += 1
         name, quick = self._reach(host, command.address)
         if name is None:
             delay_ms = LOCAL_MS if quick else CONNECT_TIMEOUT_MS
@@ -604,12 +605,28 @@
         key = event.job_id
         if self.flights.get(key) is not flight:
             return
+        self._add_cost(flight, engine, event.kind)
         if event.kind == "first":
             self._pass_first(key, flight)
         else:
             report = engine.report(self.now_ms)
             self._pass_done(key, flight, flight.job.output_tokens, None, report)
 
+    def _add_cost(self, flight, engine, kind):
+        """Charge the prompt with the first token, the output with the end."""
+        job = flight.job
+        prices = self.base["regions"][engine.record.region]
+        tokens = job.output_tokens
+        if kind == "first":
+            tokens = job.prompt_tokens - job.cached_tokens
+        cost = tokens / 1000.0 * prices["price_per_1k_tokens"]
+        if flight.ticket.vm in self.hosts:
+            home = self.hosts[flight.ticket.vm].region
+            if home != engine.record.region and kind == "first":
+                carried = (job.prompt_tokens + job.output_tokens) / 1000.0
+                cost += carried * prices["wan_price_per_1k_tokens"]
+        flight.ticket.cost += cost
+
     def _pass_first(self, key, flight):
         host = self.hosts[flight.vm]
         if host.run != flight.run or host.node is None:
