Count the prefill backlog that engines report

Cause: an engine computes prompts one after the other; a chat behind an audit waited for a prefill of another daemon that the estimate did not know of. Change: load reports carry prompt tokens not yet computed; the estimate takes the larger of these, aged, and of own requests without a first token.

--- a/bluebellbeam/routing/choose.py
+++ b/bluebellbeam/routing/choose.py
@@ -61,7 +61,7 @@
     for row in names:
         blocks = cached_blocks(view.prefixes, row.name, request.blocks)
         cached = min(blocks * view.block_tokens, request.prompt_tokens)
-        estimate = estimate_local(row, request, model, region, cached)
+        estimate = estimate_local(row, request, model, region, cached, now_ms)
         score = score_estimate(estimate, view.objective)
         scored.append(Candidate(row.name, score, estimate, cached))
     scored.sort(key=lambda item: (item.score, item.server))
--- a/bluebellbeam/routing/estimate.py
+++ b/bluebellbeam/routing/estimate.py
@@ -26,7 +26,7 @@
     away: bool
 
 
-def estimate_local(row, request, model, region, cached_tokens):
+def estimate_local(row, request, model, region, cached_tokens, now_ms):
     """Return the estimate for backend server `row` of the own region.
 
     Parameters
@@ -45,7 +45,7 @@
         expected_ms = wait_ms + (row.service_ms or request.expected_ms)
         return Estimate(expected_ms * row.slowness, 0, 0.0, False)
     uncached = max(0, request.prompt_tokens - cached_tokens)
-    ahead = row.inflight_tokens
+    ahead = tokens_ahead(row, model.prefill_tokens_per_s, now_ms)
     prefill_ms = 1000.0 * (uncached + ahead) / model.prefill_tokens_per_s
     first_token_ms = (wait_ms + prefill_ms) * row.slowness
     tokens = uncached + request.max_output_tokens
@@ -87,6 +87,19 @@
     return score
 
 
+def tokens_ahead(row, prefill_tokens_per_s, now_ms):
+    """Return the prompt tokens that `row` computes before a new request.
+
+    The larger of own requests without a first token, and what the server
+    reported less what it has computed since.
+    """
+    if row.reported_ms is None or not row.waiting_tokens:
+        return row.inflight_tokens
+    since_s = (now_ms - row.reported_ms) / 1000.0
+    reported = row.waiting_tokens - since_s * prefill_tokens_per_s
+    return max(row.inflight_tokens, reported)
+
+
 def slot_wait_ms(row):
     """Return the expected wait for a free slot of `row`."""
     excess = row.occupancy() + 1 - row.slots
--- a/bluebellbeam/standins/engine.py
+++ b/bluebellbeam/standins/engine.py
@@ -233,10 +233,13 @@
         """Return the lagged :class:`LoadReport`, or None while muted."""
         if self.mute_reports:
             return None
-        running, waiting, tokens = len(self.running), len(self.waiting), 0
+        running, waiting, tokens = 0, 0, 0
         for at_ms, *shown in reversed(self.history):
             if at_ms <= now_ms - self.report_lag_ms:
                 running, waiting, tokens = shown
+                elapsed_s = (now_ms - self.report_lag_ms - at_ms) / 1000.0
+                computed = elapsed_s * self.prefill_tokens_per_s / self.slow_factor
+                tokens = max(0, tokens - int(computed))
                 break
         return LoadReport(
             server=self.record.name,
@@ -357,6 +360,8 @@
 
     def _note_history(self, now_ms):
         tokens = sum(item[2].prompt_tokens for item in self.waiting)
+        prefill_s = max(0.0, self.prefill_free_ms - now_ms) / 1000.0
+        tokens += int(prefill_s * self.prefill_tokens_per_s / self.slow_factor)
         self.history.append((now_ms, len(self.running), len(self.waiting), tokens))
 
     def _push(self, at_ms, job_id, kind):
