--- a/bluebellbeam/scenario/world.py
+++ b/bluebellbeam/scenario/world.py
@@ -641,6 +641,8 @@
     def _relay_first(self, flight):
         onward = self.forwarded.get((flight.vm, flight.request.request_id))
         if onward is None:
+            if flight.request.origin:
+                return
             ticket = flight.ticket
             if ticket.first_ms is None:
                 ticket.first_ms = self.now_ms + CALLER_MS
@@ -669,6 +671,8 @@
         if not live:
             return
         onward = self.forwarded.pop((flight.vm, flight.request.request_id), None)
+        if onward is None and flight.request.origin:
+            return
         if onward is None:
             flight.ticket.tokens = tokens
             self.after(CALLER_MS, self._close, flight.ticket, "whole", "ran")
