Let batch work yield slots to interactive work across daemons

Cause: entry choice puts audits and chats of a region on different daemons. The audits' daemon took every slot that came free, so interactive priority held inside a daemon only: peak p99 6867 ms while audits ran. Change: probes tell the waiting weights of interactive and batch work; while interactive work waits anywhere in the region, batch work of all daemons keeps to half the slots; batch always leaves a quarter of a server's slots free.

--- a/bluebellbeam/admission/__init__.py
+++ b/bluebellbeam/admission/__init__.py
@@ -8,6 +8,7 @@
     take_tokens,
 )
 from bluebellbeam.admission.queue import (
+    PRIORITIES,
     FairQueue,
     cost_ahead,
     make_fair_queue,
@@ -19,6 +20,7 @@
 )
 
 __all__ = [
+    "PRIORITIES",
     "FairQueue",
     "RateTable",
     "cost_ahead",
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bluebellbeam.admission import next_requests, pop_request
+from bluebellbeam.admission import PRIORITIES, next_requests, pop_request
 from bluebellbeam.borrowing import find_held, note_running
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.command import AnswerError, CancelAttempt, StartAttempt
@@ -60,31 +60,38 @@
 
 
 def _dispatch_one(state, queue, pool, now_ms):
-    full = _is_quota_used(state, pool, now_ms)
+    blocked = _used_quotas(state, pool, now_ms)
     leased = {lease.workspace for lease in state.borrower.rows.values()}
     for request in next_requests(queue, now_ms):
         if now_ms >= request.deadline_ms:
             pop_request(queue, request)
             fail_request(state, request, make_error("deadline_passed"), now_ms)
             return True
+        full = request.priority in blocked
         if full and request.workspace not in leased and is_local(state, request):
             continue
         started, no_room = _try_start(state, queue, request, full, now_ms)
         if started:
             return True
-        full = full or no_room
-        if full and not leased:
+        if no_room:
+            blocked.add(request.priority)
+        if len(blocked) == len(PRIORITIES) and not leased:
             return False
     return False
 
 
-def _is_quota_used(state, pool, now_ms):
-    share = demand_share(state, pool, now_ms)
-    if share >= 1.0:
-        return False
+def _used_quotas(state, pool, now_ms):
+    """Return the priorities whose share of the slots is in use."""
     slots = sum(row.slots for row in pool_rows(state, pool))
-    quota = max(1.0, slots * (1.0 + state.slack) * share)
-    return state.inflight.get(pool, 0) >= quota
+    used = set()
+    for priority in ("interactive", "batch"):
+        share = demand_share(state, pool, priority, now_ms)
+        if share >= 1.0:
+            continue
+        quota = max(1.0, slots * (1.0 + state.slack) * share)
+        if state.inflight.get((pool, priority), 0) >= quota:
+            used.add(priority)
+    return used
 
 
 def _try_start(state, queue, request, full, now_ms):
@@ -146,7 +153,7 @@
     attempt.expected_ms = candidate.estimate.first_token_ms
     attempt.tokens = candidate.estimate.uncached_tokens
     note_started(state.replicas, row, attempt.tokens)
-    state.inflight[request.pool] = state.inflight.get(request.pool, 0) + 1
+    _count_inflight(state, request, 1)
     if request.blocks:
         note_prefix(state.prefixes, row.name, request.blocks)
     state.emit(
@@ -215,7 +222,7 @@
     row = state.replicas.rows[name]
     attempt.server = name
     note_started(state.replicas, row, 0)
-    state.inflight[request.pool] = state.inflight.get(request.pool, 0) + 1
+    _count_inflight(state, request, 1)
     state.emit(
         StartAttempt(
             attempt.attempt_id,
@@ -258,6 +265,11 @@
     ]
 
 
+def _count_inflight(state, request, change):
+    key = (request.pool, request.priority)
+    state.inflight[key] = max(0, state.inflight.get(key, 0) + change)
+
+
 def _claim_send(state, request, now_ms):
     if request.idempotent or request.origin:
         return True
@@ -316,7 +328,7 @@
         if lease is not None:
             lease.used -= 1
         return
-    state.inflight[request.pool] = max(0, state.inflight.get(request.pool, 0) - 1)
+    _count_inflight(state, request, -1)
     row = state.replicas.rows.get(attempt.server)
     if row is None:
         return
--- a/bluebellbeam/node/dump.py
+++ b/bluebellbeam/node/dump.py
@@ -203,7 +203,7 @@
             pool,
             pool_slots(state, pool),
             state.queues[pool].size if pool in state.queues else 0,
-            state.inflight.get(pool, 0),
+            sum(n for key, n in state.inflight.items() if key[0] == pool),
             local_wait_ms(state, pool),
             round(state.pool_service_ms.get(pool, 0.0), 1),
         )
--- a/bluebellbeam/node/gossip.py
+++ b/bluebellbeam/node/gossip.py
@@ -181,8 +181,9 @@
         return
     for share in state.shares.values():
         share.pop(sender, None)
-    for pool, weight in message.demand.items():
-        state.shares.setdefault(pool, {})[sender] = (weight, now_ms)
+    for pool, (interactive, batch) in message.demand.items():
+        heard = (interactive, batch, now_ms)
+        state.shares.setdefault(pool, {})[sender] = heard
 
 
 def _apply(state, rumor, now_ms):
--- a/bluebellbeam/node/lending.py
+++ b/bluebellbeam/node/lending.py
@@ -14,7 +14,7 @@
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.command import SendPeer
 from bluebellbeam.node.message import LeaseAnswer, LeaseWanted
-from bluebellbeam.node.waiting import local_wait_ms, pool_slots
+from bluebellbeam.node.waiting import local_wait_ms, pool_slots, waiting_weights
 from bluebellbeam.routing import cached_blocks, estimate_remote, score_estimate
 from bluebellbeam.routing.entry import entry_set_size, is_in_entry_set
 from bluebellbeam.routing.policies import EstimatePolicy
@@ -48,17 +48,11 @@
 
 
 def own_demand(state):
-    """Return the weight of the workspaces that wait, by pool."""
+    """Return the weights of waiting interactive and batch work, by pool."""
     demand = {}
     for pool, queue in state.queues.items():
-        if queue.size == 0:
-            continue
-        weights = {}
-        for lanes in queue.lanes.values():
-            for name, lane in lanes.items():
-                if lane.requests:
-                    weights[name] = lane.weight
-        demand[pool] = sum(weights.values())
+        if queue.size:
+            demand[pool] = waiting_weights(queue)
     return demand
 
 
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -32,8 +32,9 @@
     rumors : tuple of Rumor
     offers : dict of str to (float, float)
         Spare slots and wait in ms by pool; sent to other regions.
-    demand : dict of str to float
-        Weight of the workspaces with work, by pool; sent within the region.
+    demand : dict of str to (float, float)
+        Weights of waiting interactive and batch work by pool; sent within
+        the region.
     on_behalf_of : str
         Member that asked for this probe.
     """
@@ -41,7 +42,7 @@
     versions: dict[str, int]
     rumors: tuple[Rumor, ...] = ()
     offers: dict[str, tuple[float, float]] = {}
-    demand: dict[str, float] = {}
+    demand: dict[str, tuple[float, float]] = {}
     on_behalf_of: str = ""
 
 
@@ -51,7 +52,7 @@
     versions: dict[str, int]
     rumors: tuple[Rumor, ...] = ()
     offers: dict[str, tuple[float, float]] = {}
-    demand: dict[str, float] = {}
+    demand: dict[str, tuple[float, float]] = {}
     on_behalf_of: str = ""
 
 
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -57,21 +57,6 @@
     seed_peers: tuple[str, ...] = ()
 
 
-class PoolShare:
-    """What peers of the region told of their demand for a pool.
-
-    Attributes
-    ----------
-    weights : dict of str to (float, int)
-        Weight and time in ms, by VM.
-    """
-
-    __slots__ = ("weights",)
-
-    def __init__(self):
-        self.weights = {}
-
-
 class Counters:
     """Totals of a node since its start."""
 
@@ -117,8 +102,11 @@
         Every request that has no final answer.
     attempts : dict of int to Attempt
     queues : dict of str to FairQueue
-    inflight : dict of str to int
-        Own requests at backend servers, by pool.
+    inflight : dict of (str, str) to int
+        Own requests at backend servers, by pool and priority.
+    shares : dict of str to dict of str to (float, float, int)
+        Weights of waiting interactive and batch work and the time in ms they
+        were heard, by pool and VM.
     active : dict of str to dict of str to int
         Requests without an answer, by pool and workspace.
     rates : RateTable
--- a/bluebellbeam/node/waiting.py
+++ b/bluebellbeam/node/waiting.py
@@ -2,7 +2,16 @@
 
 from bluebellbeam.admission import cost_ahead
 
-__all__ = ["demand_share", "local_wait_ms", "pool_rows", "pool_slots"]
+__all__ = [
+    "demand_share",
+    "local_wait_ms",
+    "pool_rows",
+    "pool_slots",
+    "waiting_weights",
+]
+
+BATCH_SHARE = 0.5
+"""Share of the slots for batch work while interactive work waits."""
 
 DEMAND_STALE_MS = 3_000
 """Age at which a peer's demand no longer counts."""
@@ -27,38 +36,50 @@
     return sum(row.slots for row in pool_rows(state, pool))
 
 
-def demand_share(state, pool, now_ms):
+def demand_share(state, pool, priority, now_ms):
     """Return the share of the slots of `pool` that is due to this daemon.
 
     Only daemons whose workspaces wait count, by the weight of those
     workspaces, so that a workspace alone on its daemon gets no more than one
-    that shares a daemon with others.
+    that shares a daemon with others. While interactive work waits anywhere in
+    the region, batch work of every daemon keeps to `BATCH_SHARE`.
     """
-    peers = state.shares.get(pool)
+    peers = _fresh_shares(state, pool, now_ms)
     if not peers:
         return 1.0
-    others = 0.0
-    for name, (weight, heard_ms) in peers.items():
+    own = waiting_weights(state.queues.get(pool))
+    interactive = sum(weights[0] for weights in peers)
+    batch = sum(weights[1] for weights in peers)
+    if priority == "interactive":
+        return _share(own[0], interactive)
+    limit = BATCH_SHARE if interactive + own[0] else 1.0
+    return limit * _share(own[1], batch)
+
+
+def _share(own, others):
+    return own / (own + others) if own and others else 1.0
+
+
+def _fresh_shares(state, pool, now_ms):
+    found = []
+    for name, (interactive, batch, heard_ms) in state.shares.get(pool, {}).items():
         member = state.members.rows.get(name)
         if member is None or member.status == "dead":
             continue
         if now_ms - heard_ms <= DEMAND_STALE_MS:
-            others += weight
-    if others == 0.0:
-        return 1.0
-    own = _waiting_weight(state.queues.get(pool))
-    return own / (own + others) if own else 1.0
-
-
-def _waiting_weight(queue):
-    if queue is None:
-        return 0.0
-    weights = {}
-    for lanes in queue.lanes.values():
-        for name, lane in lanes.items():
-            if lane.requests:
-                weights[name] = lane.weight
-    return sum(weights.values())
+            found.append((interactive, batch))
+    return found
+
+
+def waiting_weights(queue):
+    """Return the weights of workspaces with waiting interactive, batch work."""
+    if queue is None or queue.size == 0:
+        return 0.0, 0.0
+    weights = [
+        sum(lane.weight for lane in queue.lanes[priority].values() if lane.requests)
+        for priority in ("interactive", "batch")
+    ]
+    return weights[0], weights[1]
 
 
 def local_wait_ms(state, pool, request=None):
--- a/bluebellbeam/routing/choose.py
+++ b/bluebellbeam/routing/choose.py
@@ -21,6 +21,10 @@
 """Holders of the deepest prefix that are scored."""
 
 
+BATCH_RESERVE = 0.25
+"""Share of a server's slots that batch requests leave free."""
+
+
 class Candidate(Struct):
     """A scored backend server, kept for the decision log.
 
@@ -74,8 +78,12 @@
     A server that has not answered anything for `confirm_ms` may be leaving
     or replaced without our knowing; it is asked before it is used.
     """
+    if request.priority == "batch":
+        room = row.free_slots() >= 1.0 + BATCH_RESERVE * row.slots
+    else:
+        room = row.free_slots(slack) >= 1.0
     return (
-        row.free_slots(slack) >= 1.0
+        room
         and row.is_confirmed(now_ms, confirm_ms)
         and row.ejected_until_ms <= now_ms
         and row.name not in request.tried
