Let batch prompts wait for the server that holds their prefix

Cause: with slots kept free for interactive work, audits moved to servers without their prefix and computed it again. Change: a batch prompt waits up to 6 s for the holder of its prefix when that saves at least 1024 tokens.

--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -110,7 +110,8 @@
         return _start_at_peer(state, queue, request, lease, now_ms), False
     if local:
         return _start_at_server(state, queue, request, local, now_ms), False
-    return False, is_local(state, request) and not request.tried
+    waits = request.priority == "batch" and request.blocks
+    return False, is_local(state, request) and not request.tried and not waits
 
 
 def _prefers_lease(state, request, local, lease):
--- a/bluebellbeam/routing/choose.py
+++ b/bluebellbeam/routing/choose.py
@@ -25,6 +25,13 @@
 """Share of a server's slots that batch requests leave free."""
 
 
+BATCH_PATIENCE_MS = 6000
+"""Longest wait of a batch prompt for the server that holds its prefix."""
+
+BATCH_PREFIX_TOKENS = 1024
+"""Cached tokens that are worth this wait."""
+
+
 class Candidate(Struct):
     """A scored backend server, kept for the decision log.
 
@@ -69,9 +76,30 @@
         score = score_estimate(estimate, view.objective)
         scored.append(Candidate(row.name, score, estimate, cached))
     scored.sort(key=lambda item: (item.score, item.server))
+    if scored and _waits_for_prefix(view, request, scored[0], now_ms):
+        return []
     return scored
 
 
+def _waits_for_prefix(view, request, best, now_ms):
+    """Return whether a batch prompt had better wait for a server that holds it.
+
+    Batch work tolerates some delay; computing a long prefix again on another
+    server costs more and holds up others.
+    """
+    if request.priority != "batch" or now_ms - request.arrival_ms > BATCH_PATIENCE_MS:
+        return False
+    for name in deepest_holders(view.prefixes, request.blocks, 1):
+        row = view.replicas.rows.get(name)
+        if row is None or request.pool not in row.pools:
+            continue
+        if row.ejected_until_ms > now_ms or name in request.tried:
+            continue
+        held = cached_blocks(view.prefixes, name, request.blocks) * view.block_tokens
+        return held - best.cached_tokens >= BATCH_PREFIX_TOKENS
+    return False
+
+
 def is_available(row, request, now_ms, slack, confirm_ms):
     """Return whether `row` may be sent `request` now.
 
