Keep lenders lending while only batch work waits; refresh offers by answers

Change: only waiting interactive work ends lending, batch work lowers it; an answer to a lease request carries the present offer; batch work asks for no lease while interactive work waits in its region; a refusal for one second no longer counts as no backend at all.

--- a/bluebellbeam/borrowing/__init__.py
+++ b/bluebellbeam/borrowing/__init__.py
@@ -10,8 +10,10 @@
     find_held,
     fresh_offers,
     make_borrower_table,
+    note_offer,
     note_offers,
     note_running,
+    open_offers,
     used_slots,
 )
 from bluebellbeam.borrowing.lender import (
@@ -43,7 +45,9 @@
     "leased_slots",
     "make_borrower_table",
     "make_lender_table",
+    "note_offer",
     "note_offers",
     "note_running",
+    "open_offers",
     "used_slots",
 ]
--- a/bluebellbeam/borrowing/borrower.py
+++ b/bluebellbeam/borrowing/borrower.py
@@ -112,8 +112,13 @@
         if key[1] not in offers:
             del table.offers[key]
     for pool, (spare, wait_ms) in offers.items():
-        offer = RegionOffer(lender, region, pool, spare, wait_ms, now_ms)
-        table.offers[(lender, pool)] = offer
+        note_offer(table, lender, region, pool, spare, wait_ms, now_ms)
+
+
+def note_offer(table, lender, region, pool, spare, wait_ms, now_ms):
+    """Take what a lender has said of one pool."""
+    offer = RegionOffer(lender, region, pool, spare, wait_ms, now_ms)
+    table.offers[(lender, pool)] = offer
 
 
 def fresh_offers(table, pool, allowed, now_ms):
@@ -124,6 +129,15 @@
         if offer.pool == pool
         and offer.region in allowed
         and now_ms - offer.heard_ms <= OFFER_STALE_MS
+    ]
+
+
+def open_offers(table, pool, allowed, now_ms):
+    """Return the fresh offers of lenders that have not just refused."""
+    return [
+        offer
+        for offer in fresh_offers(table, pool, allowed, now_ms)
+        if offer.spare >= 1.0
         and table.refused_until_ms.get((offer.lender, pool), 0) <= now_ms
     ]
 
--- a/bluebellbeam/node/lending.py
+++ b/bluebellbeam/node/lending.py
@@ -6,15 +6,21 @@
     best_offer,
     expire_granted,
     expire_held,
-    fresh_offers,
     grant_lease,
     leased_slots,
+    note_offer,
+    open_offers,
     used_slots,
 )
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.command import SendPeer
 from bluebellbeam.node.message import LeaseAnswer, LeaseWanted
-from bluebellbeam.node.waiting import local_wait_ms, pool_slots, waiting_weights
+from bluebellbeam.node.waiting import (
+    is_interactive_waiting,
+    local_wait_ms,
+    pool_slots,
+    waiting_weights,
+)
 from bluebellbeam.routing import cached_blocks, estimate_remote, score_estimate
 from bluebellbeam.routing.entry import entry_set_size, is_in_entry_set
 from bluebellbeam.routing.policies import EstimatePolicy
@@ -64,13 +70,14 @@
 def spare_slots(state, pool):
     """Return the free slots of `pool` that this daemon may lend now."""
     queue = state.queues.get(pool)
-    if queue is not None and queue.size:
+    if waiting_weights(queue)[0]:
         return 0.0
+    waiting = queue.size if queue is not None else 0
     rows = state.replicas.pool(pool)
     free = sum(max(0.0, row.free_slots()) for row in rows)
     slots = sum(row.slots for row in rows)
     usable = (free - RESERVE_SHARE * slots) / sharing_daemons(state)
-    return max(0.0, usable - leased_slots(state.lender, pool))
+    return max(0.0, usable - waiting - leased_slots(state.lender, pool))
 
 
 def capacity_offers(state, now_ms):
@@ -99,21 +106,27 @@
         lease = grant_lease(
             state.lender, lease_id, wanted, spare, now_ms, state.policy.lease_ms
         )
-    if lease is None:
-        answer = LeaseAnswer(wanted.pool, wanted.workspace, "", 0, 0, REFUSED_MS)
-    else:
-        answer = LeaseAnswer(
-            wanted.pool,
-            wanted.workspace,
-            lease.lease_id,
-            lease.slots,
-            state.policy.lease_ms,
-        )
+    answer = LeaseAnswer(
+        wanted.pool,
+        wanted.workspace,
+        lease.lease_id if lease is not None else "",
+        lease.slots if lease is not None else 0,
+        state.policy.lease_ms if lease is not None else 0,
+        REFUSED_MS if lease is None else 0,
+        _offer_now(state, wanted.pool),
+    )
     row = state.members.rows.get(sender)
     if row is not None:
         state.emit(SendPeer(sender, row.peer_address, (answer,)))
 
 
+def _offer_now(state, pool):
+    if state.config is None or state.leaving:
+        return 0.0, 0.0
+    wait_ms = local_wait_ms(state, pool)
+    return round(spare_slots(state, pool), 1), round(wait_ms, 0)
+
+
 def _lendable(state, wanted):
     workspace = state.base.workspaces[wanted.workspace]
     if workspace.home_region == state.region:
@@ -135,6 +148,8 @@
     row = state.members.rows.get(sender)
     if row is None:
         return
+    spare, wait_ms = answer.offer
+    note_offer(state.borrower, sender, row.region, answer.pool, spare, wait_ms, now_ms)
     if answer.slots < 1:
         until_ms = now_ms + answer.retry_after_ms
         state.borrower.refused_until_ms[(sender, answer.pool)] = until_ms
@@ -160,9 +175,10 @@
     for pool, queue in state.queues.items():
         if queue.size == 0:
             continue
-        for lanes in queue.lanes.values():
-            for lane in lanes.values():
-                if lane.requests and not lane.requests[0].origin:
+        hurried = is_interactive_waiting(state, pool, now_ms)
+        for priority in ("interactive",) if hurried else ("interactive", "batch"):
+            for lane in queue.lanes[priority].values():
+                if lane.requests:
                     borrow_for(state, pool, lane, now_ms)
     _note_returns(state, now_ms)
 
@@ -194,7 +210,7 @@
     if room < 1:
         return
     allowed = request.allowed - {state.region}
-    offers = fresh_offers(table, pool, allowed, now_ms)
+    offers = open_offers(table, pool, allowed, now_ms)
     best = best_offer(offers, lambda offer: remote_score(state, request, offer))
     if best is None or not _is_leaving_better(state, request, best[0], key):
         return
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -103,6 +103,8 @@
         How long the lease lasts, counted from the lender's answer.
     retry_after_ms : int
         When to ask again after a refusal.
+    offer : (float, float)
+        Spare slots and wait in ms that remain.
     """
 
     pool: str
@@ -111,6 +113,7 @@
     slots: int
     duration_ms: int
     retry_after_ms: int = 0
+    offer: tuple[float, float] = (0.0, 0.0)
 
 
 Message = (
--- a/bluebellbeam/node/waiting.py
+++ b/bluebellbeam/node/waiting.py
@@ -3,6 +3,7 @@
 from bluebellbeam.admission import cost_ahead
 
 __all__ = [
+    "is_interactive_waiting",
     "demand_share",
     "local_wait_ms",
     "pool_rows",
@@ -56,6 +57,13 @@
     return limit * _share(own[1], batch)
 
 
+def is_interactive_waiting(state, pool, now_ms):
+    """Return whether interactive work waits at any daemon of the region."""
+    if waiting_weights(state.queues.get(pool))[0]:
+        return True
+    return any(weights[0] for weights in _fresh_shares(state, pool, now_ms))
+
+
 def _share(own, others):
     return own / (own + others) if own and others else 1.0
 
