Give the borrow limit to the daemons that callers really use

Cause: callers use the first entry VM of their workspace, but the limits were split over two: a chat workspace with 8 borrowed slots got 4. Change: the number of VMs that share a workspace's work follows its weight; only these split limits, the next in order is a backup with a quarter.

--- a/bluebellbeam/admission/limit.py
+++ b/bluebellbeam/admission/limit.py
@@ -1,9 +1,9 @@
 """Token-rate limits of workspaces, kept without a shared counter.
 
-The daemons of a workspace's entry set each enforce an equal share of its
-limit; any other daemon grants a small share. With a set of ``k`` daemons and
-``n`` in all, the sum stays within ``1 + (n - k) * OUTSIDE_SHARE / k`` of the
-limit.
+The daemons that share a workspace's work each enforce an equal part of its
+limit; any other daemon grants a small part. With ``k`` daemons that share and
+``n`` in the region, the sum stays within ``1 + (n - k) * OUTSIDE_SHARE / k`` of
+the limit.
 """
 
 __all__ = ["OUTSIDE_SHARE", "RateTable", "make_rate_table", "take_tokens"]
@@ -46,9 +46,9 @@
     return RateTable()
 
 
-def local_rate(limit_tokens_per_s, set_size, inside):
+def local_rate(limit_tokens_per_s, spread, inside):
     """Return this daemon's share of a workspace's limit, in tokens a second."""
-    share = limit_tokens_per_s / max(1, set_size)
+    share = limit_tokens_per_s / max(1, spread)
     return share if inside else share * OUTSIDE_SHARE
 
 
--- a/bluebellbeam/config/effective.py
+++ b/bluebellbeam/config/effective.py
@@ -26,11 +26,14 @@
         Hash over every part of the revision.
     base : Base
         The base with the overlay of the site applied.
+    total_weight : float
+        Sum of the weights of every workspace.
     """
 
     revision: int
     digest: str
     base: Base
+    total_weight: float
 
 
 def merge_overlay(base, overlay):
@@ -89,7 +92,8 @@
                     merged = merge_overlay(base, overlay)
     if found:
         return Failure(tuple(found))
-    return Success(Effective(revision, digest, merged))
+    total_weight = sum(item.weight for item in merged.workspaces.values())
+    return Success(Effective(revision, digest, merged, total_weight))
 
 
 def resolve_model(base, name):
--- a/bluebellbeam/config/model.py
+++ b/bluebellbeam/config/model.py
@@ -172,7 +172,6 @@
     load_interval_ms: int = 250
     confirm_ms: int = 2500
     subset_size: int = 32
-    entry_set_size: int = 2
     entry_ttl_ms: int = 15_000
     queue_slack: float = 0.25
     lease_ms: int = 3000
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -12,7 +12,14 @@
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.command import AnswerError, AnswerRecorded
 from bluebellbeam.node.dispatch import fail_request, pump
-from bluebellbeam.node.lending import borrow_for, is_local, lease_limit, remote_score
+from bluebellbeam.node.lending import (
+    borrow_for,
+    is_local,
+    lease_limit,
+    remote_score,
+    workspace_role,
+    workspace_spread,
+)
 from bluebellbeam.node.outcome import make_error
 from bluebellbeam.node.sync import ask_for_config
 from bluebellbeam.node.waiting import local_wait_ms
@@ -27,10 +34,10 @@
     claim_operation,
     issue_operation,
 )
-from bluebellbeam.routing.entry import entry_set_size, is_in_entry_set, rank_entries
+from bluebellbeam.routing.entry import rank_entries
 from bluebellbeam.routing.policies import is_baseline
 
-__all__ = ["entry_addresses", "narrow_requests", "receive_request", "total_weight"]
+__all__ = ["entry_addresses", "narrow_requests", "receive_request"]
 
 
 def receive_request(state, request, now_ms):
@@ -101,13 +108,11 @@
     ]
     near = [row.name for row in rows if row.region == region and row.status == "alive"]
     far = [row.name for row in rows if row.name not in near]
-    size = state.policy.entry_set_size
-    if state.config is not None and workspace_name in state.base.workspaces:
-        workspace = state.base.workspaces[workspace_name]
-        size = entry_set_size(workspace, total_weight(state), len(near), size)
-    inside, outside = rank_entries(workspace_name, near, size)
+    spread = workspace_spread(state, workspace_name, len(near))
+    state.entry_turns += 1
     by_name = {row.name: row.caller_address for row in rows}
-    order = [*inside, *outside, *rank_entries(workspace_name, far, 0)[1]]
+    order = rank_entries(workspace_name, near, spread, state.entry_turns)
+    order += rank_entries(workspace_name, far, 1)
     return [by_name[name] for name in order]
 
 
@@ -120,11 +125,6 @@
     return workspace.home_region or workspace.allowed_regions[0]
 
 
-def total_weight(state):
-    """Return the sum of the weights of every workspace."""
-    return sum(item.weight for item in state.base.workspaces.values())
-
-
 def _resolve(state, request, now_ms):
     workspace = state.base.workspaces.get(request.workspace)
     if workspace is None:
@@ -213,16 +213,8 @@
         return make_error("queue_full", retry_after_ms=int(wait_ms))
     if not workspace.rate_tokens_per_s or not request.model:
         return None
-    own = state.identity.vm
-    members = [row.name for row in usable_members(state.members, state.region)]
-    size = entry_set_size(
-        workspace,
-        total_weight(state),
-        max(1, len(members)),
-        state.policy.entry_set_size,
-    )
-    inside = is_in_entry_set(own, request.workspace, members or [own], size)
-    rate = local_rate(workspace.rate_tokens_per_s, size, inside)
+    role, spread = workspace_role(state, request.workspace)
+    rate = local_rate(workspace.rate_tokens_per_s, spread, role == "active")
     tokens = request.prompt_tokens + request.max_output_tokens
     wait_ms = take_tokens(state.rates, request.workspace, rate, tokens, now_ms)
     if wait_ms:
--- a/bluebellbeam/node/lending.py
+++ b/bluebellbeam/node/lending.py
@@ -18,11 +18,10 @@
 from bluebellbeam.node.waiting import (
     is_interactive_waiting,
     local_wait_ms,
-    pool_slots,
     waiting_weights,
 )
 from bluebellbeam.routing import cached_blocks, estimate_remote, score_estimate
-from bluebellbeam.routing.entry import entry_set_size, is_in_entry_set
+from bluebellbeam.routing.entry import entry_role, entry_spread
 from bluebellbeam.routing.policies import EstimatePolicy
 
 __all__ = [
@@ -35,6 +34,8 @@
     "own_demand",
     "remote_score",
     "tick_leases",
+    "workspace_role",
+    "workspace_spread",
 ]
 
 ASK_INTERVAL_MS = 250
@@ -49,6 +50,12 @@
 RETURN_FACTOR = 0.6
 """Borrowed work returns when staying scores this much better."""
 
+BACKUP_SHARE = 0.25
+"""Share of a workspace's borrow limit that its backup daemon may use."""
+
+HOME_BOUND_SLOTS = 8
+"""Slots that work bound to another region may hold there at least."""
+
 OFFERED_POOLS = 32
 """Pools named in one message, so that its size is bounded."""
 
@@ -245,26 +252,42 @@
     return stay > score * (RETURN_FACTOR if away else LEAVE_FACTOR)
 
 
+def workspace_spread(state, name, members):
+    """Return how many of a region's `members` share the work of a workspace."""
+    if state.config is None or name not in state.base.workspaces:
+        return 1
+    weight = state.base.workspaces[name].weight
+    return entry_spread(weight, state.config.total_weight, members)
+
+
+def workspace_role(state, name):
+    """Return ``(role of this daemon, spread)`` for workspace `name`."""
+    own = state.identity.vm
+    members = [row.name for row in usable_members(state.members, state.region)]
+    if own not in members:
+        members.append(own)
+    spread = workspace_spread(state, name, len(members))
+    return entry_role(own, name, members, spread), spread
+
+
 def lease_limit(state, request):
     """Return the slots that this daemon may borrow for a workspace.
 
-    The declared limit is split over the daemons of the workspace's entry
-    set; a daemon outside the set borrows only for work that cannot run in
-    its region at all.
+    The daemons that share the workspace's work split its declared limit. The
+    backup may borrow `BACKUP_SHARE` of it, and a daemon outside nothing,
+    except for work that cannot run in its region at all.
     """
     workspace = state.base.workspaces[request.workspace]
-    home_elsewhere = not is_local(state, request)
-    members = [row.name for row in usable_members(state.members, state.region)]
-    total = sum(w.weight for w in state.base.workspaces.values())
-    size = entry_set_size(
-        workspace, total, max(1, len(members)), state.policy.entry_set_size
-    )
-    if home_elsewhere:
-        return max(workspace.borrow_slots, pool_slots(state, request.pool), 8)
-    own = state.identity.vm
-    if not is_in_entry_set(own, request.workspace, members or [own], size):
-        return 0
-    return -(-workspace.borrow_slots // size)
+    if not is_local(state, request):
+        return max(workspace.borrow_slots, HOME_BOUND_SLOTS)
+    role, spread = workspace_role(state, request.workspace)
+    match role:
+        case "active":
+            return -(-workspace.borrow_slots // spread)
+        case "backup":
+            return int(workspace.borrow_slots * BACKUP_SHARE)
+        case _:
+            return 0
 
 
 def remote_score(state, request, offer):
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -166,6 +166,7 @@
         "rng",
         "out",
         "round_robin",
+        "entry_turns",
     )
 
     def __init__(self, identity, seed, operation_key):
@@ -216,6 +217,7 @@
         self.rng = random.Random(seed)
         self.out = []
         self.round_robin = 0
+        self.entry_turns = 0
 
     @property
     def base(self):
--- a/bluebellbeam/routing/__init__.py
+++ b/bluebellbeam/routing/__init__.py
@@ -2,8 +2,8 @@
 
 from bluebellbeam.routing.choose import Candidate, choose_replica, is_available
 from bluebellbeam.routing.entry import (
-    entry_set_size,
-    is_in_entry_set,
+    entry_role,
+    entry_spread,
     rank_entries,
     server_subset,
 )
@@ -52,12 +52,12 @@
     "confirm_replica",
     "deepest_holders",
     "drop_replica",
-    "entry_set_size",
+    "entry_role",
+    "entry_spread",
     "estimate_local",
     "estimate_remote",
     "forget_server",
     "is_available",
-    "is_in_entry_set",
     "make_prefix_index",
     "make_replica_table",
     "mark_leaving",
--- a/bluebellbeam/routing/entry.py
+++ b/bluebellbeam/routing/entry.py
@@ -4,29 +4,30 @@
 
 from bluebellbeam.utils.hashing import rendezvous_order
 
-__all__ = ["entry_set_size", "is_in_entry_set", "rank_entries", "server_subset"]
+__all__ = ["entry_role", "entry_spread", "rank_entries", "server_subset"]
 
+SPREAD_FACTOR = 1.5
+"""Entry VMs of a workspace, relative to its share of the region's work."""
 
-def entry_set_size(workspace, total_weight, members, least):
+
+def entry_spread(weight, total_weight, members):
     """Return how many entry VMs of a region share the work of a workspace.
 
     Parameters
     ----------
-    workspace : Workspace
+    weight : float
+        Weight of the workspace.
     total_weight : float
         Sum of the weights of every workspace.
     members : int
         Usable entry VMs of the region.
-    least : int
-        Smallest size, so that one failure leaves another that knows it.
     """
-    share = workspace.weight / total_weight if total_weight else 1.0
-    wanted = math.ceil(2.0 * share * members)
-    return max(1, min(members, max(least, wanted)))
+    share = weight / total_weight if total_weight else 1.0
+    return max(1, min(members, round(SPREAD_FACTOR * share * members)))
 
 
-def rank_entries(name, members, size):
-    """Return ``(entry set, others)`` for workspace `name`.
+def rank_entries(name, members, spread, turn=0):
+    """Return the entry VMs for workspace `name`, best first.
 
     Parameters
     ----------
@@ -34,24 +35,36 @@
         Workspace.
     members : list of str
         Usable entry VMs of the region.
-    size : int
+    spread : int
+        The first so many share the work; they change places by `turn`.
+    turn : int
 
     Returns
     -------
-    tuple of (list of str, list of str)
-        Both in the order in which a caller should try them.
+    list of str
 
     Notes
     -----
     Rendezvous hashing moves only the workspaces of a VM that is lost.
     """
     order = rendezvous_order(f"entry:{name}", members)
-    return order[:size], order[size:]
+    active = order[:spread]
+    first = turn % len(active) if active else 0
+    return active[first:] + active[:first] + order[spread:]
+
 
+def entry_role(own, name, members, spread):
+    """Return how VM `own` serves workspace `name`.
 
-def is_in_entry_set(own, name, members, size):
-    """Return whether VM `own` is in the entry set of workspace `name`."""
-    return own in rank_entries(name, members, size)[0]
+    Returns
+    -------
+    {"active", "backup", "outside"}
+        Active VMs share the work; the backup is the next in order.
+    """
+    order = rendezvous_order(f"entry:{name}", members)
+    if own in order[:spread]:
+        return "active"
+    return "backup" if own in order[spread : spread + 1] else "outside"
 
 
 def server_subset(own, members, servers, size):
