--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,558 @@
+"""Slopes of the real code, carried to the size to come.
+
+``python -m benchmarks.capacity`` measures bytes in the tables, bytes on the
+wire and processor time, and writes the tables of docs/CAPACITY.md. What is
+counted (bytes, messages, rounds) is the same on every run; what is timed is
+printed beside it and varies with the machine.
+"""
+
+import asyncio
+import gc
+import time
+import tracemalloc
+from pathlib import Path
+
+import aiohttp
+import click
+import msgspec
+
+from benchmarks.fleet import (
+    TARGET,
+    encode_records,
+    make_backends,
+    make_base,
+    make_entries,
+    region_name,
+)
+from benchmarks.spread import measure_spread, measure_storm
+from bluebellbeam.config.bundle import (
+    bundle_digest,
+    canonical_json,
+    effective_from_parts,
+    make_part_cache,
+    split_documents,
+)
+from bluebellbeam.daemon.auth import AUTH_HEADER, make_peer_auth
+from bluebellbeam.daemon.driver import MESSAGES_PATH
+from bluebellbeam.feeds import Snapshot, diff_parts
+from bluebellbeam.node import NodeIdentity, Request, make_node
+from bluebellbeam.node import command as cmd
+from bluebellbeam.node import event as ev
+from bluebellbeam.node.message import (
+    Envelope,
+    LeaseAnswer,
+    LeaseWanted,
+    Pong,
+    encode_envelope,
+)
+from bluebellbeam.operations import claim_operation, issue_operation
+from bluebellbeam.platform.records import BriefLoad, LoadReport, format_brief_load
+from bluebellbeam.routing import note_prefix
+from bluebellbeam.routing.choose import choose_replica
+from bluebellbeam.utils.clock import wall_clock
+
+__all__ = ["main"]
+
+PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+BEGIN = "<!-- counted: begin -->"
+END = "<!-- counted: end -->"
+TIMED_BEGIN = "<!-- timed: begin -->"
+TIMED_END = "<!-- timed: end -->"
+
+BUDGET_BYTES_PER_S = 3000.0
+BUDGET_CORE = 0.042
+BUDGET_MB = 32.0
+BUDGET_READS_PER_S = 2000.0
+BUDGET_CONFIG_S = 18.0
+SECONDS_A_DAY = 86_400.0
+RESPONSE_HEADER_BYTES = 190
+"""Header bytes of a daemon's answer, as sanic writes them."""
+
+WATCH_S = 25.0
+
+
+def target_node():
+    """Return a node of the largest region that holds the whole target."""
+    identity = NodeIdentity(
+        vm="entry-0000",
+        incarnation=1_796_000_000_000,
+        region=region_name(0),
+        failure_domain="domain-0",
+        site="site-0",
+    )
+    node = make_node(identity, 1, b"k" * 32)
+    node.tick(0)
+    return node
+
+
+def feed_target(node, parts, entries, backends, now_ms=10):
+    """Give a node the feeds of the target and the loads of its subset."""
+    for key, content in (
+        ("config", parts),
+        ("entries", entries),
+        (f"backends/{region_name(0)}", backends),
+    ):
+        raw = {name: msgspec.Raw(value) for name, value in content.items()}
+        node.handle(ev.FeedRead(Snapshot(key, 1, bundle_digest(content), raw)), now_ms)
+    node.tick(now_ms + 50)
+    report_loads(node, now_ms + 60)
+    return node
+
+
+def report_loads(node, now_ms):
+    """Let every replica in use report its load; the node is then ready."""
+    for i, row in enumerate(list(node.state.replicas.rows.values())):
+        report = LoadReport(
+            server=row.name,
+            incarnation=row.incarnation,
+            region=row.region,
+            slots=8,
+            running=i % 8,
+            loaded=(f"model-{i % 4}@v1",),
+        )
+        node.handle(ev.LoadReported(row.name, report), now_ms)
+    node.state.ready = True
+
+
+def memory_of(build):
+    """Return ``(result, MB)`` that `build` leaves allocated."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    result = build()
+    gc.collect()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return result, (after - before) / 1e6
+
+
+def measure_memory(parts, entries, backends):
+    """Return the MB of each table at the target, by name."""
+    rows = {}
+    effective, rows["configuration, decoded"] = memory_of(
+        lambda: effective_from_parts(1, dict(parts), "site-0").unwrap()
+    )
+    del effective
+    node, rows["node with every table"] = memory_of(
+        lambda: feed_target(target_node(), parts, entries, backends)
+    )
+    rows["feeds as published"] = (
+        sum(
+            len(raw)
+            for feed in node.state.feeds.values()
+            for raw in feed.parts.values()
+        )
+        / 1e6
+    )
+    _, rows["1,000 requests in flight"] = memory_of(
+        lambda: [
+            Request(f"r{i}", "workspace-1", blocks=tuple(range(i, i + 32)))
+            for i in range(1000)
+        ]
+    )
+    index = node.state.prefixes
+
+    def fill():
+        for i in range(32):
+            note_prefix(index, f"engine-{i:05d}", range(i * 10_000, i * 10_000 + 512))
+
+    _, rows["prefix index of 32 engines"] = memory_of(fill)
+
+    def operations():
+        for _ in range(5000):
+            issued = issue_operation(node.state.ledger, "workspace-1", 0, 300_000)
+            claim_operation(node.state.ledger, issued, "workspace-1", 1, 0)
+
+    _, rows["5,000 operations"] = memory_of(operations)
+    return node, rows
+
+
+async def _header_bytes():
+    """Return the header bytes of a message, as the HTTP client writes them."""
+    seen = []
+
+    async def serve(reader, writer):
+        raw = await reader.readuntil(b"\r\n\r\n")
+        seen.append(len(raw))
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    auth = make_peer_auth("k" * 32, wall_clock())
+    header = auth.sign(MESSAGES_PATH, "entry-0000", b"x")
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(
+            f"http://127.0.0.1:{port}{MESSAGES_PATH}",
+            data=b"x",
+            headers={AUTH_HEADER: header},
+        ),
+    ):
+        pass
+    server.close()
+    return seen[0]
+
+
+def measure_wire(node, parts, entries, backends, header):
+    """Return bytes of each message, with headers, by name."""
+    state = node.state
+    message_bytes = header + RESPONSE_HEADER_BYTES
+
+    def envelope(*messages):
+        return len(encode_envelope(Envelope("entry-0000", 1_796_000_000_000, messages)))
+
+    commands = node.tick(100_000)
+    pings = [c for c in commands if isinstance(c, cmd.SendPeer)]
+    ping = max(envelope(*c.messages) for c in pings)
+    pong = envelope(
+        Pong({"config": 9000, "entries": 9000, f"backends/{region_name(0)}": 9000})
+    )
+    report = LoadReport(
+        server="engine-00000",
+        incarnation=1_796_000_000_000,
+        region=region_name(0),
+        slots=8,
+        running=8,
+        waiting=3,
+        waiting_tokens=1000,
+        loaded=("model-0@v1", "adapter-0@v1"),
+    )
+    wanted = LeaseWanted("entry-0000", "m/model-1", "workspace-17", 4, 9000)
+    answer = LeaseAnswer("m/model-1", "workspace-17", "entry-0001.1796.77", 4, 3000)
+    config_delta = _delta_of_one("config", parts, _change_workspace)
+    entry_delta = _delta_of_one("entries", entries, _change_record)
+    backend_key = f"backends/{region_name(0)}"
+    backend_delta = _delta_of_one(backend_key, backends, _change_record)
+    snapshots = {
+        key: sum(len(raw) for raw in feed.parts.values())
+        for key, feed in state.feeds.items()
+    }
+    whole_part = max(len(raw) for raw in parts.values())
+    return {
+        "probe and its answer": ping + pong + message_bytes,
+        "load report, asked": 160 + RESPONSE_HEADER_BYTES + len(_json(report)),
+        "load on an answer": len("x-load: \r\n") + len(format_brief_load(_brief())),
+        "lease request and answer": envelope(wanted) + envelope(answer) + message_bytes,
+        "configuration increment": envelope(config_delta) + message_bytes,
+        "configuration part, whole": whole_part + message_bytes,
+        "entry list increment": envelope(entry_delta) + message_bytes,
+        "backend list increment": envelope(backend_delta) + message_bytes,
+        "start-up snapshots": sum(snapshots.values()) + 3 * message_bytes,
+    }
+
+
+def _brief():
+    return BriefLoad(8, 3, 1000)
+
+
+def _json(value):
+    return msgspec.json.encode(value)
+
+
+def _delta_of_one(key, parts, change):
+    new = dict(parts)
+    name = sorted(n for n in parts if n != "deployment")[0]
+    value = msgspec.json.decode(new[name])
+    change(value)
+    new[name] = canonical_json(value)
+    return diff_parts(key, parts, new, 9000, 9001)
+
+
+def _change_workspace(part):
+    part[sorted(part)[0]]["weight"] = 7.5
+
+
+def _change_record(record):
+    record["incarnation"] += 86_400_000
+    record["address"] = "10.9.9.9:8000"
+
+
+def traffic_rows(wire, fleet, base):
+    """Return ``(name, rate a second, bytes a second, mechanism)`` rows."""
+    policy = base["policy"]
+    probe_s = policy["probe_interval_ms"] / 1000.0
+    probes = 2 * (1 / probe_s + 1 / (3 * probe_s))
+    changes = fleet.changes_a_day / SECONDS_A_DAY
+    moves = (fleet.restarts_a_day + fleet.failures_a_day) / SECONDS_A_DAY
+    total_vms = fleet.daemons + fleet.replicas
+    entry_moves = moves * fleet.daemons / total_vms
+    backend_moves = moves * fleet.region_replicas / total_vms
+    polls = policy["load_polls_per_s"]
+    leases = 0.25
+    copies = 3.0
+    rows = [
+        ("probes", probes, wire["probe and its answer"], "random ring, rumors ride"),
+        (
+            "load reports asked",
+            polls,
+            wire["load report, asked"],
+            "bounded subset, bounded questions a second",
+        ),
+        (
+            "load on answers",
+            fleet.daemon_requests,
+            wire["load on an answer"],
+            "brief header on answers that come anyway",
+        ),
+        (
+            "leases",
+            leases,
+            wire["lease request and answer"],
+            "only while work waits, 3 s each",
+        ),
+        (
+            "configuration increments",
+            changes * copies,
+            wire["configuration increment"],
+            "contiguous merge patches, pushed to 2",
+        ),
+        (
+            "entry list increments",
+            entry_moves * copies,
+            wire["entry list increment"],
+            "the same",
+        ),
+        (
+            "backend list increments",
+            backend_moves * copies,
+            wire["backend list increment"],
+            "the same, own region only",
+        ),
+    ]
+    return [(n, rate, rate * size, how) for n, rate, size, how in rows]
+
+
+def former_rows(wire, fleet):
+    """Return ``(name, bytes a second)`` of what each mechanism replaced."""
+    changes = fleet.changes_a_day / SECONDS_A_DAY
+    return [
+        (
+            "every daemon asks every replica of its region each second",
+            fleet.region_replicas * wire["load report, asked"],
+        ),
+        (
+            "each asks a subset of 32 four times a second (today's intervals)",
+            24 * wire["load report, asked"],
+        ),
+        (
+            "whole parts of 64 workspaces instead of increments",
+            changes * 3 * wire["configuration part, whole"],
+        ),
+    ]
+
+
+def read_rows(fleet, base):
+    """Return ``(name, reads a second)`` at the configuration service."""
+    changes = fleet.changes_a_day / SECONDS_A_DAY
+    moves = (fleet.restarts_a_day + fleet.failures_a_day) / SECONDS_A_DAY
+    watchers = fleet.domains * base["policy"].get("watchers_per_domain", 1)
+    return [
+        ("watches that wait", watchers * 3 / WATCH_S),
+        ("watches ended by changes", watchers * (changes + moves)),
+        ("parts fetched", watchers * (changes + moves)),
+        ("start-ups", 3 * fleet.restarts_a_day / SECONDS_A_DAY),
+    ]
+
+
+def timed(step, count):
+    """Return the least microseconds of one `step` out of five rounds."""
+    best = None
+    for _ in range(5):
+        start = time.perf_counter()
+        for i in range(count):
+            step(i)
+        took = (time.perf_counter() - start) / count * 1e6
+        best = took if best is None else min(best, took)
+    return best
+
+
+def measure_times(node, parts, fleet):
+    """Return ``(name, microseconds, times a second)`` rows."""
+    state = node.state
+    clock = [200_000]
+
+    def tick(_):
+        clock[0] += 50
+        node.tick(clock[0])
+        for row in state.replicas.rows.values():
+            row.confirmed_ms = clock[0]
+
+    request = Request("q", "workspace-1", model="model-1", pool="m/model-1")
+    request.prompt_tokens = 800
+    request.max_output_tokens = 100
+    request.allowed = frozenset((region_name(0),))
+    envelope = Envelope(
+        "entry-0001",
+        1_796_000_000_001,
+        (Pong({"config": 1, "entries": 1, f"backends/{region_name(0)}": 1}),),
+    )
+
+    cache = make_part_cache()
+    effective_from_parts(1, parts, "site-0", cache)
+
+    def change(i):
+        new = dict(parts)
+        name = sorted(n for n in parts if n.startswith("workspaces"))[i % 8]
+        value = msgspec.json.decode(new[name])
+        _change_workspace(value)
+        new[name] = canonical_json(value)
+        effective_from_parts(i, new, "site-0", cache)
+        bundle_digest(new)
+
+    def serve(i):
+        _serve_one(node, f"t{clock[0]}-{i}", clock[0])
+
+    def choose(_):
+        if not choose_replica(state, request, clock[0]):
+            raise AssertionError("no server was found")
+
+    node.tick(clock[0])
+    report_loads(node, clock[0])
+    tick_us = timed(tick, 200)
+    return [
+        ("tick (20 a second)", tick_us, 20.0),
+        (
+            "probe answer",
+            timed(lambda _: node.handle(ev.PeerHeard(envelope), clock[0]), 300),
+            1.0,
+        ),
+        ("choice of a server", timed(choose, 500), 0.0),
+        ("request through the node", timed(serve, 300), fleet.daemon_requests),
+        (
+            "configuration change",
+            timed(change, 3),
+            fleet.changes_a_day / SECONDS_A_DAY,
+        ),
+    ]
+
+
+def _serve_one(node, name, now_ms):
+    request = Request(name, "workspace-0", model="model-1")
+    request.prompt_tokens = 800
+    request.max_output_tokens = 100
+    commands = node.handle(ev.RequestArrived(request), now_ms)
+    started = [c for c in commands if isinstance(c, cmd.StartAttempt)]
+    if not started:
+        raise AssertionError(f"the request was not sent: {commands}")
+    node.handle(ev.AttemptStarted(started[0].attempt_id), now_ms)
+    node.handle(ev.AttemptFinished(started[0].attempt_id, 100), now_ms)
+
+
+def _verdict(value, budget):
+    return "pass" if value <= budget else "MISSED"
+
+
+def counted_tables(memory, wire, fleet, base, spread, storm):
+    """Return the Markdown tables of everything that is counted."""
+    lines = ["### Memory at the target size, worst daemon", ""]
+    lines += ["| table | MB |", "|---|---:|"]
+    lines += [f"| {name} | {value:.1f} |" for name, value in memory.items()]
+    control = memory["node with every table"] + sum(
+        memory[name] for name in _ON_TOP if name in memory
+    )
+    lines.append(f"| **control in all** | **{control:.1f}** |")
+    lines.append("")
+    lines.append(
+        f"Budget {BUDGET_MB:.0f} MB: {_verdict(control, BUDGET_MB)}. The interpreter "
+        "and its libraries, 49 MB before any table exists, come on top."
+    )
+    lines += ["", "### Bytes on the wire, headers included", ""]
+    lines += ["| message | bytes |", "|---|---:|"]
+    lines += [f"| {name} | {value:,} |" for name, value in wire.items()]
+    rows = traffic_rows(wire, fleet, base)
+    lines += ["", "### Control traffic of the worst daemon", ""]
+    lines += ["| traffic | a second | bytes/s | mechanism |", "|---|---:|---:|---|"]
+    for name, rate, size, how in rows:
+        lines.append(f"| {name} | {rate:.3f} | {size:.0f} | {how} |")
+    total = sum(row[2] for row in rows)
+    lines.append(f"| **in all** | | **{total:.0f}** | |")
+    lines.append("")
+    verdict = _verdict(total, BUDGET_BYTES_PER_S)
+    lines.append(f"Budget {BUDGET_BYTES_PER_S:.0f} bytes/s: {verdict}.")
+    lines += ["", "What each mechanism replaced, in the same terms:", ""]
+    lines += ["| before | bytes/s |", "|---|---:|"]
+    lines += [f"| {n} | {size:,.0f} |" for n, size in former_rows(wire, fleet)]
+    reads = read_rows(fleet, base)
+    lines += ["", "### Reads of the configuration service, whole fleet", ""]
+    lines += ["| reads | a second |", "|---|---:|"]
+    lines += [f"| {name} | {rate:.2f} |" for name, rate in reads]
+    total_reads = sum(rate for _, rate in reads)
+    verdict = _verdict(total_reads, BUDGET_READS_PER_S)
+    lines.append(f"| **in all** (budget 2,000: {verdict}) | **{total_reads:.1f}** |")
+    lines += ["", "### A change reaches 350 daemons", ""]
+    lines += [
+        "| case | daemons | last after s | messages each |",
+        "|---|---:|---:|---:|",
+    ]
+    for name, count, last_s, messages in spread:
+        lines.append(f"| {name} | {count} | {last_s:.1f} | {messages:.1f} |")
+    worst = max(row[2] for row in spread)
+    lines.append("")
+    lines.append(f"Budget {BUDGET_CONFIG_S:.0f} s: {_verdict(worst, BUDGET_CONFIG_S)}.")
+    lines += ["", "### A third of the fleet restarts within 10 s", ""]
+    lines += ["| figure | value |", "|---|---:|"]
+    lines += [f"| {name} | {value} |" for name, value in storm]
+    return lines
+
+
+_ON_TOP = ("prefix index of 32 engines", "5,000 operations", "1,000 requests in flight")
+
+
+def timed_tables(times):
+    """Return the Markdown table of processor time."""
+    lines = ["| work | µs each | a second | share of a core |", "|---|---:|---:|---:|"]
+    total = 0.0
+    for name, microseconds, rate in times:
+        share = microseconds * rate / 1e6
+        total += share
+        lines.append(
+            f"| {name} | {microseconds:.0f} | {rate:.2f} | {100 * share:.2f}% |"
+        )
+    lines.append(f"| **in all** | | | **{100 * total:.2f}%** |")
+    lines.append("")
+    lines.append(
+        f"Budget {100 * BUDGET_CORE:.1f}% of a core: {_verdict(total, BUDGET_CORE)}. "
+        "Timed on one machine, least of five rounds; passing requests and tokens "
+        "on is not control and not counted here."
+    )
+    return lines
+
+
+def replace_between(text, begin, end, lines):
+    """Return `text` with what stands between two marks replaced."""
+    head, _, rest = text.partition(begin)
+    _, _, tail = rest.partition(end)
+    body = "\n".join(lines)
+    return f"{head}{begin}\n\n{body}\n\n{end}{tail}"
+
+
+@click.command()
+@click.option("--write/--print", default=True, help="Write docs/CAPACITY.md.")
+@click.option("--check", is_flag=True, help="Fail if the counted tables differ.")
+def main(write, check):
+    """Measure the slopes and write the tables of the capacity page."""
+    fleet = TARGET
+    base = make_base(fleet)
+    parts = split_documents(base, {})
+    entries = encode_records(make_entries(fleet))
+    backends = encode_records(make_backends(fleet))
+    node, memory = measure_memory(parts, entries, backends)
+    wire = measure_wire(node, parts, entries, backends, asyncio.run(_header_bytes()))
+    spread = measure_spread(fleet)
+    storm = measure_storm(fleet)
+    counted = counted_tables(memory, wire, fleet, base, spread, storm)
+    text = PAGE.read_text()
+    new = replace_between(text, BEGIN, END, counted)
+    if check:
+        raise SystemExit(0 if new == text else 1)
+    times = measure_times(node, parts, fleet)
+    new = replace_between(new, TIMED_BEGIN, TIMED_END, timed_tables(times))
+    if write:
+        PAGE.write_text(new)
+    click.echo("\n".join(counted + [""] + timed_tables(times)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/decision.py
@@ -0,0 +1,196 @@
+"""Cost of one decision, of a control tick and of a request through a daemon.
+
+``python -m benchmarks.decision`` times decisions at 32 and 200 candidates,
+a tick at today's size, and requests through a real daemon on loopback beside
+direct calls to the same engine, in the same run.
+"""
+
+import asyncio
+import cProfile
+import pstats
+import time
+
+import aiohttp
+import click
+import uvloop
+from hdrh.histogram import HdrHistogram
+
+from bluebellbeam.cli.logs import configure_logs
+from bluebellbeam.demo import Deployment
+from bluebellbeam.examples import read_example
+from bluebellbeam.node import NodeIdentity, Request, make_node
+from bluebellbeam.node import event as ev
+from bluebellbeam.platform.records import LoadReport, VmRecord
+from bluebellbeam.routing import choose_replica, note_prefix, update_replicas
+from bluebellbeam.scenario.faults import session_world
+
+__all__ = ["decision_us", "main", "tick_us"]
+
+MAX_US = 60_000_000
+TOKENS = (16, 144)
+
+
+def decision_us(candidates, count=2000):
+    """Return the microseconds of one choice among `candidates` servers."""
+    world = session_world("fellesdepot", 1)
+    world.run_until(3000)
+    state = world.hosts["narvik-sal-1"].node.state
+    records = [
+        VmRecord(
+            name=f"server-{i}",
+            role="engine",
+            region=state.region,
+            failure_domain="region-nord-a",
+            address=f"10.0.0.{i}:1",
+        )
+        for i in range(candidates)
+    ]
+    update_replicas(state.replicas, records)
+    for i, record in enumerate(records):
+        report = LoadReport(
+            server=record.name,
+            incarnation=1,
+            region=state.region,
+            slots=8,
+            running=i % 7,
+            loaded=("catalogue@v7",),
+        )
+        event = ev.LoadReported(record.name, report)
+        world.hosts["narvik-sal-1"].node.handle(event, 3000)
+        note_prefix(state.prefixes, record.name, range(i * 100, i * 100 + 64))
+    request = Request("q", "ofoten-verksted", model="catalogue", pool="m/catalogue")
+    request.prompt_tokens = 4096
+    request.max_output_tokens = 100
+    request.blocks = tuple(range(500, 564))
+    if not choose_replica(state, request, 3000):
+        raise AssertionError("no server was found")
+    start = time.perf_counter()
+    for _ in range(count):
+        choose_replica(state, request, 3000)
+    return (time.perf_counter() - start) / count * 1e6
+
+
+def tick_us(count=1000):
+    """Return the microseconds of a tick of a node at today's size."""
+    world = session_world("fraserleaf", 1)
+    world.run_until(5000)
+    node = world.hosts["burnaby-hall-1"].node
+    now_ms = 5000
+    start = time.perf_counter()
+    for _ in range(count):
+        now_ms += 50
+        node.tick(now_ms)
+    return (time.perf_counter() - start) / count * 1e6
+
+
+def idle_node():
+    """Return a node that knows nothing."""
+    identity = NodeIdentity("vm", 1, "region", "domain", "site")
+    return make_node(identity, 1, b"key")
+
+
+async def _call(session, url, headers, body, histogram):
+    start = time.perf_counter()
+    async with session.post(url, json=body, headers=headers) as answer:
+        await answer.read()
+        if answer.status != 200:
+            raise AssertionError(f"status {answer.status}: {await answer.text()}")
+    histogram.record_value(max(1, int((time.perf_counter() - start) * 1e6)))
+
+
+async def _series(session, url, headers, body, count, parallel):
+    histogram = HdrHistogram(1, MAX_US, 3)
+    start = time.perf_counter()
+    cpu = time.process_time()
+    pending = iter(range(count))
+
+    async def worker():
+        for _ in pending:
+            await _call(session, url, headers, body, histogram)
+
+    await asyncio.gather(*(worker() for _ in range(parallel)))
+    took = time.perf_counter() - start
+    return histogram, count / took, (time.process_time() - cpu) / count
+
+
+async def _loopback(count, parallel, profile):
+    deployment = Deployment(*read_example("fellesdepot"))
+    for engine in deployment.fleet.engines.values():
+        engine.slots = 64
+        engine.prefill_tokens_per_s = 1e6
+        engine.inter_token_ms = 0.001
+    await deployment.start()
+    engine = deployment.servers["region-nord-catalogue-1"]
+    entry = deployment.fleet.entries["narvik-sal-1"].caller_address
+    path = "/v1/chat/completions"
+    headers = {"authorization": "Bearer key-ofoten-verksted"}
+    profiler = cProfile.Profile()
+    async with aiohttp.ClientSession() as session:
+        direct_url = f"http://{engine.address}{path}"
+        through_url = f"http://{entry}{path}"
+        await _series(session, through_url, headers, _body(16), 50, parallel)
+        rows = []
+        for tokens in TOKENS:
+            body = _body(tokens)
+            direct = await _series(session, direct_url, {}, body, count, parallel)
+            if profile:
+                profiler.enable()
+            through = await _series(
+                session, through_url, headers, body, count, parallel
+            )
+            profiler.disable()
+            rows.append((tokens, direct, through))
+    await deployment.stop()
+    return rows, profiler
+
+
+def _body(tokens):
+    return {
+        "model": "catalogue",
+        "messages": [{"role": "user", "content": "bogie 7"}],
+        "stream": True,
+        "max_tokens": tokens,
+    }
+
+
+def token_cost_us(rows):
+    """Return the microseconds that a daemon adds to each token of a stream."""
+    (few, direct_few, few_through), (many, direct_many, many_through) = rows
+    added_few = few_through[2] - direct_few[2]
+    added_many = many_through[2] - direct_many[2]
+    return (added_many - added_few) / (many - few) * 1e6
+
+
+def _show(name, series):
+    histogram, rate, cpu_s = series
+    p50 = histogram.get_value_at_percentile(50) / 1000.0
+    p99 = histogram.get_value_at_percentile(99) / 1000.0
+    click.echo(f"{name:<18}{p50:>9.2f}{p99:>9.2f}{rate:>10.0f}{cpu_s * 1e6:>16.0f}")
+
+
+@click.command()
+@click.option("--count", default=600, show_default=True, help="Requests.")
+@click.option("--parallel", default=4, show_default=True)
+@click.option("--profile", is_flag=True, help="Print where the time goes.")
+def main(count, parallel, profile):
+    """Time decisions, ticks and requests through a daemon."""
+    configure_logs("console", "error")
+    for candidates in (32, 200):
+        click.echo(f"choice among {candidates}: {decision_us(candidates):.1f} µs")
+    per_tick = tick_us()
+    click.echo(f"tick at today's size: {per_tick:.0f} µs, {per_tick * 20 / 1e4:.2f}%")
+    rows, profiler = uvloop.run(_loopback(count, parallel, profile))
+    click.echo(
+        f"{'16 tokens':<18}{'p50 ms':>9}{'p99 ms':>9}{'req/s':>10}{'µs CPU each':>16}"
+    )
+    for tokens, direct, through in rows:
+        _show(f"{tokens} direct", direct)
+        _show(f"{tokens} through", through)
+    click.echo(f"a daemon adds {token_cost_us(rows):.0f} µs of CPU to each token")
+    click.echo("callers, daemons and engines share one process and one core")
+    if profile:
+        pstats.Stats(profiler).sort_stats("tottime").print_stats(25)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/spread.py
@@ -0,0 +1,142 @@
+"""How a configuration change spreads over the daemons, in virtual time.
+
+Only the nodes' own messages run: probes, pushes and increments. Every daemon
+is a real node; the world gives delays, losses and the platform.
+"""
+
+import msgspec
+
+from bluebellbeam.platform.records import VmRecord
+from bluebellbeam.scenario.world import Host, make_world
+
+__all__ = ["measure_spread", "measure_storm"]
+
+TICK_MS = 500
+SETTLE_MS = 12_000
+LIMIT_MS = 30_000
+STORM_MS = 10_000
+
+
+def _base(fleet):
+    regions = [f"region-{i}" for i in range(fleet.regions)]
+    delays = {r: {o: 40 for o in regions if o != r} for r in regions}
+    return {
+        "deployment": "spread",
+        "regions": {r: {"one_way_delay_ms": delays[r]} for r in regions},
+        "failure_domains": {
+            f"domain-{i}": {"region": regions[i % fleet.regions]}
+            for i in range(fleet.domains)
+        },
+        "sites": {f"site-{i}": {"region": r} for i, r in enumerate(regions)},
+        "workspaces": {"w": {"allowed_regions": regions}},
+        "policy": {"probe_interval_ms": 3000, "suspect_timeout_ms": 9000},
+    }
+
+
+def _domain_of(fleet, region, i):
+    mine = [d for d in range(fleet.domains) if d % fleet.regions == region]
+    return f"domain-{mine[i % len(mine)]}"
+
+
+def make_fleet_world(fleet, seed=1):
+    """Return a world of `fleet.daemons` nodes without backend servers."""
+    base = _base(fleet)
+    world = make_world(base, {}, seed, TICK_MS)
+    world.check_codec = False
+    world.fleet.entries.clear()
+    for i in range(fleet.daemons):
+        in_largest = i < fleet.region_daemons
+        region = 0 if in_largest else 1 + i % (fleet.regions - 1)
+        name = f"entry-{i:04d}"
+        world.fleet.entries[name] = VmRecord(
+            name=name,
+            role="entry",
+            region=f"region-{region}",
+            failure_domain=_domain_of(fleet, region, i),
+            peer_address=f"peer:{name}",
+            caller_address=f"caller:{name}",
+        )
+    return world
+
+
+def _publish_and_start(world):
+    world.store.publish_vms("entries", world.fleet.entries.values())
+    for region in world.base["regions"]:
+        world.store.publish_vms(f"backends/{region}", [])
+    world.publish_config(1)
+    for i, vm in enumerate(world.fleet.entries):
+        world.hosts[vm] = Host(vm, world.fleet.entries[vm].region)
+        world.start_daemon(vm)
+        world.after(1 + (i * 7) % TICK_MS, world._tick, vm, world.hosts[vm].run)
+
+
+def _change(world, revision):
+    world.base = msgspec.json.decode(msgspec.json.encode(world.base))
+    world.base["workspaces"]["w"]["weight"] = float(revision)
+    world.publish_config(revision)
+
+
+def _spread_time(world, revision):
+    """Return ``(daemons, seconds until the last holds the revision)``."""
+    start_ms = world.now_ms
+    while world.now_ms < start_ms + LIMIT_MS:
+        world.run_until(world.now_ms + 100)
+        states = [h.node.state for h in world.hosts.values() if h.node is not None]
+        behind = [s for s in states if s.config is None or s.config.revision < revision]
+        if not behind:
+            break
+    return len(states), (world.now_ms - start_ms) / 1000.0
+
+
+def measure_spread(fleet):
+    """Return ``(case, daemons, seconds, messages each)`` rows."""
+    world = make_fleet_world(fleet)
+    _publish_and_start(world)
+    world.run_until(SETTLE_MS)
+    rows = []
+    before = _messages(world)
+    _change(world, 2)
+    count, last_s = _spread_time(world, 2)
+    sent = (_messages(world) - before) / count
+    rows.append(("all well", count, last_s, sent))
+    lost = world.fleet.entries["entry-0000"].failure_domain
+    for vm, record in world.fleet.entries.items():
+        if record.failure_domain == lost:
+            world.kill_daemon(vm)
+    before = _messages(world)
+    _change(world, 3)
+    count, last_s = _spread_time(world, 3)
+    sent = (_messages(world) - before) / count
+    rows.append(("a failure domain lost in the same moment", count, last_s, sent))
+    return rows
+
+
+def _messages(world):
+    return world.peer_messages
+
+
+def measure_storm(fleet):
+    """Return figures of a restart storm of a third of the fleet."""
+    world = make_fleet_world(fleet, seed=2)
+    _publish_and_start(world)
+    world.run_until(SETTLE_MS)
+    calls = world.store.calls
+    start_ms = world.now_ms
+    names = sorted(world.hosts)[::3]
+    for i, vm in enumerate(names):
+        at_ms = start_ms + i * STORM_MS / len(names)
+        world.at(at_ms, world.kill_daemon, vm)
+        world.at(at_ms + 1000, world.start_daemon, vm)
+    peak = 0
+    while world.now_ms < start_ms + STORM_MS + 15_000:
+        before = world.store.calls
+        world.run_until(world.now_ms + 1000)
+        peak = max(peak, world.store.calls - before)
+    states = [h.node.state for h in world.hosts.values() if h.node is not None]
+    ready = sum(1 for state in states if state.ready)
+    return [
+        ("daemons restarted", len(names)),
+        ("reads in all", world.store.calls - calls),
+        ("reads in the busiest second (budget 2,000)", peak),
+        ("daemons ready 15 s later", f"{ready} of {len(states)}"),
+    ]
--- a/bluebellbeam/config/__init__.py
+++ b/bluebellbeam/config/__init__.py
@@ -2,11 +2,12 @@
 
 from bluebellbeam.config.bundle import (
     Manifest,
-    assemble_parts,
+    PartCache,
     bundle_digest,
     canonical_json,
     effective_from_parts,
     hash_part,
+    make_part_cache,
     split_documents,
 )
 from bluebellbeam.config.check import check_base, check_overlay
@@ -52,6 +53,7 @@
     "Model",
     "Objective",
     "Overlay",
+    "PartCache",
     "PlatformAddresses",
     "Policy",
     "Region",
@@ -60,7 +62,6 @@
     "Site",
     "Workspace",
     "WorkspaceOverlay",
-    "assemble_parts",
     "bundle_digest",
     "canonical_json",
     "check_base",
@@ -70,6 +71,7 @@
     "decode_settings",
     "effective_from_parts",
     "hash_part",
+    "make_part_cache",
     "merge_overlay",
     "nearest_name",
     "read_settings",
--- a/bluebellbeam/config/bundle.py
+++ b/bluebellbeam/config/bundle.py
@@ -11,15 +11,18 @@
 from msgspec import Struct
 from returns.result import Failure, Success
 
-from bluebellbeam.config.effective import decode_effective
-from bluebellbeam.config.fault import Fault
+from bluebellbeam.config.check import check_deployment, check_workspaces
+from bluebellbeam.config.effective import merge_site
+from bluebellbeam.config.fault import Fault, decode_document
+from bluebellbeam.config.model import Base, Workspace
 
 __all__ = [
     "Manifest",
-    "assemble_parts",
+    "PartCache",
     "bundle_digest",
     "effective_from_parts",
     "hash_part",
+    "make_part_cache",
     "split_documents",
 ]
 
@@ -84,40 +87,97 @@
     return parts
 
 
-def assemble_parts(parts):
-    """Return ``(base, overlays)`` as JSON bytes from `parts`."""
-    base = msgspec.json.decode(parts["deployment"])
-    workspaces = {}
-    overlays = {}
-    for name in sorted(parts):
-        if name.startswith(_WORKSPACES_PREFIX):
-            workspaces.update(msgspec.json.decode(parts[name]))
-        elif name.startswith(_OVERLAY_PREFIX):
-            overlays[name] = parts[name]
-    base["workspaces"] = workspaces
-    return msgspec.json.encode(base), overlays
+class PartCache:
+    """Parts that have been decoded and checked already.
+
+    A new revision changes few parts; only these are decoded and checked again.
+
+    Attributes
+    ----------
+    deployment : tuple of (bytes, Base) or None
+    workspaces : dict of str to (bytes, dict of str to Workspace)
+    """
+
+    __slots__ = ("deployment", "workspaces")
+
+    def __init__(self):
+        self.deployment = None
+        self.workspaces = {}
 
 
-def effective_from_parts(revision, parts, site):
+def make_part_cache():
+    """Return an empty cache."""
+    return PartCache()
+
+
+def effective_from_parts(revision, parts, site, cache=None):
     """Return the effective configuration of `site` from the parts.
 
+    Parameters
+    ----------
+    revision : int
+    parts : dict of str to bytes
+    site : str
+    cache : PartCache, optional
+        Parts of former revisions; brought up to date.
+
     Returns
     -------
     Result
         ``Success(Effective)`` or ``Failure(tuple of (document, Fault))``.
     """
-    try:
-        base_raw, overlays = assemble_parts(parts)
-    except KeyError:
+    cache = cache or make_part_cache()
+    found = _refresh_deployment(cache, parts)
+    if found:
+        return Failure(tuple(found))
+    base = cache.deployment[1]
+    found = _refresh_workspaces(cache, parts, base)
+    if found:
+        return Failure(tuple(found))
+    workspaces = {}
+    for _, decoded in cache.workspaces.values():
+        workspaces.update(decoded)
+    base = msgspec.structs.replace(base, workspaces=workspaces)
+    overlays = {n: raw for n, raw in parts.items() if n.startswith(_OVERLAY_PREFIX)}
+    if site not in base.sites:
+        fault = Fault("$.sites", f"site '{site}' is missing", "declare the site")
+        return Failure((("deployment", fault),))
+    return merge_site(base, overlays, site, revision, bundle_digest(parts))
+
+
+def _refresh_deployment(cache, parts):
+    raw = parts.get("deployment")
+    if raw is None:
         fault = Fault("$", "part 'deployment' is missing", "publish every part")
-        return Failure((("manifest", fault),))
-    except (msgspec.DecodeError, TypeError, ValueError, AttributeError) as error:
-        fault = Fault("$", f"a part is not valid: {error}", "publish it again")
-        return Failure((("manifest", fault),))
-    result = decode_effective(base_raw, overlays, site, revision, bundle_digest(parts))
-    match result:
-        case Success(effective) if site not in effective.base.sites:
-            fault = Fault("$.sites", f"site '{site}' is missing", "declare the site")
-            return Failure((("base", fault),))
-        case _:
-            return result
+        return [("manifest", fault)]
+    if cache.deployment is not None and cache.deployment[0] == raw:
+        return []
+    match decode_document(raw, Base):
+        case Failure(faults):
+            return [("deployment", fault) for fault in faults]
+        case Success(base):
+            faults = check_deployment(base)
+    if faults:
+        return [("deployment", fault) for fault in faults]
+    cache.deployment = (raw, base)
+    cache.workspaces = {}
+    return []
+
+
+def _refresh_workspaces(cache, parts, base):
+    names = [name for name in sorted(parts) if name.startswith(_WORKSPACES_PREFIX)]
+    for name in [name for name in cache.workspaces if name not in parts]:
+        del cache.workspaces[name]
+    for name in names:
+        held = cache.workspaces.get(name)
+        if held is not None and held[0] == parts[name]:
+            continue
+        match decode_document(parts[name], dict[str, Workspace]):
+            case Failure(faults):
+                return [(name, fault) for fault in faults]
+            case Success(decoded):
+                faults = check_workspaces(base, decoded)
+        if faults:
+            return [(name, fault) for fault in faults]
+        cache.workspaces[name] = (parts[name], decoded)
+    return []
--- a/bluebellbeam/config/check.py
+++ b/bluebellbeam/config/check.py
@@ -2,7 +2,7 @@
 
 from bluebellbeam.config.fault import Fault, nearest_name
 
-__all__ = ["check_base", "check_overlay"]
+__all__ = ["check_base", "check_deployment", "check_overlay", "check_workspaces"]
 
 
 def check_base(base):
@@ -16,16 +16,27 @@
     -------
     list of Fault
     """
+    return check_deployment(base) + check_workspaces(base, base.workspaces)
+
+
+def check_deployment(base):
+    """Return the faults of everything in `base` but its workspaces."""
     faults = []
     _check_places(base, faults)
     _check_models(base, faults)
-    for name, workspace in base.workspaces.items():
-        _check_workspace(base, name, workspace, faults)
     _check_objective(base.objective, "$.objective", faults)
     _check_policy(base.policy, faults)
     return faults
 
 
+def check_workspaces(base, workspaces):
+    """Return the faults of `workspaces`, whose names `base` must declare."""
+    faults = []
+    for name, workspace in workspaces.items():
+        _check_workspace(base, name, workspace, faults)
+    return faults
+
+
 def check_overlay(base, overlay):
     """Return the faults of `overlay` over `base`.
 
--- a/bluebellbeam/config/effective.py
+++ b/bluebellbeam/config/effective.py
@@ -13,7 +13,13 @@
 from bluebellbeam.config.fault import decode_document
 from bluebellbeam.config.model import Base, Overlay
 
-__all__ = ["Effective", "decode_effective", "merge_overlay", "resolve_model"]
+__all__ = [
+    "Effective",
+    "decode_effective",
+    "merge_overlay",
+    "merge_site",
+    "resolve_model",
+]
 
 
 class Effective(Struct, frozen=True):
@@ -79,7 +85,19 @@
             return Failure(tuple(("base", fault) for fault in faults))
         case Success(base):
             pass
-    found = [("base", fault) for fault in check_base(base)]
+    found = tuple(("base", fault) for fault in check_base(base))
+    if found:
+        return Failure(found)
+    return merge_site(base, overlays_raw, site, revision, digest)
+
+
+def merge_site(base, overlays_raw, site, revision, digest):
+    """Return the effective configuration of `site` from a checked `base`.
+
+    Every overlay is checked, also those of other sites; see
+    :func:`decode_effective` for the parameters and the result.
+    """
+    found = []
     merged = base
     for name, raw in sorted(overlays_raw.items()):
         match decode_document(raw, Overlay):
--- a/bluebellbeam/config/model.py
+++ b/bluebellbeam/config/model.py
@@ -170,6 +170,7 @@
     probe_interval_ms: int = 1000
     suspect_timeout_ms: int = 4000
     load_interval_ms: int = 250
+    load_polls_per_s: float = 24.0
     confirm_ms: int = 2500
     subset_size: int = 32
     entry_ttl_ms: int = 15_000
--- a/bluebellbeam/daemon/callers.py
+++ b/bluebellbeam/daemon/callers.py
@@ -148,13 +148,13 @@
     usage = None
     while True:
         match await exchange.next_item():
-            case Chunk(raw):
-                event = msgspec.json.decode(raw)
-                usage = event.get("usage") or usage
-                for choice in event.get("choices", ())[:1]:
-                    delta = choice.get("delta") or {}
-                    text.append(delta.get("content") or choice.get("text") or "")
-                    finish = choice.get("finish_reason") or finish
+            case Chunk(events):
+                for event in map(msgspec.json.decode, events):
+                    usage = event.get("usage") or usage
+                    for choice in event.get("choices", ())[:1]:
+                        delta = choice.get("delta") or {}
+                        text.append(delta.get("content") or choice.get("text") or "")
+                        finish = choice.get("finish_reason") or finish
             case End():
                 break
             case Failed(error):
--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -214,7 +214,7 @@
         exchange = self.exchanges.get(request_id)
         if exchange is not None:
             exchange.items.put_nowait(Head(answer.status, answer.headers))
-            exchange.items.put_nowait(Chunk(answer.payload))
+            exchange.items.put_nowait(Chunk((answer.payload,)))
             exchange.items.put_nowait(End())
 
     async def _send_peer(self, command):
--- a/bluebellbeam/daemon/exchange.py
+++ b/bluebellbeam/daemon/exchange.py
@@ -22,11 +22,12 @@
 
     Parameters
     ----------
-    raw : bytes
-        For a model, one JSON event without its framing.
+    events : tuple of bytes
+        For a model, JSON events without their framing; for a plain service
+        the whole body.
     """
 
-    raw: bytes
+    events: tuple[bytes, ...]
 
 
 class End(Struct, frozen=True):
--- a/bluebellbeam/daemon/relay.py
+++ b/bluebellbeam/daemon/relay.py
@@ -7,6 +7,9 @@
 __all__ = ["collect_service", "relay_stream"]
 
 
+_SEPARATOR = b"\n\ndata: "
+
+
 async def relay_stream(request, exchange, request_id, headers=None):
     """Stream the events of an answer as they come.
 
@@ -26,8 +29,8 @@
     )
     while True:
         match item:
-            case Chunk(raw):
-                await answer.send(b"data: " + raw + b"\n\n")
+            case Chunk(events):
+                await answer.send(b"data: " + _SEPARATOR.join(events) + b"\n\n")
             case End():
                 await answer.send(b"data: [DONE]\n\n")
                 break
@@ -53,8 +56,8 @@
         match await exchange.next_item():
             case Head() as found:
                 head = found
-            case Chunk(raw):
-                payload = raw
+            case Chunk(events):
+                payload = events[0]
             case End():
                 return head, payload
             case Failed(error):
--- a/bluebellbeam/daemon/upstream.py
+++ b/bluebellbeam/daemon/upstream.py
@@ -19,7 +19,7 @@
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.outcome import make_error
 from bluebellbeam.operations import MAX_ANSWER_BYTES
-from bluebellbeam.platform.records import LoadReport
+from bluebellbeam.platform.records import parse_brief_load
 
 __all__ = ["RecordedAnswer", "run_attempt"]
 
@@ -27,6 +27,9 @@
 IDLE_TIMEOUT_S = 120.0
 """Longest wait for the first byte; the node ends or moves the attempt before."""
 
+MAX_EVENT_BYTES = 1024 * 1024
+"""Largest event of a stream."""
+
 TOKEN_TIMEOUT_S = 4.0
 """Longest silence within a stream that has begun."""
 
@@ -42,8 +45,6 @@
 RETURNED_HEADERS = ("content-type", "etag", "cache-control", "location")
 """Headers of a plain service that its caller gets to see."""
 
-_LOAD_DECODER = msgspec.json.Decoder(LoadReport)
-
 
 class RecordedAnswer(msgspec.Struct, frozen=True):
     """Answer of a non-idempotent call, kept for a repeat."""
@@ -176,48 +177,52 @@
 
 
 def _load_of(answer):
-    raw = answer.headers.get(LOAD_HEADER)
-    if not raw:
-        return None
-    try:
-        return _LOAD_DECODER.decode(raw)
-    except msgspec.DecodeError:
-        return None
+    return parse_brief_load(answer.headers.get(LOAD_HEADER, ""))
 
 
 async def _relay_stream(driver, command, exchange, answer, progress):
     """Pass events on as they come; an answer ends only with its last event."""
     load = _load_of(answer)
-    async for raw in _events(answer, progress):
-        if raw == b"[DONE]":
+    async for found in _events(answer, progress):
+        if not _begin(driver, command, progress):
+            progress.done = True
+            return
+        whole = found[-1] == b"[DONE]"
+        events = found[:-1] if whole else found
+        for raw in events:
+            text = _event_text(raw)
+            if text:
+                exchange.text.append(text)
+                exchange.emitted += 1
+        if events:
+            await exchange.put(Chunk(tuple(events)))
+        if whole:
             progress.done = True
-            if not _begin(driver, command, progress):
-                return
             driver.handle(
                 ev.AttemptFinished(command.attempt_id, exchange.emitted, None, load)
             )
             await exchange.put(End())
             return
-        if not _begin(driver, command, progress):
-            progress.done = True
-            return
-        text = _event_text(raw)
-        if text:
-            exchange.text.append(text)
-            exchange.emitted += 1
-        await exchange.put(Chunk(raw))
 
 
 async def _events(answer, progress):
-    """Yield the data of each event; a stream that stands still times out."""
+    """Yield the data of the events that arrive together, as a list.
+
+    A stream that has begun and stands still times out.
+    """
+    rest = b""
     while True:
         limit_s = TOKEN_TIMEOUT_S if progress.started else None
         async with asyncio.timeout(limit_s):
-            line = await answer.content.readline()
-        if not line:
+            raw = await answer.content.readany()
+        if not raw:
             return
-        if line.startswith(b"data: "):
-            yield line[6:].rstrip(b"\r\n")
+        *lines, rest = (rest + raw).split(b"\n")
+        if len(rest) > MAX_EVENT_BYTES:
+            raise ValueError("an event is larger than allowed")
+        found = [line[6:].rstrip(b"\r") for line in lines if line[:6] == b"data: "]
+        if found:
+            yield found
 
 
 def _begin(driver, command, progress):
@@ -304,7 +309,7 @@
     progress.done = True
     driver.handle(ev.AttemptFinished(command.attempt_id, 0, recorded, None))
     await exchange.put(Head(status, headers))
-    await exchange.put(Chunk(payload))
+    await exchange.put(Chunk((payload,)))
     await exchange.put(End())
 
 
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -11,7 +11,7 @@
     start_elsewhere,
 )
 from bluebellbeam.node.lending import REFUSED_MS
-from bluebellbeam.node.loads import take_load
+from bluebellbeam.node.loads import take_brief_load
 from bluebellbeam.node.outcome import make_error
 from bluebellbeam.operations import mark_not_run, record_answer
 from bluebellbeam.recovery import note_failure, note_speed, note_success, spend
@@ -83,7 +83,7 @@
         note_success(row)
     end_attempt(state, attempt, now_ms, completed=True)
     if row is not None and event.load is not None:
-        take_load(state, row, event.load, now_ms)
+        take_brief_load(state, row, event.load, now_ms)
     end_request(state, request)
     state.counters.answered += 1
     if not request.idempotent and not request.origin:
@@ -123,7 +123,7 @@
 
 def _note_refusal(state, row, event, now_ms):
     if event.load is not None:
-        take_load(state, row, event.load, now_ms)
+        take_brief_load(state, row, event.load, now_ms)
         return
     row.others = max(row.others, row.slots * (1.0 + state.slack) - row.inflight)
     reindex(state.replicas, row)
--- a/bluebellbeam/node/event.py
+++ b/bluebellbeam/node/event.py
@@ -4,7 +4,7 @@
 
 from bluebellbeam.feeds.feed import Snapshot
 from bluebellbeam.node.outcome import CallerError
-from bluebellbeam.platform.records import CacheEvents, LoadReport
+from bluebellbeam.platform.records import BriefLoad, CacheEvents, LoadReport
 
 __all__ = [
     "AttemptFailed",
@@ -57,14 +57,14 @@
     output_tokens : int
     answer : object
         Answer kept for a repeat of a non-idempotent call, or None.
-    load : LoadReport or None
+    load : BriefLoad or None
         Load that the backend server told on its answer.
     """
 
     attempt_id: int
     output_tokens: int = 0
     answer: object = None
-    load: LoadReport | None = None
+    load: BriefLoad | None = None
 
 
 class AttemptFailed(Struct, frozen=True):
@@ -96,7 +96,7 @@
 
     attempt_id: int
     error: CallerError
-    load: LoadReport | None = None
+    load: BriefLoad | None = None
 
 
 class FeedRead(Struct, frozen=True):
--- a/bluebellbeam/node/lending.py
+++ b/bluebellbeam/node/lending.py
@@ -12,7 +12,6 @@
     open_offers,
     used_slots,
 )
-from bluebellbeam.membership import usable_members
 from bluebellbeam.node.command import SendPeer
 from bluebellbeam.node.message import LeaseAnswer, LeaseWanted
 from bluebellbeam.node.waiting import (
@@ -71,7 +70,7 @@
 
 def sharing_daemons(state):
     """Return how many daemons of the region share its backend servers."""
-    return max(1, len(usable_members(state.members, state.region)))
+    return len(state.region_members())
 
 
 def spare_slots(state, pool):
@@ -262,12 +261,14 @@
 
 def workspace_role(state, name):
     """Return ``(role of this daemon, spread)`` for workspace `name`."""
-    own = state.identity.vm
-    members = [row.name for row in usable_members(state.members, state.region)]
-    if own not in members:
-        members.append(own)
+    key = (state.members.generation, state.config.revision)
+    return state.cached(("role", name), key, lambda: _compute_role(state, name))
+
+
+def _compute_role(state, name):
+    members = state.region_members()
     spread = workspace_spread(state, name, len(members))
-    return entry_role(own, name, members, spread), spread
+    return entry_role(state.identity.vm, name, members, spread), spread
 
 
 def lease_limit(state, request):
--- a/bluebellbeam/node/loads.py
+++ b/bluebellbeam/node/loads.py
@@ -1,11 +1,12 @@
 """Load system: which backend servers are used and what is known of them."""
 
-from bluebellbeam.membership import Rumor, spread_rumor, usable_members
+from bluebellbeam.membership import Rumor, spread_rumor
 from bluebellbeam.node.command import Log, ReadLoad
 from bluebellbeam.node.state import backends_feed
 from bluebellbeam.node.sync import listed_backends
 from bluebellbeam.recovery import note_failure
 from bluebellbeam.routing import (
+    apply_brief_load,
     apply_load,
     confirm_replica,
     forget_server,
@@ -21,6 +22,8 @@
     "note_confirmed",
     "note_load",
     "note_load_missed",
+    "poll_interval_ms",
+    "take_brief_load",
     "take_load",
     "tick_loads",
 ]
@@ -36,8 +39,9 @@
     """Choose the servers to use and ask those that have said nothing lately."""
     _refresh_subset(state)
     policy = state.policy
+    interval_ms = poll_interval_ms(policy, len(state.replicas.rows))
     for row in state.replicas.rows.values():
-        due_ms = policy.load_interval_ms
+        due_ms = interval_ms
         known_ms = max(row.asked_ms, row.reported_ms or -due_ms)
         if row.leaving and row.identified and row.inflight == 0:
             due_ms *= 4
@@ -46,16 +50,24 @@
             state.emit(ReadLoad(row.name, row.address))
 
 
+def poll_interval_ms(policy, servers):
+    """Return the time between two questions to one server.
+
+    The questions to all `servers` together keep to `policy.load_polls_per_s`;
+    servers that answer requests tell their load on the answers meanwhile.
+    """
+    spread_ms = 1000.0 * servers / policy.load_polls_per_s
+    return max(policy.load_interval_ms, spread_ms)
+
+
 def _refresh_subset(state):
     feed = state.feeds[backends_feed(state.region)]
-    key = (feed.version, state.members.generation, state.config is not None)
-    if key == state.subset_key:
+    members = state.region_members()
+    key = (feed.version, state.policy.subset_size)
+    if (key, members) == state.subset_key:
         return
-    state.subset_key = key
+    state.subset_key = (key, members)
     own = state.identity.vm
-    members = [row.name for row in usable_members(state.members, state.region)]
-    if own not in members:
-        members.append(own)
     records = listed_backends(state)
     chosen = []
     for kind in sorted({(item.role, item.service) for item in records}):
@@ -113,8 +125,19 @@
         row.identified = False
         reindex(state.replicas, row)
         return
-    if not report.leaving:
-        return
+    if report.leaving:
+        note_leaving(state, row)
+
+
+def take_brief_load(state, row, load, now_ms):
+    """Apply the load that a server has told on an answer."""
+    apply_brief_load(state.replicas, row, load, now_ms)
+    if load.leaving:
+        note_leaving(state, row)
+
+
+def note_leaving(state, row):
+    """Give a leaving server no new work and tell the peers, once."""
     if mark_leaving(state.replicas, row.name, row.incarnation):
         spread_leaving(state, row)
 
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -208,10 +208,10 @@
     match message:
         case msg.Ping(versions):
             hear_ping(state, sender, message, now_ms)
-            compare_versions(state, sender, versions)
+            compare_versions(state, sender, versions, now_ms)
         case msg.Pong(versions):
             hear_pong(state, sender, message, now_ms)
-            compare_versions(state, sender, versions)
+            compare_versions(state, sender, versions, now_ms)
         case msg.ProbeFor():
             hear_probe_for(state, sender, message, now_ms)
         case msg.TargetAlive():
--- a/bluebellbeam/node/ordering.py
+++ b/bluebellbeam/node/ordering.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from bluebellbeam.membership import usable_members
 from bluebellbeam.node.command import GiveOrder, Log, ReadLoad
+from bluebellbeam.node.state import backends_feed
 from bluebellbeam.node.sync import listed_backends
 from bluebellbeam.orders import pending_orders, plan_placement, responsible_member
 
@@ -20,12 +20,7 @@
     """Read the state of engines that need an order, before giving it."""
     if not _may_order(state, now_ms):
         return
-    engines = sorted(
-        record.name
-        for record in listed_backends(state)
-        if record.role == "engine" and record.state == "live"
-    )
-    state.placement = plan_placement(state.base, state.region, engines)
+    _refresh_placement(state)
     for order in _pending(state):
         given_ms = state.order_given_ms.get(order.server, -REPEAT_MS)
         if now_ms - given_ms < REPEAT_MS or order.server in state.order_reads:
@@ -35,6 +30,21 @@
         state.emit(ReadLoad(row.name, row.address))
 
 
+def _refresh_placement(state):
+    """Plan again when the configuration or the VM list has changed."""
+    feed = state.feeds[backends_feed(state.region)]
+    key = (state.config.revision, feed.version)
+    if key == state.placement_key:
+        return
+    state.placement_key = key
+    engines = sorted(
+        record.name
+        for record in listed_backends(state)
+        if record.role == "engine" and record.state == "live"
+    )
+    state.placement = plan_placement(state.base, state.region, engines)
+
+
 def _may_order(state, now_ms):
     """Return whether the published state is known well enough to act on it."""
     if state.config is None or not state.ready or state.leaving:
@@ -43,18 +53,26 @@
 
 
 def _pending(state):
+    names = state.cached(
+        "responsible",
+        (state.members.generation, state.subset_key),
+        lambda: _responsible_for(state),
+    )
+    rows = [state.replicas.rows[n] for n in names if n in state.replicas.rows]
+    most = max(1, state.policy.weight_store_loads // len(state.region_members()))
     own = state.identity.vm
-    members = [row.name for row in usable_members(state.members, state.region)]
-    if own not in members:
-        members.append(own)
-    rows = [
-        row
+    revision = state.config.revision
+    return pending_orders(state.base, revision, state.placement, rows, own, most)
+
+
+def _responsible_for(state):
+    members = state.region_members()
+    own = state.identity.vm
+    return [
+        row.name
         for row in state.replicas.rows.values()
         if row.role == "engine" and responsible_member(row.name, members) == own
     ]
-    most = max(1, state.policy.weight_store_loads // len(members))
-    revision = state.config.revision
-    return pending_orders(state.base, revision, state.placement, rows, own, most)
 
 
 def note_fresh_load(state, server, now_ms):
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -7,9 +7,14 @@
 
 from bluebellbeam.admission import make_fair_queue, make_rate_table
 from bluebellbeam.borrowing import make_borrower_table, make_lender_table
+from bluebellbeam.config.bundle import make_part_cache
 from bluebellbeam.config.model import Objective, Policy
 from bluebellbeam.feeds import make_feed
-from bluebellbeam.membership import make_member_table, make_probe_ring
+from bluebellbeam.membership import (
+    make_member_table,
+    make_probe_ring,
+    usable_members,
+)
 from bluebellbeam.operations import make_ledger
 from bluebellbeam.recovery import make_budget
 from bluebellbeam.routing import make_prefix_index, make_replica_table
@@ -29,6 +34,9 @@
 BLOCK_TOKENS = 64
 """Tokens of one prefix block."""
 
+CACHED = 4000
+"""Results that are kept until what they depend on changes."""
+
 DECISIONS_KEPT = 2000
 """Recent requests whose decisions can be explained."""
 
@@ -162,11 +170,15 @@
         "pool_service_ms",
         "next_slow_ms",
         "placement",
+        "placement_key",
+        "feed_pulled_ms",
         "policy_name",
         "rng",
         "out",
         "round_robin",
         "entry_turns",
+        "part_cache",
+        "cache",
     )
 
     def __init__(self, identity, seed, operation_key):
@@ -213,11 +225,15 @@
         self.pool_service_ms = {}
         self.next_slow_ms = 0
         self.placement = {}
+        self.placement_key = None
+        self.feed_pulled_ms = {}
         self.policy_name = "estimate"
         self.rng = random.Random(seed)
         self.out = []
         self.round_robin = 0
         self.entry_turns = 0
+        self.part_cache = make_part_cache()
+        self.cache = {}
 
     @property
     def base(self):
@@ -249,6 +265,38 @@
         """Tokens of one prefix block."""
         return BLOCK_TOKENS
 
+    def cached(self, name, key, compute):
+        """Return what `compute` gives, computed again only when `key` changes.
+
+        Parameters
+        ----------
+        name : hashable
+            What is computed; at most `CACHED` different ones are kept.
+        key : object
+            Versions of everything that the result depends on.
+        compute : callable
+        """
+        entry = self.cache.get(name)
+        if entry is not None and entry[0] == key:
+            return entry[1]
+        if len(self.cache) >= CACHED:
+            self.cache.clear()
+        value = compute()
+        self.cache[name] = (key, value)
+        return value
+
+    def region_members(self):
+        """Return the names of the usable entry VMs of the region, own included."""
+        return self.cached(
+            "region members", self.members.generation, self._region_members
+        )
+
+    def _region_members(self):
+        names = [row.name for row in usable_members(self.members, self.region)]
+        if self.identity.vm not in names:
+            names.append(self.identity.vm)
+        return sorted(names)
+
     def emit(self, command):
         """Add a command for the I/O layer."""
         self.out.append(command)
--- a/bluebellbeam/node/sync.py
+++ b/bluebellbeam/node/sync.py
@@ -38,6 +38,9 @@
 READ_TIMEOUT_MS = 40_000
 """A read without an answer is repeated after this time."""
 
+PULL_MS = 1_000
+"""A feed is not asked for again at another peer before this time."""
+
 RETRY_MS = 2_000
 """Pause after a failed read."""
 
@@ -70,6 +73,11 @@
 
 
 def _watches(state, key):
+    generation = state.members.generation
+    return state.cached(("watch", key), generation, lambda: _is_chosen(state, key))
+
+
+def _is_chosen(state, key):
     own = state.identity
     rows = usable_members(state.members, own.region, own.failure_domain)
     names = {row.name for row in rows if row.status == "alive"}
@@ -88,16 +96,30 @@
     state.feed_failed_ms[key] = now_ms
 
 
-def compare_versions(state, sender, versions):
-    """Fetch from, or send to, a peer whose versions differ from ours."""
+def compare_versions(state, sender, versions, now_ms):
+    """Fetch from, or send to, a peer whose versions differ from ours.
+
+    Increments are sent unasked. A whole snapshot is only sent to a peer that
+    asks for it, and is asked for at one peer at a time.
+    """
     for key, version in versions.items():
         feed = state.feeds.get(key)
         if feed is None:
             continue
         if version > feed.version and version != feed.refused_version:
-            send_to(state, sender, (FeedPull(key, feed.version),))
+            _pull(state, sender, feed, now_ms)
         elif version < feed.version:
-            _send_newer(state, sender, feed, version)
+            chain = deltas_since(feed, version)
+            if chain:
+                send_to(state, sender, chain)
+
+
+def _pull(state, sender, feed, now_ms):
+    pulled_ms = state.feed_pulled_ms.get(feed.key)
+    if pulled_ms is not None and now_ms - pulled_ms < PULL_MS:
+        return
+    state.feed_pulled_ms[feed.key] = now_ms
+    send_to(state, sender, (FeedPull(feed.key, feed.version),))
 
 
 def ask_for_config(state, name):
@@ -130,7 +152,7 @@
         return
     parts = prepare_delta(feed, delta)
     if parts is None:
-        send_to(state, sender, (FeedPull(feed.key, feed.version),))
+        _pull(state, sender, feed, now_ms)
         return
     if _accept(state, feed, delta.to_version, parts, now_ms):
         adopt_delta(feed, delta, parts, now_ms, sender)
@@ -172,7 +194,7 @@
 def _accept(state, feed, version, parts, now_ms):
     if feed.key != CONFIG_FEED:
         return True
-    match effective_from_parts(version, parts, state.identity.site):
+    match effective_from_parts(version, parts, state.identity.site, state.part_cache):
         case Success(effective):
             state.config = effective
             return True
--- a/bluebellbeam/platform/__init__.py
+++ b/bluebellbeam/platform/__init__.py
@@ -1,5 +1,21 @@
 """What the platform publishes, and the clients that read it."""
 
-from bluebellbeam.platform.records import CacheEvents, LoadReport, Order, VmRecord
+from bluebellbeam.platform.records import (
+    BriefLoad,
+    CacheEvents,
+    LoadReport,
+    Order,
+    VmRecord,
+    format_brief_load,
+    parse_brief_load,
+)
 
-__all__ = ["CacheEvents", "LoadReport", "Order", "VmRecord"]
+__all__ = [
+    "BriefLoad",
+    "CacheEvents",
+    "LoadReport",
+    "Order",
+    "VmRecord",
+    "format_brief_load",
+    "parse_brief_load",
+]
--- a/bluebellbeam/platform/records.py
+++ b/bluebellbeam/platform/records.py
@@ -4,7 +4,15 @@
 
 from msgspec import Struct
 
-__all__ = ["CacheEvents", "LoadReport", "Order", "VmRecord"]
+__all__ = [
+    "BriefLoad",
+    "CacheEvents",
+    "LoadReport",
+    "Order",
+    "VmRecord",
+    "format_brief_load",
+    "parse_brief_load",
+]
 
 
 class VmRecord(Struct, frozen=True, kw_only=True):
@@ -28,6 +36,9 @@
         Whether the engine refuses an order with an old fencing number.
     checks_sender : bool
         Whether the engine checks who gives it an order.
+    guarded : bool
+        Whether the server refuses, before running anything, a request that
+        is meant for another server or that comes while it is leaving.
     """
 
     name: str
@@ -42,6 +53,31 @@
     service: str = ""
     fenced: bool = False
     checks_sender: bool = False
+    guarded: bool = False
+
+
+class BriefLoad(Struct, frozen=True):
+    """Load that a backend server tells on each answer; fields as in LoadReport."""
+
+    running: int
+    waiting: int
+    waiting_tokens: int
+    leaving: bool = False
+
+
+def format_brief_load(load):
+    """Return `load` as the value of an HTTP header."""
+    state = "leaving" if load.leaving else "live"
+    return f"{load.running} {load.waiting} {load.waiting_tokens} {state}"
+
+
+def parse_brief_load(text):
+    """Return the :class:`BriefLoad` in a header value, or None."""
+    fields = text.split(" ")
+    if len(fields) != 4 or not all(item.isdecimal() for item in fields[:3]):
+        return None
+    running, waiting, tokens = (int(item) for item in fields[:3])
+    return BriefLoad(running, waiting, tokens, fields[3] == "leaving")
 
 
 class LoadReport(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/bluebellbeam/routing/__init__.py
+++ b/bluebellbeam/routing/__init__.py
@@ -26,6 +26,7 @@
 from bluebellbeam.routing.replica import (
     Replica,
     ReplicaTable,
+    apply_brief_load,
     apply_load,
     confirm_replica,
     drop_replica,
@@ -45,6 +46,7 @@
     "PrefixIndex",
     "Replica",
     "ReplicaTable",
+    "apply_brief_load",
     "apply_cache_events",
     "apply_load",
     "cached_blocks",
--- a/bluebellbeam/routing/entry.py
+++ b/bluebellbeam/routing/entry.py
@@ -1,11 +1,15 @@
 """Which entry VMs a caller should use: the first routing decision."""
 
+import bisect
 import math
 
-from bluebellbeam.utils.hashing import rendezvous_order
+from bluebellbeam.utils.hashing import hash_text, rendezvous_order
 
 __all__ = ["entry_role", "entry_spread", "rank_entries", "server_subset"]
 
+RING_POINTS = 64
+"""Points of each daemon on the ring; more make the subsets more even."""
+
 SPREAD_FACTOR = 1.5
 """Entry VMs of a workspace, relative to its share of the region's work."""
 
@@ -86,14 +90,38 @@
     Returns
     -------
     list of str
+
+    Notes
+    -----
+    Consistent hashing [1]_: a server belongs to the members that follow it on
+    a ring. It is as stable as rendezvous hashing and takes ``log`` time for
+    each server.
+
+    References
+    ----------
+    .. [1] Karger et al., "Consistent hashing and random trees", STOC 1997.
     """
     if len(servers) <= size or len(members) <= 1:
         return list(servers)
     sharing = math.ceil(size * len(members) / len(servers))
     if sharing >= len(members):
         return list(servers)
-    return [
-        server
-        for server in servers
-        if own in rendezvous_order(f"subset:{server}", members)[:sharing]
-    ]
+    ring = sorted(
+        (hash_text(f"{member}#{i}"), member)
+        for member in members
+        for i in range(RING_POINTS)
+    )
+    return [name for name in servers if own in _followers(ring, name, sharing)]
+
+
+def _followers(ring, name, count):
+    """Return the first `count` different members after `name` on the ring."""
+    at = bisect.bisect(ring, (hash_text(name), ""))
+    found = []
+    for i in range(len(ring)):
+        member = ring[(at + i) % len(ring)][1]
+        if member not in found:
+            found.append(member)
+            if len(found) == count:
+                break
+    return found
--- a/bluebellbeam/routing/prefix.py
+++ b/bluebellbeam/routing/prefix.py
@@ -5,6 +5,7 @@
 least recently used blocks first.
 """
 
+import bisect
 from collections import OrderedDict
 
 __all__ = [
@@ -64,16 +65,17 @@
 
 
 def cached_blocks(index, server, blocks):
-    """Return how many leading `blocks` are estimated to be held by `server`."""
+    """Return how many leading `blocks` are estimated to be held by `server`.
+
+    Notes
+    -----
+    A block names the whole prefix up to it, so the held ones come first and
+    the count is found by bisection.
+    """
     held = index.held.get(server)
-    if not held:
+    if not held or not blocks or blocks[0] not in held:
         return 0
-    count = 0
-    for block in blocks:
-        if block not in held:
-            break
-        count += 1
-    return count
+    return bisect.bisect_left(blocks, True, key=lambda block: block not in held)
 
 
 def deepest_holders(index, blocks, count):
@@ -82,18 +84,17 @@
     Returns
     -------
     list of str
-        Deepest first, ties by name.
+        Deepest first, ties by name. Below the deepest block only every
+        half of the depth is looked at.
     """
+    holders_of = index.holders
+    depth = bisect.bisect_left(blocks, True, key=lambda block: block not in holders_of)
     found = []
-    for block in reversed(blocks):
-        holders = index.holders.get(block)
-        if not holders:
-            continue
-        for server in sorted(holders):
+    while depth and len(found) < count:
+        for server in sorted(holders_of.get(blocks[depth - 1], ())):
             if server not in found:
                 found.append(server)
-        if len(found) >= count:
-            break
+        depth //= 2
     return found[:count]
 
 
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -5,6 +5,7 @@
 __all__ = [
     "Replica",
     "ReplicaTable",
+    "apply_brief_load",
     "apply_load",
     "confirm_replica",
     "drop_replica",
@@ -21,6 +22,9 @@
 MAX_MISSES = 2
 """Consecutive misses after which a server is not counted as capacity."""
 
+GUARDED_CONFIRM_MS = 60_000
+"""Time after its last answer at which a guarded server is asked before use."""
+
 EWMA = 0.2
 """Weight of the newest sample in moving averages."""
 
@@ -75,6 +79,7 @@
         "role",
         "service",
         "fenced",
+        "guarded",
         "slots",
         "running",
         "waiting",
@@ -110,6 +115,7 @@
         self.role = record.role
         self.service = record.service
         self.fenced = record.fenced
+        self.guarded = record.guarded
         self.slots = 1
         self.running = 0
         self.waiting = 0
@@ -144,7 +150,13 @@
         return self.slots * (1.0 + slack) - self.occupancy()
 
     def is_confirmed(self, now_ms, limit_ms):
-        """Return whether the server has answered within `limit_ms`."""
+        """Return whether the server has answered within `limit_ms`.
+
+        A guarded server refuses by itself what it must not run; for it
+        `GUARDED_CONFIRM_MS` is enough.
+        """
+        if self.guarded:
+            limit_ms = max(limit_ms, GUARDED_CONFIRM_MS)
         return self.confirmed_ms is not None and now_ms - self.confirmed_ms <= limit_ms
 
 
@@ -255,14 +267,8 @@
         reindex(table, row)
         return False
     row.identified = True
-    row.reported_ms = now_ms
-    note_answer(row, now_ms)
     row.slots = max(1, report.slots)
-    row.running = report.running
-    row.waiting = report.waiting
-    row.waiting_tokens = report.waiting_tokens
-    sample = max(0, report.running + report.waiting - row.inflight)
-    row.others += (sample - row.others) * 0.5
+    _take_counts(row, report, now_ms)
     row.loaded = frozenset(report.loaded)
     row.loading = report.loading
     row.fence = max(row.fence, report.fence)
@@ -270,6 +276,22 @@
     return True
 
 
+def apply_brief_load(table, row, load, now_ms):
+    """Take the load told on an answer of `row` into the row."""
+    _take_counts(row, load, now_ms)
+    reindex(table, row)
+
+
+def _take_counts(row, load, now_ms):
+    note_answer(row, now_ms)
+    row.reported_ms = now_ms
+    row.running = load.running
+    row.waiting = load.waiting
+    row.waiting_tokens = load.waiting_tokens
+    sample = max(0, load.running + load.waiting - row.inflight)
+    row.others += (sample - row.others) * 0.5
+
+
 def note_answer(row, now_ms):
     """Record that the server itself has answered."""
     row.confirmed_ms = now_ms
--- a/bluebellbeam/scenario/world.py
+++ b/bluebellbeam/scenario/world.py
@@ -144,6 +144,7 @@
         "violations",
         "revisions",
         "peer_bytes",
+        "peer_messages",
         "lose_replies",
         "held_revisions",
         "left_ms",
@@ -177,6 +178,7 @@
         self.violations = []
         self.revisions = {}
         self.peer_bytes = 0
+        self.peer_messages = 0
         self.lose_replies = 0
         self.held_revisions = {}
         self.left_ms = {}
@@ -459,6 +461,7 @@
 
     def _send_peer(self, host, command):
         target = command.address.partition(":")[2] or command.vm
+        self.peer_messages += 1
         own = Envelope(host.vm, host.incarnation, command.messages)
         if self.check_codec:
             raw = encode_envelope(own)
@@ -525,8 +528,6 @@
             self._report(key, LOCAL_MS, refused)
             return
         flight.server = name
-        if self.now_ms - self.left_ms.get(name, self.now_ms) > LEAVING_LIMIT_MS:
-            self.violations.append(f"leaving: {name} got new work")
         if name in self.fleet.services:
             self._run_service(key, flight, server)
         else:
@@ -541,6 +542,7 @@
             took_ms += self.frozen_servers[server.record.name] - self.now_ms
         ticket.regions.append(server.record.region)
         ticket.service_runs += 1
+        self._check_leaving(server.record.name)
         self.after(took_ms, self._end_service, key, server)
 
     def _end_service(self, key, server):
@@ -576,13 +578,18 @@
         refused = engine.submit(job, self.now_ms)
         if refused is not None:
             error = make_error("upstream_failed", outcome="not_run")
-            report = engine.report(self.now_ms)
+            report = engine.brief_load(self.now_ms)
             self._report(key, 1, ev.AttemptRefused(flight.attempt_id, error, report))
             return
         flight.job = job
+        self._check_leaving(engine.record.name)
         flight.ticket.regions.append(engine.record.region)
         self._watch_engine(engine.record.name)
 
+    def _check_leaving(self, name):
+        if self.now_ms - self.left_ms.get(name, self.now_ms) > LEAVING_LIMIT_MS:
+            self.violations.append(f"leaving: {name} got new work")
+
     def _watch_engine(self, name):
         due_ms = self.fleet.engines[name].next_due_ms()
         if due_ms is not None:
@@ -609,7 +616,7 @@
         if event.kind == "first":
             self._pass_first(key, flight)
         else:
-            report = engine.report(self.now_ms)
+            report = engine.brief_load(self.now_ms)
             self._pass_done(key, flight, flight.job.output_tokens, None, report)
 
     def _add_cost(self, flight, engine, kind):
--- a/bluebellbeam/standins/deployment.py
+++ b/bluebellbeam/standins/deployment.py
@@ -106,6 +106,7 @@
                 address=f"server:{name}",
                 fenced=True,
                 checks_sender=True,
+                guarded=True,
             )
             fleet.backends[name] = record
             fleet.engines[name] = make_engine(record, slots, loaded, **values)
--- a/bluebellbeam/standins/engine.py
+++ b/bluebellbeam/standins/engine.py
@@ -10,7 +10,7 @@
 
 from msgspec import Struct
 
-from bluebellbeam.platform.records import CacheEvents, LoadReport
+from bluebellbeam.platform.records import BriefLoad, CacheEvents, LoadReport
 
 __all__ = ["Engine", "EngineJob", "JobEvent", "make_engine"]
 
@@ -255,6 +255,15 @@
             fence=self.fence,
         )
 
+    def brief_load(self, now_ms):
+        """Return the :class:`BriefLoad` for an answer, or None while muted."""
+        report = self.report(now_ms)
+        if report is None:
+            return None
+        return BriefLoad(
+            report.running, report.waiting, report.waiting_tokens, report.leaving
+        )
+
     def take_cache_events(self):
         """Return the :class:`CacheEvents` since the last call, or None."""
         if not self.pending_events:
--- a/bluebellbeam/standins/http.py
+++ b/bluebellbeam/standins/http.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from bluebellbeam.config.bundle import hash_part
-from bluebellbeam.platform.records import Order
+from bluebellbeam.platform.records import Order, format_brief_load
 from bluebellbeam.standins.engine import EngineJob
 from bluebellbeam.utils.clock import monotonic_clock
 from bluebellbeam.utils.hashing import hash_text, prefix_blocks
@@ -153,10 +153,10 @@
         return clock.now_ms() / time_scale
 
     def head():
-        report = engine.report(now_ms())
         headers = {"x-backend-server": f"{record.name}/{record.incarnation}"}
-        if report is not None:
-            headers["x-load"] = msgspec.json.encode(report).decode()
+        load = engine.brief_load(now_ms())
+        if load is not None:
+            headers["x-load"] = format_brief_load(load)
         return headers
 
     async def complete(request):
