--- /dev/null
+++ b/bluebellbeam/daemon/tests/test_auth.py
@@ -0,0 +1,50 @@
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bluebellbeam.daemon.auth import WINDOW_MS, make_peer_auth
+from bluebellbeam.exception import PeerError
+from bluebellbeam.utils import manual_clock
+
+
+class TestPeerAuth(unittest.TestCase):
+    def setUp(self):
+        self.clock = manual_clock()
+        self.clock.advance(10**9)
+        self.sender = make_peer_auth("k" * 16, self.clock)
+        self.receiver = make_peer_auth("k" * 16, self.clock)
+        self.header = self.sender.sign("/p", "vm-1", b"body")
+
+    def _refused(self, auth, path, header, body):
+        with self.assertRaises(PeerError):
+            auth.check(path, header, body)
+
+    def test_genuine_message_is_taken_once(self):
+        self.assertEqual(self.receiver.check("/p", self.header, b"body")[0], "vm-1")
+        self._refused(self.receiver, "/p", self.header, b"body")
+
+    def test_altered_message_is_refused(self):
+        self._refused(self.receiver, "/p", self.header, b"other")
+        self._refused(self.receiver, "/q", self.header, b"body")
+        renamed = self.header.replace("vm-1", "vm-2")
+        self._refused(self.receiver, "/p", renamed, b"body")
+
+    def test_other_key_is_refused(self):
+        self._refused(make_peer_auth("x" * 16, self.clock), "/p", self.header, b"body")
+
+    def test_old_message_is_refused(self):
+        self.clock.advance(WINDOW_MS + 1)
+        self._refused(self.receiver, "/p", self.header, b"body")
+
+    def test_answer_is_bound_to_its_message(self):
+        _, nonce = self.receiver.check("/p", self.header, b"body")
+        code = self.receiver.sign_answer(nonce, b"answer")
+        self.sender.check_answer(self.header, code, b"answer")
+        with self.assertRaises(PeerError):
+            self.sender.check_answer(self.header, code, b"forged")
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.text(max_size=120) | st.none())
+    def test_any_header_is_refused(self, header):
+        self._refused(self.receiver, "/p", header, b"body")
--- /dev/null
+++ b/bluebellbeam/node/tests/test_message.py
@@ -0,0 +1,42 @@
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bluebellbeam.membership import Rumor
+from bluebellbeam.node.message import (
+    Envelope,
+    FeedPull,
+    LeaseAnswer,
+    LeaseWanted,
+    Ping,
+    Pong,
+    ProbeFor,
+    decode_envelope,
+    encode_envelope,
+)
+
+
+class TestEnvelope(unittest.TestCase):
+    def test_every_message_survives_the_wire(self):
+        rumor = Rumor("m", "vm-1", 5, 1, "suspect")
+        envelope = Envelope(
+            "vm-2",
+            7,
+            (
+                Ping({"config": 3}, (rumor,), {"m/a": (2.0, 10.0)}),
+                Pong({}, (), {}, {"m/a": (1.0, 2.0)}, "vm-9"),
+                ProbeFor("vm-3"),
+                FeedPull("config", 2),
+                LeaseWanted("vm-2", "m/a", "farm", 2, 9),
+                LeaseAnswer("m/a", "farm", "id", 2, 3000),
+            ),
+        )
+        self.assertEqual(decode_envelope(encode_envelope(envelope)), envelope)
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.binary(max_size=200))
+    def test_other_bytes_are_refused_with_one_error(self, raw):
+        with self.assertRaises((msgspec.DecodeError, UnicodeDecodeError)):
+            decode_envelope(raw)
--- /dev/null
+++ b/bluebellbeam/routing/tests/test_entry.py
@@ -0,0 +1,61 @@
+import unittest
+
+from bluebellbeam.routing import entry_role, entry_spread, rank_entries, server_subset
+
+MEMBERS = [f"vm-{i}" for i in range(8)]
+WORKSPACES = [f"workspace-{i}" for i in range(2000)]
+
+
+class TestEntryChoice(unittest.TestCase):
+    def test_loss_of_a_vm_moves_only_its_workspaces(self):
+        left = MEMBERS[1:]
+        moved = 0
+        for name in WORKSPACES:
+            before = rank_entries(name, MEMBERS, 1)[0]
+            after = rank_entries(name, left, 1)[0]
+            if before != after:
+                self.assertEqual(before, MEMBERS[0])
+                moved += 1
+        self.assertAlmostEqual(moved / len(WORKSPACES), 1 / 8, delta=0.03)
+
+    def test_successor_was_the_backup(self):
+        for name in WORKSPACES[:200]:
+            first = rank_entries(name, MEMBERS, 1)[0]
+            left = [m for m in MEMBERS if m != first]
+            heir = rank_entries(name, left, 1)[0]
+            self.assertEqual(entry_role(heir, name, MEMBERS, 1), "backup")
+
+    def test_large_workspace_is_spread(self):
+        self.assertEqual(entry_spread(1, 1000, 100), 1)
+        self.assertEqual(entry_spread(100, 1000, 100), 15)
+        self.assertEqual(entry_spread(5, 5, 3), 3)
+
+    def test_active_vms_take_turns(self):
+        firsts = {rank_entries("w", MEMBERS, 3, turn)[0] for turn in range(3)}
+        self.assertEqual(len(firsts), 3)
+        for turn in range(3):
+            self.assertEqual(set(rank_entries("w", MEMBERS, 3, turn)), set(MEMBERS))
+
+
+class TestSubset(unittest.TestCase):
+    def setUp(self):
+        self.members = [f"vm-{i}" for i in range(117)]
+        self.servers = [f"server-{i}" for i in range(1430)]
+
+    def _subsets(self, members):
+        chosen = {m: server_subset(m, members, self.servers, 32) for m in members[:20]}
+        return {m: set(names) for m, names in chosen.items()}
+
+    def test_small_region_is_used_whole(self):
+        self.assertEqual(server_subset("vm-0", ["vm-0", "vm-1"], ["s"], 32), ["s"])
+
+    def test_subset_is_bounded_whatever_the_region(self):
+        sizes = [len(names) for names in self._subsets(self.members).values()]
+        self.assertLess(max(sizes), 32 * 2.5)
+        self.assertGreater(min(sizes), 32 / 2.5)
+
+    def test_loss_of_a_member_changes_few(self):
+        before = self._subsets(self.members)
+        after = self._subsets([m for m in self.members if m != "vm-50"])
+        changed = sum(len(before[m] ^ after[m]) for m in before)
+        self.assertLess(changed, 0.1 * sum(len(names) for names in before.values()))
