--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,14 @@
 faults: setup
 	$(BIN)/python -m benchmarks.faults --count 10000
 	$(BIN)/python -m benchmarks.faults --table
+
+bench: setup
+	$(BIN)/python -m benchmarks.policy
+	$(BIN)/python -m benchmarks.decision
+
+capacity: setup
+	$(BIN)/python -m benchmarks.capacity
+
+docs: setup
+	$(BIN)/bluebellbeam write-references docs
+	$(BIN)/python -m benchmarks.report
--- a/bluebellbeam/cli/main.py
+++ b/bluebellbeam/cli/main.py
@@ -269,10 +269,11 @@
     click.echo(kind(main, {}, "bluebellbeam", "_BLUEBELLBEAM_COMPLETE").source())
 
 
-@main.command("docs-config", hidden=True)
-@click.argument("target", type=click.Path(dir_okay=False))
-def docs_config(target):
-    """Write the configuration reference to TARGET."""
-    from bluebellbeam.cli.reference import configuration_reference
-
-    Path(target).write_text(configuration_reference())
+@main.command("write-references", hidden=True)
+@click.argument("folder", type=click.Path(file_okay=False))
+def write_references(folder):
+    """Write the generated references into FOLDER."""
+    from bluebellbeam.cli.reference import configuration_reference, error_reference
+
+    Path(folder, "CONFIGURATION.md").write_text(configuration_reference())
+    Path(folder, "ERRORS.md").write_text(error_reference())
--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -44,6 +44,8 @@
         Requests whose caller waits, by request id.
     attempts : dict of int to asyncio.Task
     stopped : asyncio.Event
+    observe_first : callable or None
+        Told the kind of a request and the seconds until its answer began.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         "log",
         "peer_bytes_sent",
         "peer_bytes_received",
+        "observe_first",
     )
 
     def __init__(self, node, settings):
@@ -78,6 +81,7 @@
         self.log = structlog.get_logger()
         self.peer_bytes_sent = 0
         self.peer_bytes_received = 0
+        self.observe_first = None
 
     async def open(self):
         """Open the HTTP clients; call it inside the running loop."""
@@ -116,6 +120,15 @@
         self.handle(ev.RequestArrived(request))
         return exchange
 
+    def note_first(self, request):
+        """Report how long the answer to `request` took to begin."""
+        exchange = self.exchanges.get(request.request_id)
+        if exchange is None or self.observe_first is None:
+            return
+        kind = "service" if request.service else request.priority
+        took_ms = self.clock.now_ms() - exchange.arrived_ms
+        self.observe_first(kind, took_ms / 1000.0)
+
     def release(self, request_id):
         """Forget a request whose caller has its answer, or has gone."""
         exchange = self.exchanges.pop(request_id, None)
--- a/bluebellbeam/daemon/metrics.py
+++ b/bluebellbeam/daemon/metrics.py
@@ -109,6 +109,10 @@
             registry=self.registry,
         )
 
+    def observe_first(self, kind, seconds):
+        """Count the time until an answer began, by kind of request."""
+        self.first_seconds.labels(kind).observe(seconds)
+
     def render(self):
         """Return the text of a scrape."""
         return generate_latest(self.registry)
--- a/bluebellbeam/daemon/server.py
+++ b/bluebellbeam/daemon/server.py
@@ -41,6 +41,7 @@
     def __init__(self, driver, sockets):
         self.driver = driver
         self.metrics = make_metrics(driver)
+        driver.observe_first = self.metrics.observe_first
         self.sockets = sockets
         self.servers = []
 
--- a/bluebellbeam/daemon/tests/test_loopback.py
+++ b/bluebellbeam/daemon/tests/test_loopback.py
@@ -301,6 +301,8 @@
                     self.assertEqual(answer.status, 200, path)
                     texts[path] = await answer.text()
             self.assertIn("bluebellbeam_answered_total 1.0", texts["/metrics"])
+            count = 'first_token_seconds_count{kind="interactive"} 1.0'
+            self.assertIn(count, texts["/metrics"])
             self.assertNotIn("key-field-notes", "".join(texts.values()))
             feeds = json.loads(texts["/state?table=feeds"])["feeds"]
             self.assertIn("config", [row["key"] for row in feeds])
