Lean batch and interactive prompts towards different engines

Change: every daemon ranks a pool's replicas by the same hash; batch prompts lean to one end, interactive ones to the other, by at most 120 ms.

--- a/bluebellbeam/routing/choose.py
+++ b/bluebellbeam/routing/choose.py
@@ -11,6 +11,7 @@
 
 from bluebellbeam.routing.estimate import estimate_local, score_estimate
 from bluebellbeam.routing.prefix import cached_blocks, deepest_holders
+from bluebellbeam.routing.separate import separation_ms
 
 __all__ = ["Candidate", "choose_replica"]
 
@@ -74,6 +75,7 @@
         cached = min(blocks * view.block_tokens, request.prompt_tokens)
         estimate = estimate_local(row, request, model, region, cached, now_ms)
         score = score_estimate(estimate, view.objective)
+        score += separation_ms(view, row, request)
         scored.append(Candidate(row.name, score, estimate, cached))
     scored.sort(key=lambda item: (item.score, item.server))
     if scored and _waits_for_prefix(view, request, scored[0], now_ms):
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -163,17 +163,28 @@
 class ReplicaTable:
     """Backend servers by name and, for each pool, sorted by load.
 
+    Attributes
+    ----------
+    rows : dict of str to Replica
+    pools : dict of str to SortedKeyList
+    left : dict of str to int
+        Incarnation up to which a server is leaving.
+    pool_changes : int
+        Grows whenever a server enters or leaves a pool.
+
+    Notes
+    -----
     A pool is ``m/<name>`` for every replica that holds a version of the model
     or adapter, ``m/<name>@<version>``, or ``s/<service>``.
     """
 
-    __slots__ = ("rows", "pools", "left", "generation")
+    __slots__ = ("rows", "pools", "left", "pool_changes")
 
     def __init__(self):
         self.rows = {}
         self.pools = {}
         self.left = {}
-        self.generation = 0
+        self.pool_changes = 0
 
     def pool(self, name):
         """Return the replicas of pool `name`, least loaded first."""
@@ -233,6 +244,7 @@
     for pool in row.pools:
         table.pools[pool].discard(row)
     row.pools = ()
+    table.pool_changes += 1
 
 
 def mark_leaving(table, name, incarnation):
@@ -350,14 +362,16 @@
     for pool in row.pools:
         table.pools[pool].discard(row)
     row.load_key = row.occupancy() / row.slots + (row.slowness - 1.0)
-    row.pools = _usable_pools(row)
+    pools = _usable_pools(row)
+    if pools != row.pools:
+        row.pools = pools
+        table.pool_changes += 1
     for pool in row.pools:
         index = table.pools.get(pool)
         if index is None:
             index = SortedKeyList(key=_sort_key)
             table.pools[pool] = index
         index.add(row)
-    table.generation += 1
 
 
 def _sort_key(row):
