Lend half slots rounded up

Cause: a lender's share of the free slots is a fraction; cut down to whole slots, two daemons of a region lent less than there was. Change: shares are rounded; an offer of half a slot is asked for.

--- a/bluebellbeam/borrowing/__init__.py
+++ b/bluebellbeam/borrowing/__init__.py
@@ -1,6 +1,7 @@
 """Leases of capacity between regions: the lender's and the borrower's side."""
 
 from bluebellbeam.borrowing.borrower import (
+    LEAST_SPARE,
     BorrowerTable,
     HeldLease,
     RegionOffer,
@@ -28,6 +29,7 @@
 )
 
 __all__ = [
+    "LEAST_SPARE",
     "RESERVE_SHARE",
     "BorrowerTable",
     "GrantedLease",
--- a/bluebellbeam/borrowing/borrower.py
+++ b/bluebellbeam/borrowing/borrower.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 __all__ = [
+    "LEAST_SPARE",
     "BorrowerTable",
     "HeldLease",
     "RegionOffer",
@@ -18,6 +19,9 @@
 OFFER_STALE_MS = 12_000
 """Age at which an offer is no longer believed."""
 
+LEAST_SPARE = 0.5
+"""Spare slots at which a lender is asked; half a slot is rounded up."""
+
 SAFETY_MS = 200
 """A lease is used up to this long before its end, to arrive in time."""
 
@@ -137,7 +141,7 @@
     return [
         offer
         for offer in fresh_offers(table, pool, allowed, now_ms)
-        if offer.spare >= 1.0
+        if offer.spare >= LEAST_SPARE
         and table.refused_until_ms.get((offer.lender, pool), 0) <= now_ms
     ]
 
--- a/bluebellbeam/borrowing/lender.py
+++ b/bluebellbeam/borrowing/lender.py
@@ -97,8 +97,8 @@
         if lease.pool == wanted.pool and lease.workspace == wanted.workspace
     )
     total = spare + leased_slots(table, wanted.pool)
-    fair = max(1, int(total / len(demand)))
-    slots = min(wanted.slots, int(spare), fair - held)
+    fair = max(1, round(total / len(demand)))
+    slots = min(wanted.slots, round(spare), fair - held)
     if slots < 1:
         table.refused += 1
         return None
--- a/bluebellbeam/node/lending.py
+++ b/bluebellbeam/node/lending.py
@@ -1,6 +1,7 @@
 """Lending and borrowing systems: leases of capacity between regions."""
 
 from bluebellbeam.borrowing import (
+    LEAST_SPARE,
     RESERVE_SHARE,
     HeldLease,
     best_offer,
@@ -95,7 +96,7 @@
         if "@" in pool:
             continue
         spare = spare_slots(state, pool)
-        if spare >= 1.0:
+        if spare >= LEAST_SPARE:
             offers[pool] = (round(spare, 1), round(local_wait_ms(state, pool), 0))
         if len(offers) == OFFERED_POOLS:
             break
