Let a batch prompt wait while its server computes another of ours

Cause: two long prefills of one daemon stacked on an engine hold up every chat that comes after. Change: a batch prompt is not sent to a server that still has over 512 of our prompt tokens to compute.

--- a/bluebellbeam/routing/choose.py
+++ b/bluebellbeam/routing/choose.py
@@ -26,6 +26,9 @@
 """Share of a server's slots that batch requests leave free."""
 
 
+BATCH_AHEAD_TOKENS = 512
+"""A batch prompt waits while its server has more of our tokens to compute."""
+
 BATCH_PATIENCE_MS = 6000
 """Longest wait of a batch prompt for the server that holds its prefix."""
 
@@ -110,6 +113,7 @@
     """
     if request.priority == "batch":
         room = row.free_slots() >= 1.0 + BATCH_RESERVE * row.slots
+        room = room and row.inflight_tokens <= BATCH_AHEAD_TOKENS
     else:
         room = row.free_slots(slack) >= 1.0
     return (
