Believe quickly that a server has become slow

Cause: a server six times slower kept getting chats until a moving average of a fifth of each sample had followed. Change: a sample that shows a server slower than believed counts half, one that shows it faster a fifth.

--- a/bluebellbeam/recovery/outlier.py
+++ b/bluebellbeam/recovery/outlier.py
@@ -7,6 +7,9 @@
 MAX_EJECTION_FACTOR = 8
 """Longest ejection, relative to the first."""
 
+SLOWER = 0.5
+"""Weight of a sample that shows a server slower than believed."""
+
 MAX_SLOWNESS = 20.0
 """Bound of the slowness estimate."""
 
@@ -45,7 +48,8 @@
     """Compare an observed time with the one expected and keep the ratio."""
     ratio = (observed_ms + 20.0) / (expected_ms / row.slowness + 20.0)
     ratio = min(MAX_SLOWNESS, max(0.2, ratio))
-    row.slowness += (ratio - row.slowness) * EWMA
+    step = SLOWER if ratio > row.slowness else EWMA
+    row.slowness += (ratio - row.slowness) * step
     row.slowness = max(1.0, row.slowness)
     reindex(table, row)
 
