--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -37,8 +37,12 @@
 CACHE_BLOCKS = 1024
 MAX_LATENCY_MS = 600_000
 
+OTHER_OBJECTIVE = "other's weights"
+"""Our policy with the objective of the other deployment."""
+
 POLICIES = {
     "ours": EstimatePolicy(),
+    OTHER_OBJECTIVE: EstimatePolicy(),
     "local only": LocalOnlyPolicy(),
     "round robin": RoundRobinPolicy(),
     "least requests": LeastRequestsPolicy(),
@@ -117,6 +121,9 @@
 def run_case(user, case, policy, seed=1):
     """Run one session and return its :class:`Sample`."""
     base, overlays = read_example(user)
+    if policy == OTHER_OBJECTIVE:
+        other = next(name for name in EXAMPLES if name != user)
+        base["objective"] = read_example(other)[0]["objective"]
     world = make_world(base, overlays, seed, TICK_MS, POLICIES[policy])
     world.check_codec = False
     for engine in world.fleet.engines.values():
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -67,7 +67,7 @@
     for i, vm in enumerate(world.fleet.entries):
         world.hosts[vm] = Host(vm, world.fleet.entries[vm].region)
         world.start_daemon(vm)
-        world.after(1 + (i * 7) % TICK_MS, world._tick, vm, world.hosts[vm].run)
+        world.after(1 + (i * 7) % TICK_MS, world.tick_host, vm, world.hosts[vm].run)
 
 
 def _change(world, revision):
--- /dev/null
+++ b/benchmarks/tests/test_bounds.py
@@ -0,0 +1,73 @@
+import json
+import unittest
+
+import msgspec
+
+from benchmarks.policy import (
+    RESULTS,
+    Result,
+    check_bounds,
+    merge_samples,
+    run_case,
+)
+
+NEWEST = sorted(RESULTS.glob("*.json"))[-1]
+SEEDS = (1, 2, 3)
+
+
+def read_newest():
+    return [msgspec.convert(row, Result) for row in json.loads(NEWEST.read_text())]
+
+
+class TestBounds(unittest.TestCase):
+    """Each case keeps the stated bounds; one test for each user and case."""
+
+
+def _add_bound_test(user, case):
+    def test(self):
+        missed = check_bounds(read_newest())
+        mine = [line for line in missed if line.startswith(f"{user}, {case}: ")]
+        self.assertEqual(mine, [])
+
+    name = f"test_{user}_{case.replace(' ', '_')}"
+    setattr(TestBounds, name, test)
+
+
+for _user, _case in sorted({(r.user, r.case) for r in read_newest()}):
+    _add_bound_test(_user, _case)
+
+
+class TestResults(unittest.TestCase):
+    def test_results_are_those_of_the_present_code(self):
+        for user, case in (("fraserleaf", "steady"), ("fellesdepot", "capacity loss")):
+            samples = [run_case(user, case, "ours", seed) for seed in SEEDS]
+            found = merge_samples(user, case, "ours", samples)
+            kept = next(
+                r
+                for r in read_newest()
+                if (r.user, r.case, r.policy) == (user, case, "ours")
+            )
+            self.assertEqual(found, kept)
+
+
+class TestObjective(unittest.TestCase):
+    """Each user's weights change decisions in the direction it asks for."""
+
+    def _of(self, user, policy, case):
+        key = (user, case, policy)
+        rows = {(r.user, r.case, r.policy): r for r in read_newest()}
+        return rows[key]
+
+    def test_fraserleaf_pays_less_and_sends_less_away(self):
+        own = self._of("fraserleaf", "ours", "peak")
+        other = self._of("fraserleaf", "other's weights", "peak")
+        self.assertLess(own.cost, other.cost)
+        self.assertLess(own.away_share, other.away_share)
+
+    def test_fellesdepot_has_the_shorter_tail(self):
+        own = self._of("fellesdepot", "ours", "peak")
+        other = self._of("fellesdepot", "other's weights", "peak")
+        self.assertLess(
+            own.first_ms["interactive"][2], other.first_ms["interactive"][2]
+        )
+        self.assertGreater(own.away_share, other.away_share)
