--- a/benchmarks/decision.py
+++ b/benchmarks/decision.py
@@ -18,7 +18,7 @@
 from bluebellbeam.cli.logs import configure_logs
 from bluebellbeam.demo import Deployment
 from bluebellbeam.examples import read_example
-from bluebellbeam.node import NodeIdentity, Request, make_node
+from bluebellbeam.node import Request
 from bluebellbeam.node import event as ev
 from bluebellbeam.platform.records import LoadReport, VmRecord
 from bluebellbeam.routing import choose_replica, note_prefix, update_replicas
@@ -83,12 +83,6 @@
     return (time.perf_counter() - start) / count * 1e6
 
 
-def idle_node():
-    """Return a node that knows nothing."""
-    identity = NodeIdentity("vm", 1, "region", "domain", "site")
-    return make_node(identity, 1, b"key")
-
-
 async def _call(session, url, headers, body, histogram):
     start = time.perf_counter()
     async with session.post(url, json=body, headers=headers) as answer:
--- a/bluebellbeam/config/fault.py
+++ b/bluebellbeam/config/fault.py
@@ -5,7 +5,7 @@
 
 import msgspec
 from msgspec import Struct
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 __all__ = ["Fault", "decode_document", "nearest_name"]
 
@@ -100,18 +100,3 @@
         else:
             pending.extend(getattr(current, "__args__", ()))
     return names
-
-
-def collect(*results):
-    """Return every fault of the failed `results`, as one tuple."""
-    faults = []
-    for result in results:
-        match result:
-            case Failure(found):
-                faults.extend(found)
-            case Success(_):
-                pass
-    return tuple(faults)
-
-
-DecodeResult = Result
--- a/bluebellbeam/config/settings.py
+++ b/bluebellbeam/config/settings.py
@@ -3,7 +3,7 @@
 import ipaddress
 from pathlib import Path
 
-from msgspec import Struct, field
+from msgspec import Struct
 from returns.result import Failure, Success
 
 from bluebellbeam.config.fault import Fault, decode_document
@@ -48,7 +48,6 @@
     peer_key: str
     platform: PlatformAddresses
     seed_peers: tuple[str, ...] = ()
-    advertise: dict[str, str] = field(default_factory=dict)
 
 
 def decode_settings(raw):
--- a/bluebellbeam/daemon/exchange.py
+++ b/bluebellbeam/daemon/exchange.py
@@ -71,7 +71,6 @@
         "text",
         "emitted",
         "items",
-        "final",
         "arrived_ms",
     )
 
@@ -84,7 +83,6 @@
         self.text = []
         self.emitted = 0
         self.items = asyncio.Queue(MAX_CHUNKS)
-        self.final = asyncio.Event()
         self.arrived_ms = arrived_ms
 
     async def put(self, item):
--- /dev/null
+++ b/bluebellbeam/daemon/tests/test_hostile.py
@@ -0,0 +1,88 @@
+import asyncio
+import json
+import unittest
+
+from bluebellbeam.daemon.listener import MAX_HEADER_BYTES
+from bluebellbeam.daemon.tests.test_loopback import (
+    LoopbackCase,
+    caller_url,
+    chat_body,
+    key_of,
+)
+
+
+async def send_raw(address, raw):
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(raw)
+    await writer.drain()
+    answer = await asyncio.wait_for(reader.read(), 15)
+    writer.close()
+    return answer
+
+
+class TestHostileInput(LoopbackCase):
+    """Malformed input is refused, and nothing of it reaches an engine."""
+
+    def _runs(self, deployment):
+        return [run for e in deployment.fleet.engines.values() for run in e.runs]
+
+    def test_smuggled_and_malformed_requests(self):
+        head = "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n"
+        key = "authorization: Bearer key-field-notes\r\n"
+        body = json.dumps(chat_body("x", False))
+        cases = (
+            f"{head}{key}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n"
+            f"0\r\n\r\n{body}",
+            f"{head}{key}content-length: abc\r\n\r\n{body}",
+            f"{head}{key}content-length: -1\r\n\r\n{body}",
+            "NOT HTTP AT ALL\r\n\r\n",
+            f"{head}{key}x: {'a' * (MAX_HEADER_BYTES + 1)}\r\n\r\n",
+        )
+
+        async def step(deployment, session):
+            address = deployment.fleet.entries["burnaby-hall-1"].caller_address
+            for raw in cases:
+                closing = raw.replace("host: a", "host: a\r\nconnection: close")
+                answer = await send_raw(address, closing.encode())
+                status = answer.split(b" ", 2)[1:2]
+                self.assertNotEqual(status, [b"200"], raw[:80])
+            self.assertEqual(self._runs(deployment), [])
+
+        self.run_with(step)
+
+    def test_oversized_body(self):
+        async def step(deployment, session):
+            url = caller_url(deployment, "/v1/chat/completions")
+            headers = key_of("field-notes") | {"content-length": str(64 << 20)}
+            address = url.split("/")[2]
+            lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+            raw = f"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n{lines}\r\n"
+            answer = await send_raw(address, raw.encode())
+            self.assertIn(b" 413 ", answer.split(b"\r\n")[0])
+            self.assertIn(b'"code":"too_large"', answer)
+            self.assertEqual(self._runs(deployment), [])
+
+        self.run_with(step)
+
+    def test_slow_reader_holds_only_its_own_stream_back(self):
+        async def step(deployment, session):
+            url = caller_url(deployment, "/v1/chat/completions")
+            headers = key_of("field-notes")
+            body = chat_body("slow", True, 300)
+            slow = await session.post(url, json=body, headers=headers)
+            await slow.content.readline()
+            async with session.post(
+                url, json=chat_body("fast", False), headers=headers
+            ) as answer:
+                self.assertEqual(answer.status, 200)
+            driver = deployment.daemons["burnaby-hall-1"].driver
+            for exchange in driver.exchanges.values():
+                self.assertLessEqual(exchange.items.qsize(), exchange.items.maxsize)
+            slow.close()
+
+        self.run_with(step)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/bluebellbeam/membership/table.py
+++ b/bluebellbeam/membership/table.py
@@ -15,8 +15,6 @@
     "usable_members",
 ]
 
-Status = Literal["alive", "suspect", "dead"]
-
 _RANK = {"alive": 0, "suspect": 1, "dead": 2}
 
 
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -310,7 +310,6 @@
     if not candidates or not is_local(state, request):
         return None
     attempt = _new_attempt(state, request, now_ms)
-    attempt.hedge = True
     row = state.replicas.rows[candidates[0].server]
     _send_to_server(state, attempt, row, candidates[0], now_ms)
     state.decide(request.request_id, ("hedge", now_ms, candidates[:6]))
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -11,7 +11,6 @@
     request_id, workspace : str
     origin : str
         Empty for a caller of this daemon, else the forwarding VM.
-    origin_region : str
     model, adapter, service, method, path : str
     pool : str
         Pool of backend servers that can run it.
@@ -50,7 +49,6 @@
         "request_id",
         "workspace",
         "origin",
-        "origin_region",
         "model",
         "adapter",
         "service",
@@ -85,7 +83,6 @@
         self.request_id = request_id
         self.workspace = workspace
         self.origin = values.pop("origin", "")
-        self.origin_region = values.pop("origin_region", "")
         self.model = values.pop("model", "")
         self.adapter = values.pop("adapter", None)
         self.service = values.pop("service", "")
@@ -136,7 +133,6 @@
     expected_ms : float
     tokens : int
         Uncached prompt tokens expected.
-    hedge : bool
     """
 
     __slots__ = (
@@ -149,7 +145,6 @@
         "first_ms",
         "expected_ms",
         "tokens",
-        "hedge",
     )
 
     def __init__(self, attempt_id, request, server, peer, started_ms):
@@ -162,4 +157,3 @@
         self.first_ms = None
         self.expected_ms = 0.0
         self.tokens = 0
-        self.hedge = False
--- /dev/null
+++ b/bluebellbeam/platform/tests/test_clients.py
@@ -0,0 +1,113 @@
+import asyncio
+import unittest
+
+import aiohttp
+
+from bluebellbeam.examples import read_example
+from bluebellbeam.exception import PlatformError
+from bluebellbeam.platform import BriefLoad, format_brief_load, parse_brief_load
+from bluebellbeam.platform.clients import (
+    KEY_TTL_MS,
+    make_directory_client,
+    make_feed_client,
+)
+from bluebellbeam.standins import make_directory, make_store
+from bluebellbeam.standins.http import make_platform_server
+from bluebellbeam.utils import manual_clock
+
+
+class PlatformCase(unittest.TestCase):
+    def setUp(self):
+        self.store = make_store()
+        self.store.publish_config(1, *read_example("fraserleaf"))
+        self.directory = make_directory({"key-a": "farm-audits"})
+
+    def run_with(self, step):
+        async def run():
+            server = make_platform_server(self.store, self.directory)
+            await server.start()
+            try:
+                async with aiohttp.ClientSession() as session:
+                    await step(session, server.address)
+            finally:
+                await server.stop()
+
+        asyncio.run(run())
+
+
+class TestFeedClient(PlatformCase):
+    def test_only_changed_parts_are_fetched(self):
+        async def step(session, address):
+            client = make_feed_client(session, address)
+            first = await client.read("config", 0, False)
+            self.assertEqual(first.version, 1)
+            calls = client.calls
+            base, overlays = read_example("fraserleaf")
+            overlays["fsj-hall"]["workspaces"] = {}
+            self.store.publish_config(2, base, overlays)
+            second = await client.read("config", 1, True)
+            self.assertEqual((second.version, client.calls - calls), (2, 2))
+
+        self.run_with(step)
+
+    def test_half_published_revision_is_not_given_out(self):
+        async def step(session, address):
+            client = make_feed_client(session, address)
+            self.store.hidden.add("deployment")
+            with self.assertRaises(PlatformError):
+                await client.read("config", 0, False)
+            self.store.hidden.clear()
+            snapshot = await client.read("config", 0, False)
+            self.assertIn("deployment", snapshot.parts)
+
+        self.run_with(step)
+
+    def test_service_that_is_down(self):
+        async def step(session, address):
+            self.store.down = True
+            with self.assertRaises(PlatformError):
+                await make_feed_client(session, address).read("config", 0, False)
+
+        self.run_with(step)
+
+    def test_unknown_part_is_refused(self):
+        async def step(session, address):
+            client = make_feed_client(session, address)
+            with self.assertRaises(PlatformError):
+                await client._get_part("0" * 32)
+
+        self.run_with(step)
+
+
+class TestDirectoryClient(PlatformCase):
+    def test_known_keys_outlast_the_directory(self):
+        async def step(session, address):
+            clock = manual_clock()
+            client = make_directory_client(session, address, clock)
+            self.assertEqual(await client.resolve("key-a"), "farm-audits")
+            self.assertIsNone(await client.resolve("key-b"))
+            self.directory.down = True
+            clock.advance(KEY_TTL_MS + 1)
+            self.assertEqual(await client.resolve("key-a"), "farm-audits")
+            with self.assertRaises(PlatformError):
+                await client.resolve("key-c")
+
+        self.run_with(step)
+
+    def test_keys_are_not_kept_in_clear(self):
+        async def step(session, address):
+            client = make_directory_client(session, address, manual_clock())
+            await client.resolve("key-a")
+            self.assertNotIn("key-a", str(client.known))
+
+        self.run_with(step)
+
+
+class TestBriefLoad(unittest.TestCase):
+    def test_survives_the_header(self):
+        load = BriefLoad(3, 0, 1200, True)
+        self.assertEqual(parse_brief_load(format_brief_load(load)), load)
+
+    def test_other_text_is_refused(self):
+        for text in ("", "1 2", "1 2 x live", "-1 0 0 live", "1 2 3 4 5"):
+            self.assertIsNone(parse_brief_load(text))
--- a/bluebellbeam/routing/__init__.py
+++ b/bluebellbeam/routing/__init__.py
@@ -36,6 +36,7 @@
     note_finished,
     note_miss,
     note_started,
+    prune_left,
     reindex,
     update_replicas,
 )
@@ -68,6 +69,7 @@
     "note_miss",
     "note_prefix",
     "note_started",
+    "prune_left",
     "rank_entries",
     "reindex",
     "score_estimate",
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -15,6 +15,7 @@
     "note_finished",
     "note_miss",
     "note_started",
+    "prune_left",
     "reindex",
     "update_replicas",
 ]
@@ -25,6 +26,9 @@
 GUARDED_CONFIRM_MS = 60_000
 """Time after its last answer at which a guarded server is asked before use."""
 
+MAX_LEFT = 10_000
+"""Leaving marks that are kept."""
+
 EWMA = 0.2
 """Weight of the newest sample in moving averages."""
 
@@ -265,6 +269,12 @@
     return True
 
 
+def prune_left(table):
+    """Forget leaving marks of servers that are not used any more."""
+    if len(table.left) > MAX_LEFT:
+        table.left = {n: i for n, i in table.left.items() if n in table.rows}
+
+
 def apply_load(table, row, report, now_ms):
     """Take a load report of the same server and incarnation into `row`.
 
--- a/bluebellbeam/scenario/attempts.py
+++ b/bluebellbeam/scenario/attempts.py
@@ -48,7 +48,6 @@
         "peer",
         "peer_request_id",
         "job",
-        "over",
     )
 
     def __init__(self, vm, run, command, ticket):
@@ -61,7 +60,6 @@
         self.peer = command.peer
         self.peer_request_id = ""
         self.job = None
-        self.over = False
 
 
 def abandon_attempt(world, flight):
@@ -129,7 +127,6 @@
     if world.is_frozen(server.record.name):
         took_ms += world.frozen_servers[server.record.name] - world.now_ms
     ticket.regions.append(server.record.region)
-    ticket.service_runs += 1
     _check_leaving(world, server.record.name)
     world.after(took_ms, _end_service, world, key, server)
 
--- a/bluebellbeam/scenario/surroundings.py
+++ b/bluebellbeam/scenario/surroundings.py
@@ -18,7 +18,6 @@
 PLATFORM_MS = 5
 PEER_TIMEOUT_MS = 2000
 WATCH_MS = 25_000
-LOAD_MS = 1500
 
 
 def read_feed(world, host, command):
@@ -78,7 +77,8 @@
     reason = "no answer"
     if name is not None:
         engine = world.fleet.engines[name]
-        reason = engine.take_order(command.order, world.now_ms, LOAD_MS)
+        load_ms = _load_ms(world, command.order)
+        reason = engine.take_order(command.order, world.now_ms, load_ms)
         watch_engine(world, name)
         world.note(f"order {name} {command.order.load} from {host.vm}: {reason}")
     answer = ev.OrderAnswered(command.order.server, reason is None, reason or "")
@@ -92,7 +92,6 @@
     own = Envelope(host.vm, host.incarnation, command.messages)
     if world.check_codec:
         raw = encode_envelope(own)
-        world.peer_bytes += len(raw)
         own = decode_envelope(raw)
     other = world.hosts.get(target)
     if other is None or other.node is None or world.peers_cut(host.vm, target):
@@ -124,3 +123,10 @@
         record = server.record
         return ev.ServerConfirmed(asked, record.name, record.incarnation)
     return ev.LoadReported(asked, report)
+
+
+def _load_ms(world, order):
+    """Return how long the weight store takes for what an order loads."""
+    name = order.load.partition("@")[0]
+    model = world.base["models"].get(name, {})
+    return world.weights.transfer_ms(model.get("weights_mb", 100), world.now_ms)
--- a/bluebellbeam/scenario/ticket.py
+++ b/bluebellbeam/scenario/ticket.py
@@ -53,9 +53,7 @@
         "regions",
         "away",
         "final",
-        "spec",
         "cost",
-        "service_runs",
         "run",
         "attempts",
     )
@@ -78,9 +76,7 @@
         self.regions = []
         self.away = False
         self.final = 0
-        self.spec = None
         self.cost = 0.0
-        self.service_runs = 0
         self.run = 0
         self.attempts = 0
 
--- a/bluebellbeam/scenario/world.py
+++ b/bluebellbeam/scenario/world.py
@@ -32,7 +32,7 @@
     send_peer,
 )
 from bluebellbeam.scenario.ticket import Ticket
-from bluebellbeam.standins import make_store
+from bluebellbeam.standins import make_store, make_weight_store
 from bluebellbeam.standins.deployment import make_fleet, publish_lists
 
 __all__ = ["Host", "World", "make_world"]
@@ -77,6 +77,7 @@
     now_ms : float
     fleet : Fleet
     store : Store
+    weights : WeightStore
     hosts : dict of str to Host
     tickets : dict of str to Ticket
     cuts : set of (str, str)
@@ -91,6 +92,7 @@
         "now_ms",
         "fleet",
         "store",
+        "weights",
         "hosts",
         "tickets",
         "flights",
@@ -110,14 +112,12 @@
         "ended",
         "violations",
         "revisions",
-        "peer_bytes",
         "peer_messages",
         "lose_replies",
         "held_revisions",
         "left_ms",
         "_heap",
         "_count",
-        "server_jobs",
         "forwarded",
     )
 
@@ -127,6 +127,7 @@
         self.overlays = overlays
         self.fleet = make_fleet(base, slots, replicas)
         self.store = make_store()
+        self.weights = make_weight_store()
         self.hosts = {}
         self.tickets = {}
         self.flights = {}
@@ -144,12 +145,10 @@
         self.ended = {}
         self.violations = []
         self.revisions = {}
-        self.peer_bytes = 0
         self.peer_messages = 0
         self.lose_replies = 0
         self.held_revisions = {}
         self.left_ms = {}
-        self.server_jobs = {}
         self.forwarded = {}
         self._heap = []
         self._count = itertools.count()
--- a/bluebellbeam/standins/__init__.py
+++ b/bluebellbeam/standins/__init__.py
@@ -8,6 +8,7 @@
     WeightStore,
     make_directory,
     make_store,
+    make_weight_store,
 )
 
 __all__ = [
@@ -22,4 +23,5 @@
     "make_engine",
     "make_service",
     "make_store",
+    "make_weight_store",
 ]
--- a/bluebellbeam/standins/engine.py
+++ b/bluebellbeam/standins/engine.py
@@ -111,7 +111,6 @@
         "slots",
         "loaded",
         "loading",
-        "load_done_ms",
         "unload",
         "prefill_tokens_per_s",
         "inter_token_ms",
@@ -146,7 +145,6 @@
         self.slots = slots
         self.loaded = list(loaded)
         self.loading = ""
-        self.load_done_ms = None
         self.unload = ""
         self.prefill_tokens_per_s = values.get("prefill_tokens_per_s", 4000.0)
         self.inter_token_ms = values.get("inter_token_ms", 30.0)
--- a/bluebellbeam/standins/http.py
+++ b/bluebellbeam/standins/http.py
@@ -109,7 +109,9 @@
             return web.Response(status=503)
         for versions in store.feeds.values():
             for _, parts in versions:
-                for raw in parts.values():
+                for name, raw in parts.items():
+                    if name in store.hidden:
+                        continue
                     if hash_part(raw) == request.match_info["digest"]:
                         return web.Response(body=raw)
         return web.Response(status=404)
--- a/bluebellbeam/standins/store.py
+++ b/bluebellbeam/standins/store.py
@@ -9,7 +9,14 @@
 from bluebellbeam.config.bundle import bundle_digest, canonical_json, split_documents
 from bluebellbeam.feeds import Snapshot
 
-__all__ = ["Directory", "Store", "WeightStore", "make_directory", "make_store"]
+__all__ = [
+    "Directory",
+    "Store",
+    "WeightStore",
+    "make_directory",
+    "make_store",
+    "make_weight_store",
+]
 
 VALUE_LIMIT_BYTES = 1_000_000
 """Largest value that the configuration service holds."""
@@ -27,15 +34,18 @@
         Fault: no call is answered.
     stale_version : dict of str to int
         Fault: hand out this version instead of the newest.
+    hidden : set of str
+        Fault: parts that the manifest names and that cannot be read yet.
     """
 
-    __slots__ = ("feeds", "calls", "down", "stale_version")
+    __slots__ = ("feeds", "calls", "down", "stale_version", "hidden")
 
     def __init__(self):
         self.feeds = {}
         self.calls = 0
         self.down = False
         self.stale_version = {}
+        self.hidden = set()
 
     def publish(self, key, version, parts):
         """Publish `parts`, a dict of name to bytes, as `version` of a feed."""
@@ -113,24 +123,26 @@
     rate_mb_per_s : float
     free_ms : float
         When the last transfer ends.
-    transfers : int
     """
 
-    __slots__ = ("rate_mb_per_s", "free_ms", "transfers")
+    __slots__ = ("rate_mb_per_s", "free_ms")
 
-    def __init__(self, rate_mb_per_s=2000.0):
+    def __init__(self, rate_mb_per_s):
         self.rate_mb_per_s = rate_mb_per_s
         self.free_ms = 0.0
-        self.transfers = 0
 
     def transfer_ms(self, size_mb, now_ms):
         """Return how long a transfer that begins now takes, queue included."""
         begin_ms = max(now_ms, self.free_ms)
         self.free_ms = begin_ms + 1000.0 * size_mb / self.rate_mb_per_s
-        self.transfers += 1
         return self.free_ms - now_ms
 
 
+def make_weight_store(rate_mb_per_s=14_000.0):
+    """Return an idle weight store."""
+    return WeightStore(rate_mb_per_s)
+
+
 def make_store():
     """Return a store without any value."""
     return Store()
