--- a/bluebellbeam/scenario/faults.py
+++ b/bluebellbeam/scenario/faults.py
@@ -11,7 +11,13 @@
 from bluebellbeam.scenario.steps import narrow_workspace, request_spec
 from bluebellbeam.scenario.world import make_world
 
-__all__ = ["FAULTS", "run_faults", "run_schedule", "session_world"]
+__all__ = [
+    "FAULTS",
+    "run_faults",
+    "run_schedule",
+    "session_world",
+    "unserved_in_isolation",
+]
 
 CONFIG_LIMIT_MS = 18_000
 """Time within which a published configuration is in force everywhere."""
@@ -188,6 +194,39 @@
     return _finish(world, rng)
 
 
+def unserved_in_isolation(name, seed):
+    """Return requests that isolated regions failed to answer.
+
+    Every region is cut off from every other one and from the platform. Each
+    must still answer, whole, what its own backend servers may run.
+
+    Returns
+    -------
+    list of str
+    """
+    rng = random.Random(f"isolation/{name}/{seed}")
+    world = session_world(name, seed)
+    world.run_until(START_MS)
+    world.store.down = True
+    for region in world.base["regions"]:
+        world.cut_region(region)
+    _schedule_requests(world, rng)
+    world.run_until(START_MS + FAULT_WINDOW_MS + QUIET_MS)
+    return [
+        f"{ticket.ticket_id} at {ticket.vm}: {ticket.result}"
+        for ticket in world.tickets.values()
+        if "." not in ticket.ticket_id
+        and _may_run_near(world, ticket)
+        and ticket.result != "whole"
+    ]
+
+
+def _may_run_near(world, ticket):
+    region = world.hosts[ticket.vm].region
+    state = world.hosts[ticket.vm].node.state
+    return region in state.base.workspaces[ticket.workspace].allowed_regions
+
+
 def _finish(world, rng):
     _schedule_requests(world, rng)
     world.run_until(START_MS + FAULT_WINDOW_MS + 10_000)
--- a/bluebellbeam/scenario/tests/test_faults.py
+++ b/bluebellbeam/scenario/tests/test_faults.py
@@ -2,7 +2,11 @@
 import unittest
 
 from bluebellbeam.node import attempts, node
-from bluebellbeam.scenario.faults import run_faults, run_schedule
+from bluebellbeam.scenario.faults import (
+    run_faults,
+    run_schedule,
+    unserved_in_isolation,
+)
 
 NAMED = (
     "capacity loss",
@@ -16,6 +20,10 @@
 """Seeds that broke a promise at some time."""
 
 
+NAMED_RESULTS = []
+"""Kinds of fault and broken promises of each session, for the closing table."""
+
+
 class TestNamedFaults(unittest.TestCase):
     """Every fault that the brief names, and every pair, breaks no promise."""
 
@@ -25,7 +33,17 @@
         for name in ("fraserleaf", "fellesdepot"):
             for kinds in groups:
                 with self.subTest(name=name, kinds=kinds):
-                    self.assertEqual(run_faults(name, kinds, 1), {})
+                    broken = run_faults(name, kinds, 1)
+                    NAMED_RESULTS.append((tuple(kinds), broken))
+                    self.assertEqual(broken, {})
+
+
+class TestIsolation(unittest.TestCase):
+    def test_isolated_regions_serve_their_own_callers(self):
+        for name in ("fraserleaf", "fellesdepot"):
+            for seed in range(5):
+                with self.subTest(name=name, seed=seed):
+                    self.assertEqual(unserved_in_isolation(name, seed), [])
 
 
 class TestSchedules(unittest.TestCase):
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -50,6 +50,15 @@
             self.failed.add(test.id())
 
 
+def print_promises():
+    """Print promise by fault, as the tests of this run have found it."""
+    from benchmarks.faults import fault_table
+    from bluebellbeam.scenario.tests.test_faults import NAMED_RESULTS
+
+    for line in fault_table(NAMED_RESULTS):
+        print(line)
+
+
 def main():
     """Run the tests and return the exit code."""
     sys.path.insert(0, str(ROOT))
@@ -63,6 +72,7 @@
             )
     runner = unittest.TextTestRunner(resultclass=CountingResult, verbosity=1)
     result = runner.run(suite)
+    print_promises()
     known = read_known_red()
     passed = result.passed - result.failed
     red = result.failed & known
