One place sends an attempt to a server, one names the error of a late request

Cause: reading as a newcomer: the start command stood twice, and a stream that waited too long for another engine was told deadline_passed in one of three places. Change: one function each.

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -6,6 +6,7 @@
 from bluebellbeam.node.dispatch import (
     end_attempt,
     end_request,
+    expired_error,
     fail_request,
     pump,
     start_elsewhere,
@@ -225,8 +226,7 @@
     if now_ms < request.deadline_ms:
         return
     remove_request(state.queue(request.pool), request)
-    code = "upstream_truncated" if request.started else "deadline_passed"
-    fail_request(state, request, make_error(code), now_ms)
+    fail_request(state, request, expired_error(request), now_ms)
 
 
 def _tick_waiting(state, request, now_ms):
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -24,6 +24,7 @@
 __all__ = [
     "end_attempt",
     "end_request",
+    "expired_error",
     "fail_request",
     "pump",
     "pump_all",
@@ -65,7 +66,7 @@
     for request in next_requests(queue, now_ms):
         if now_ms >= request.deadline_ms:
             pop_request(queue, request)
-            fail_request(state, request, make_error("deadline_passed"), now_ms)
+            fail_request(state, request, expired_error(request), now_ms)
             return True
         full = request.priority in blocked
         if full and request.workspace not in leased and is_local(state, request):
@@ -80,6 +81,12 @@
     return False
 
 
+def expired_error(request):
+    """Return the error of a request whose deadline passed while it waited."""
+    started = request.started or request.emitted_tokens
+    return make_error("upstream_truncated" if started else "deadline_passed")
+
+
 def _used_quotas(state, pool, now_ms):
     """Return the priorities whose share of the slots is in use."""
     slots = sum(row.slots for row in pool_rows(state, pool))
@@ -150,13 +157,19 @@
 
 def _send_to_server(state, attempt, row, candidate, now_ms):
     request = attempt.request
-    attempt.server = row.name
     attempt.expected_ms = candidate.estimate.first_token_ms
     attempt.tokens = candidate.estimate.uncached_tokens
-    note_started(state.replicas, row, attempt.tokens)
-    _count_inflight(state, request, 1)
     if request.blocks:
         note_prefix(state.prefixes, row.name, request.blocks)
+    _emit_to_server(state, attempt, row)
+
+
+def _emit_to_server(state, attempt, row):
+    """Emit the command that sends an attempt to `row`, and count it there."""
+    request = attempt.request
+    attempt.server = row.name
+    note_started(state.replicas, row, attempt.tokens)
+    _count_inflight(state, request, 1)
     state.emit(
         StartAttempt(
             attempt.attempt_id,
@@ -221,20 +234,7 @@
         _send_to_peer(state, attempt, member)
         return True
     row = state.replicas.rows[name]
-    attempt.server = name
-    note_started(state.replicas, row, 0)
-    _count_inflight(state, request, 1)
-    state.emit(
-        StartAttempt(
-            attempt.attempt_id,
-            request,
-            server=row.name,
-            incarnation=row.incarnation,
-            address=row.address,
-            resume_tokens=request.emitted_tokens,
-            expires_ms=request.deadline_ms,
-        )
-    )
+    _emit_to_server(state, attempt, row)
     return True
 
 
--- a/bluebellbeam/node/pause.py
+++ b/bluebellbeam/node/pause.py
@@ -3,8 +3,7 @@
 from bluebellbeam.admission import remove_request
 from bluebellbeam.borrowing import make_borrower_table, make_lender_table
 from bluebellbeam.node.command import Log
-from bluebellbeam.node.dispatch import fail_request
-from bluebellbeam.node.outcome import make_error
+from bluebellbeam.node.dispatch import expired_error, fail_request
 from bluebellbeam.routing import reindex
 
 __all__ = ["detect_pause"]
@@ -48,7 +47,7 @@
     for request in list(state.requests.values()):
         if request.state == "queued" and now_ms >= request.deadline_ms:
             remove_request(state.queue(request.pool), request)
-            fail_request(state, request, make_error("deadline_passed"), now_ms)
+            fail_request(state, request, expired_error(request), now_ms)
 
 
 def _begin_reread(state, now_ms):
