--- a/bluebellbeam/daemon/tests/test_hostile.py
+++ b/bluebellbeam/daemon/tests/test_hostile.py
@@ -1,7 +1,9 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
+from bluebellbeam.daemon import listener
 from bluebellbeam.daemon.exchange import MAX_CHUNKS
 from bluebellbeam.daemon.listener import MAX_HEADER_BYTES
 from bluebellbeam.daemon.tests.test_loopback import (
@@ -66,6 +68,18 @@
 
         self.run_with(step)
 
+    def test_slow_drip_is_ended(self):
+        async def step(deployment, session):
+            address = deployment.fleet.entries["burnaby-hall-1"].caller_address
+            raw = b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n"
+            answer = await send_raw(address, raw)
+            self.assertIn(b" 408 ", answer.split(b"\r\n")[0])
+            self.assertIn(b'"code":"request_timeout"', answer)
+            self.assertEqual(self._runs(deployment), [])
+
+        with mock.patch.object(listener, "HEADER_TIMEOUT_S", 1):
+            self.run_with(step)
+
     def test_slow_reader_holds_only_its_own_stream_back(self):
         async def step(deployment, session):
             url = caller_url(deployment, "/v1/chat/completions")
