--- a/bluebellbeam/config/settings.py
+++ b/bluebellbeam/config/settings.py
@@ -19,7 +19,6 @@
     configuration: str
     vm_list: str
     directory: str
-    weight_store: str = ""
 
 
 class Settings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/bluebellbeam/standins/__init__.py
+++ b/bluebellbeam/standins/__init__.py
@@ -5,11 +5,10 @@
 from bluebellbeam.standins.store import (
     Directory,
     Store,
-    WeightStore,
     make_directory,
     make_store,
-    make_weight_store,
 )
+from bluebellbeam.standins.weights import WeightStore, make_weight_store
 
 __all__ = [
     "Directory",
--- a/bluebellbeam/standins/store.py
+++ b/bluebellbeam/standins/store.py
@@ -12,10 +12,8 @@
 __all__ = [
     "Directory",
     "Store",
-    "WeightStore",
     "make_directory",
     "make_store",
-    "make_weight_store",
 ]
 
 VALUE_LIMIT_BYTES = 1_000_000
@@ -115,34 +113,6 @@
         return self.keys.get(key)
 
 
-class WeightStore:
-    """Rate-limited store of model weights.
-
-    Attributes
-    ----------
-    rate_mb_per_s : float
-    free_ms : float
-        When the last transfer ends.
-    """
-
-    __slots__ = ("rate_mb_per_s", "free_ms")
-
-    def __init__(self, rate_mb_per_s):
-        self.rate_mb_per_s = rate_mb_per_s
-        self.free_ms = 0.0
-
-    def transfer_ms(self, size_mb, now_ms):
-        """Return how long a transfer that begins now takes, queue included."""
-        begin_ms = max(now_ms, self.free_ms)
-        self.free_ms = begin_ms + 1000.0 * size_mb / self.rate_mb_per_s
-        return self.free_ms - now_ms
-
-
-def make_weight_store(rate_mb_per_s=14_000.0):
-    """Return an idle weight store."""
-    return WeightStore(rate_mb_per_s)
-
-
 def make_store():
     """Return a store without any value."""
     return Store()
