Never call a refused repeat of a sent change not run

Cause: reading the whole change again: a repeat of a change that had run was told not_run when the daemon was leaving, limited or overloaded, because these are checked before the ledger; a caller that trusts it runs the change again with a new id. Change: such a refusal says unknown when the id was issued by another process or has been claimed before and not released. Before: leaving, not_run. After: leaving, unknown; a fresh id keeps not_run. Conclusion: kept, with a test.

--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -1,5 +1,7 @@
 """Arrival system: which requests are taken in, and what they may use."""
 
+import msgspec
+
 from bluebellbeam.admission import (
     cost_ahead,
     local_rate,
@@ -33,6 +35,7 @@
     Recorded,
     claim_operation,
     issue_operation,
+    may_have_run,
 )
 from bluebellbeam.routing.entry import rank_entries
 from bluebellbeam.routing.policies import is_baseline
@@ -53,6 +56,8 @@
         error = _check_limits(state, request, now_ms)
     if error is None:
         error = _check_deadline(state, request, now_ms)
+    if error is not None and may_have_run(state.ledger, request.operation_id):
+        error = msgspec.structs.replace(error, outcome="unknown")
     if error is None and not request.origin and not request.idempotent:
         error = _claim(state, request, now_ms)
     if error is not None:
--- a/bluebellbeam/node/tests/test_node.py
+++ b/bluebellbeam/node/tests/test_node.py
@@ -50,6 +50,19 @@
         )
         self.assertTrue(any(isinstance(c, cmd.StartAttempt) for c in commands))
 
+    def test_refused_repeat_of_a_sent_change_is_not_called_not_run(self):
+        values = {"service": "portal", "method": "PUT", "path": "/status/1"}
+        issued = self.node.issue_operation("certificates", self.now_ms)
+        values |= {"workspace": "certificates", "operation_id": issued}
+        self.arrive(**values)
+        self.node.state.leaving = True
+        _, commands = self.arrive(**values)
+        error = self.error_of(commands)
+        self.assertEqual((error.code, error.outcome), ("leaving", "unknown"))
+        fresh = self.node.issue_operation("certificates", self.now_ms)
+        _, commands = self.arrive(**(values | {"operation_id": fresh}))
+        self.assertEqual(self.error_of(commands).outcome, "not_run")
+
     def test_unmatched_call_counts_as_not_idempotent(self):
         _, commands = self.arrive(
             workspace="certificates", service="portal", method="PATCH", path="/x"
--- a/bluebellbeam/operations/__init__.py
+++ b/bluebellbeam/operations/__init__.py
@@ -17,6 +17,7 @@
     make_ledger,
     mark_not_run,
     mark_sent,
+    may_have_run,
     record_answer,
     release_operation,
 )
@@ -38,6 +39,7 @@
     "make_ledger",
     "mark_not_run",
     "mark_sent",
+    "may_have_run",
     "record_answer",
     "release_operation",
 ]
--- a/bluebellbeam/operations/ledger.py
+++ b/bluebellbeam/operations/ledger.py
@@ -27,6 +27,7 @@
     "make_ledger",
     "mark_not_run",
     "mark_sent",
+    "may_have_run",
     "record_answer",
     "release_operation",
 ]
@@ -191,6 +192,21 @@
             return Recorded(state, row.answer)
 
 
+def may_have_run(ledger, op_id):
+    """Return whether the operation may have been run by an earlier request.
+
+    True for an id of another process, which may have run it, and for one that
+    this process has claimed before and not released.
+    """
+    fields = op_id.rsplit(".", 4)
+    if len(fields) != 5:
+        return False
+    if (fields[0], fields[1]) != (ledger.vm, str(ledger.incarnation)):
+        return True
+    row = ledger.rows.get(op_id)
+    return row is not None and row.state != "released"
+
+
 def mark_sent(ledger, op_id):
     """Record that the operation is about to be sent.
 
