--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -46,7 +46,7 @@
     encode_envelope,
 )
 from bluebellbeam.operations import claim_operation, issue_operation
-from bluebellbeam.platform.records import BriefLoad, LoadReport, format_brief_load
+from bluebellbeam.provider.records import BriefLoad, LoadReport, format_brief_load
 from bluebellbeam.routing import note_prefix
 from bluebellbeam.routing.choose import choose_replica
 from bluebellbeam.utils.clock import wall_clock
--- a/benchmarks/decision.py
+++ b/benchmarks/decision.py
@@ -21,7 +21,7 @@
 from bluebellbeam.examples import read_example
 from bluebellbeam.node import Request
 from bluebellbeam.node import event as ev
-from bluebellbeam.platform.records import LoadReport, VmRecord
+from bluebellbeam.provider.records import LoadReport, VmRecord
 from bluebellbeam.routing import choose_replica, note_prefix, update_replicas
 from bluebellbeam.scenario.faults import session_world
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -3,7 +3,7 @@
 import msgspec
 from msgspec import Struct
 
-from bluebellbeam.platform.records import VmRecord
+from bluebellbeam.provider.records import VmRecord
 
 __all__ = ["Fleet", "TARGET", "make_base", "make_backends", "make_entries"]
 
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bluebellbeam.platform.records import VmRecord
+from bluebellbeam.provider.records import VmRecord
 from bluebellbeam.scenario.world import Host, make_world
 
 __all__ = ["measure_spread", "measure_storm"]
--- a/bluebellbeam/config/check.py
+++ b/bluebellbeam/config/check.py
@@ -24,6 +24,7 @@
     faults = []
     _check_places(base, faults)
     _check_models(base, faults)
+    _check_routes(base, faults)
     _check_objective(base.objective, "$.objective", faults)
     _check_policy(base.policy, faults)
     return faults
@@ -98,6 +99,31 @@
             )
 
 
+def _check_routes(base, faults):
+    taken = set()
+    for i, route in enumerate(base.routes):
+        path = f"$.routes[{i}]"
+        prefix = route.path_prefix
+        if not (prefix.startswith("/") and prefix.endswith("/")):
+            fix = "begin and end it with a slash"
+            faults.append(Fault(f"{path}.path_prefix", f"'{prefix}' is no prefix", fix))
+        if (route.host, prefix) in taken:
+            fix = "give each host and prefix one route"
+            faults.append(Fault(path, "another route has its host and prefix", fix))
+        taken.add((route.host, prefix))
+        if not route.services:
+            faults.append(Fault(f"{path}.services", "no service", "name one"))
+        for k, item in enumerate(route.services):
+            where = f"{path}.services[{k}]"
+            _check_name(item.service, base.services, where, "service", faults)
+            _check_minimum(item.weight, 0, where, faults)
+        for k, region in enumerate(route.home_regions):
+            where = f"{path}.home_regions[{k}]"
+            _check_name(region, base.regions, where, "region", faults)
+        _check_positive(route.timeout_ms, f"{path}.timeout_ms", faults)
+        _check_positive(route.max_attempts, f"{path}.max_attempts", faults)
+
+
 def _check_workspace(base, name, workspace, faults):
     path = f"$.workspaces.{name}"
     _check_positive(workspace.weight, f"{path}.weight", faults)
--- a/bluebellbeam/config/effective.py
+++ b/bluebellbeam/config/effective.py
@@ -12,6 +12,7 @@
 from bluebellbeam.config.check import check_base, check_overlay
 from bluebellbeam.config.fault import decode_document
 from bluebellbeam.config.model import Base, Overlay
+from bluebellbeam.routing.routes import RouteTable, make_route_table
 
 __all__ = [
     "Effective",
@@ -34,12 +35,14 @@
         The base with the overlay of the site applied.
     total_weight : float
         Sum of the weights of every workspace.
+    routes : RouteTable
     """
 
     revision: int
     digest: str
     base: Base
     total_weight: float
+    routes: RouteTable
 
 
 def merge_overlay(base, overlay):
@@ -111,7 +114,8 @@
     if found:
         return Failure(tuple(found))
     total_weight = sum(item.weight for item in merged.workspaces.values())
-    return Success(Effective(revision, digest, merged, total_weight))
+    routes = make_route_table(merged.routes)
+    return Success(Effective(revision, digest, merged, total_weight, routes))
 
 
 def resolve_model(base, name):
--- a/bluebellbeam/config/model.py
+++ b/bluebellbeam/config/model.py
@@ -8,6 +8,8 @@
 
 from msgspec import Struct, field
 
+from bluebellbeam.config.route import CallerLimits, Route
+
 __all__ = [
     "Adapter",
     "Base",
@@ -98,11 +100,30 @@
 
 
 class Service(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A plain service; a call that matches no entry is non-idempotent."""
+    """A service; a call that matches no entry is non-idempotent.
+
+    Parameters
+    ----------
+    health_path : str
+        Path of the health check of its backend servers.
+    max_connections : int
+        Connections that one backend server takes from all callers together;
+        0 for no bound.
+    warm_up_per_s : float
+        Requests a second that a cold backend server bears; 0 where servers
+        are never cold.
+    prefill_tokens_per_s : float
+        Expected speed at which a backend server computes prompts; 0 for a
+        service without prompts.
+    """
 
     calls: tuple[Call, ...] = ()
     expected_ms: float = 20.0
     timeout_ms: int = 5000
+    health_path: str = "/health"
+    max_connections: int = 0
+    warm_up_per_s: float = 0.0
+    prefill_tokens_per_s: float = 0.0
 
 
 class Deadlines(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -178,6 +199,7 @@
     lease_ms: int = 3000
     pause_ms: int = 2500
     retry_share: float = 0.1
+    retry_burst: float = 10.0
     max_attempts: int = 3
     eject_failures: int = 3
     eject_ms: int = 5000
@@ -200,6 +222,8 @@
     adapters: dict[str, Adapter] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     workspaces: dict[str, Workspace] = field(default_factory=dict)
+    routes: tuple[Route, ...] = ()
+    caller_limits: CallerLimits = field(default_factory=CallerLimits)
     objective: Objective = field(default_factory=Objective)
     policy: Policy = field(default_factory=Policy)
 
--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -13,8 +13,8 @@
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.message import Envelope, decode_envelope, encode_envelope
-from bluebellbeam.platform.clients import make_directory_client, make_feed_client
-from bluebellbeam.platform.records import CacheEvents, LoadReport
+from bluebellbeam.provider.clients import make_directory_client, make_feed_client
+from bluebellbeam.provider.records import CacheEvents, LoadReport
 from bluebellbeam.utils.clock import monotonic_clock, wall_clock
 
 __all__ = ["Driver", "make_driver"]
--- a/bluebellbeam/daemon/upstream.py
+++ b/bluebellbeam/daemon/upstream.py
@@ -19,7 +19,7 @@
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.outcome import make_error
 from bluebellbeam.operations import MAX_ANSWER_BYTES
-from bluebellbeam.platform.records import parse_brief_load
+from bluebellbeam.provider.records import parse_brief_load
 
 __all__ = ["RecordedAnswer", "run_attempt"]
 
--- a/bluebellbeam/feeds/feed.py
+++ b/bluebellbeam/feeds/feed.py
@@ -1,9 +1,10 @@
 """Versioned documents that daemons read once and pass on among themselves.
 
 A feed is a set of named parts under one version number that only goes up.
-Daemons exchange contiguous increments (version ``v`` to ``v + 1``) and fall
-back to a snapshot, as the updates graph of RFC 9569 does [1]_. The digest of
-the resulting parts proves that every path gives the same content.
+Daemons exchange increments, each of which begins at the version where the one
+before ended, and fall back to a snapshot, as the updates graph of RFC 9569
+does [1]_. The digest of the resulting parts proves that every path gives the
+same content.
 
 References
 ----------
@@ -168,12 +169,10 @@
 
 
 def adopt_snapshot(feed, version, parts, now_ms, source):
-    """Put `parts` in force, keeping an increment when versions are adjacent."""
-    if feed.version and version == feed.version + 1:
+    """Put `parts` in force, keeping the increment from the version held."""
+    if feed.version:
         delta = diff_parts(feed.key, feed.parts, parts, feed.version, version)
         feed.deltas.append(delta)
-    else:
-        feed.deltas.clear()
     _adopt(feed, version, bundle_digest(parts), parts, now_ms, source)
 
 
--- a/bluebellbeam/membership/table.py
+++ b/bluebellbeam/membership/table.py
@@ -9,6 +9,7 @@
     "MemberTable",
     "Rumor",
     "apply_rumor",
+    "introduce_member",
     "make_member_table",
     "note_heard",
     "update_listed",
@@ -165,6 +166,38 @@
             table.generation += 1
 
 
+def introduce_member(table, record, now_ms):
+    """Take in an entry VM that a peer or the VM itself tells of.
+
+    Returns
+    -------
+    bool
+        Whether it was news, to be passed on.
+    """
+    row = table.rows.get(record.name)
+    if row is not None and record.incarnation < row.incarnation:
+        return False
+    if row is None:
+        row = Member(
+            record.name,
+            record.region,
+            record.failure_domain,
+            record.peer_address,
+            record.caller_address,
+        )
+        row.heard_ms = now_ms
+        table.rows[record.name] = row
+    elif _is_same_process(row, record):
+        return False
+    row.peer_address = record.peer_address
+    row.caller_address = record.caller_address
+    if record.incarnation > row.incarnation:
+        _begin_incarnation(table, row, record.incarnation)
+    row.leaving = row.leaving or record.state == "leaving"
+    table.generation += 1
+    return True
+
+
 def note_heard(table, name, incarnation, now_ms, answered):
     """Record direct evidence that process `incarnation` of `name` runs.
 
@@ -246,6 +279,11 @@
     return True
 
 
+def _is_same_process(row, record):
+    same_address = row.peer_address == record.peer_address
+    return record.incarnation == row.incarnation and same_address
+
+
 def _begin_incarnation(table, row, incarnation):
     row.incarnation = incarnation
     row.refutation = 0
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -23,6 +23,7 @@
     workspace_spread,
 )
 from bluebellbeam.node.outcome import make_error
+from bluebellbeam.node.routed import resolve_route, routed_start_ms
 from bluebellbeam.node.sync import ask_for_config
 from bluebellbeam.node.waiting import local_wait_ms
 from bluebellbeam.operations import (
@@ -37,6 +38,7 @@
     issue_operation,
     may_have_run,
 )
+from bluebellbeam.routing import choose_service, match_route
 from bluebellbeam.routing.entry import rank_entries
 from bluebellbeam.routing.policies import is_baseline
 
@@ -58,7 +60,7 @@
         error = _check_deadline(state, request, now_ms)
     if error is not None and may_have_run(state.ledger, request.operation_id):
         error = msgspec.structs.replace(error, outcome="unknown")
-    if error is None and not request.origin and not request.idempotent:
+    if error is None and not request.origin and not _is_repeat_safe(request):
         error = _claim(state, request, now_ms)
     if error is not None:
         _refuse(state, request, error, now_ms)
@@ -68,6 +70,14 @@
     _enqueue(state, request, now_ms)
 
 
+def _is_repeat_safe(request):
+    """Return whether no operation id has to keep the request from repeating.
+
+    A routed request has an id of its own and is sent on at most once.
+    """
+    return request.idempotent or request.route is not None
+
+
 def _refuse(state, request, error, now_ms):
     request.state = "ended"
     errors = state.counters.errors
@@ -87,6 +97,7 @@
     pump(state, request.pool, now_ms)
     if (
         request.state == "queued"
+        and request.route is None
         and not request.origin
         and not is_local(state, request)
     ):
@@ -131,6 +142,8 @@
 
 
 def _resolve(state, request, now_ms):
+    if request.host:
+        return resolve_route(state, request, now_ms)
     workspace = state.base.workspaces.get(request.workspace)
     if workspace is None:
         return make_error("not_permitted")
@@ -197,7 +210,7 @@
         return make_error("region_not_permitted")
     request.allowed = frozenset((state.region,))
     state.counters.received += 1
-    if is_baseline(state.routing_policy):
+    if request.route is not None or is_baseline(state.routing_policy):
         return None
     lease = find_granted(
         state.lender, request.lease_id, request.pool, request.workspace, now_ms
@@ -231,10 +244,13 @@
     """Refuse at once what could not start before its deadline anywhere."""
     if is_baseline(state.routing_policy):
         return None
-    wait_ms = _expected_start_ms(state, request, now_ms)
+    if request.route is not None:
+        wait_ms = routed_start_ms(state, request, now_ms)
+    else:
+        wait_ms = _expected_start_ms(state, request, now_ms)
     if wait_ms is None:
         return make_error("no_backend", retry_after_ms=2000)
-    left_ms = request.deadline_ms - now_ms
+    left_ms = request.waits_until_ms - now_ms
     if wait_ms <= left_ms:
         return None
     return make_error("deadline_unreachable", retry_after_ms=int(wait_ms - left_ms))
@@ -313,6 +329,9 @@
     for request in list(state.requests.values()):
         if request.state != "queued":
             continue
+        if request.route is not None:
+            _narrow_routed(state, request, now_ms)
+            continue
         workspace = state.base.workspaces.get(request.workspace)
         if workspace is None:
             _drop_queued(state, request, make_error("not_permitted"), now_ms)
@@ -323,6 +342,32 @@
             _drop_queued(state, request, error, now_ms)
 
 
+def _narrow_routed(state, request, now_ms):
+    """Apply a new configuration to a routed request that waits.
+
+    It keeps its place only where its route still leads to the same service.
+    """
+    route = match_route(state.config.routes, request.host, request.path)
+    if route is None:
+        _drop_queued(state, request, make_error("not_found"), now_ms)
+        return
+    request.route = route
+    workspace = state.base.workspaces[route.workspace]
+    request.allowed = request.allowed & frozenset(workspace.allowed_regions)
+    if route.home_regions:
+        request.allowed = request.allowed & frozenset(route.home_regions)
+    if not request.allowed:
+        _drop_queued(state, request, make_error("region_not_permitted"), now_ms)
+        return
+    service = choose_service(route, request.attempt_key)
+    if service != request.service and not request.started:
+        remove_request(state.queue(request.pool), request)
+        request.service = service
+        request.pool = f"s/{service}"
+        weight = workspace.weight
+        push_request(state.queue(request.pool), request, weight)
+
+
 def _drop_queued(state, request, error, now_ms):
     remove_request(state.queue(request.pool), request)
     fail_request(state, request, error, now_ms)
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -87,7 +87,7 @@
         take_brief_load(state, row, event.load, now_ms)
     end_request(state, request)
     state.counters.answered += 1
-    if not request.idempotent and not request.origin:
+    if not request.idempotent and not request.origin and request.route is None:
         record_answer(state.ledger, request.operation_id, "ran", event.answer)
     state.decide(
         request.request_id, ("answered", now_ms, attempt.server or attempt.peer)
@@ -103,6 +103,7 @@
     request = attempt.request
     error = event.error
     not_run = error.outcome == "not_run"
+    request.sends += 1
     end_attempt(state, attempt, now_ms, completed=False)
     state.counters.refused += 1
     if attempt.peer:
@@ -139,11 +140,12 @@
     request = attempt.request
     end_attempt(state, attempt, now_ms, completed=False)
     request.touched = request.touched or event.sent
+    request.sends += event.sent
     request.emitted_tokens = max(request.emitted_tokens, event.emitted_tokens)
     row = state.replicas.rows.get(attempt.server)
     if row is not None:
         note_failure(state.replicas, row, state.policy, now_ms, state.rng)
-        if not event.sent:
+        if not event.sent or (row.listed and event.lost_connection):
             note_miss(state.replicas, row)
     if attempt.peer:
         drop_lender(state.borrower, attempt.peer)
@@ -168,7 +170,7 @@
     entry = ("failed", now_ms, attempt.server or attempt.peer, code)
     state.decide(request.request_id, entry)
     if _may_try_again(state, request, not_run, now_ms):
-        if not request.idempotent and not request.origin:
+        if not request.idempotent and not request.origin and not request.route:
             mark_not_run(state.ledger, request.operation_id)
         _requeue(state, request)
         return
@@ -179,19 +181,52 @@
 def _may_try_again(state, request, not_run, now_ms):
     if not request.idempotent and not not_run:
         return False
-    if request.attempts >= state.policy.max_attempts:
+    if not _has_attempts_left(state, request):
         return False
-    if not request.started and now_ms >= request.deadline_ms:
+    if not request.started and now_ms >= request.waits_until_ms:
         return False
-    if not spend(state.retries):
+    if not _is_first_send(request) and not spend(state.retries):
         return False
     state.counters.retries += 1
     if request.started:
         state.counters.resumes += 1
-        request.deadline_ms = max(request.deadline_ms, now_ms + RESUME_MS)
+        _extend_for_resume(request, now_ms)
     return True
 
 
+def _is_first_send(request):
+    """Return whether a routed request has reached no server yet."""
+    return request.route is not None and request.sends == 0
+
+
+def _has_attempts_left(state, request):
+    """Return whether the request may be sent once more.
+
+    A routed request counts the servers to which it may have been sent; one
+    that could not be reached does not count there, but among all attempts.
+    """
+    if request.route is None:
+        return request.attempts < state.policy.max_attempts
+    if request.attempts >= MAX_ROUTED_TRIES:
+        return False
+    return request.sends < request.max_attempts
+
+
+def _extend_for_resume(request, now_ms):
+    if request.route is None:
+        request.deadline_ms = max(request.deadline_ms, now_ms + RESUME_MS)
+        return
+    request.queue_ends_ms = min(request.ends_ms, now_ms + ROUTED_RESUME_MS)
+
+
+MAX_ROUTED_TRIES = 6
+"""Tries of one routed request, those that reached no server included."""
+
+ROUTED_RESUME_MS = 1500
+"""Time that a routed stream may wait for another server; callers leave a
+stream that pauses for two seconds."""
+
+
 RESUME_MS = 5000
 """Time that a broken stream may wait for another engine."""
 
@@ -218,12 +253,15 @@
     for request in list(state.requests.values()):
         if request.state == "queued":
             _tick_queued(state, request, now_ms)
+        elif request.ends_ms and now_ms >= request.ends_ms:
+            fail_request(state, request, make_error("upstream_timeout"), now_ms)
+            pump(state, request.pool, now_ms)
         elif request.state == "running" and not request.started:
             _tick_waiting(state, request, now_ms)
 
 
 def _tick_queued(state, request, now_ms):
-    if now_ms < request.deadline_ms:
+    if now_ms < request.waits_until_ms:
         return
     remove_request(state.queue(request.pool), request)
     fail_request(state, request, expired_error(request), now_ms)
@@ -236,6 +274,8 @@
         return
     if len(request.running) != 1 or not request.idempotent or request.origin:
         return
+    if request.route is not None:
+        return
     attempt = request.running[0]
     waited_ms = now_ms - attempt.started_ms
     if request.service:
--- a/bluebellbeam/node/command.py
+++ b/bluebellbeam/node/command.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 
 from bluebellbeam.node.outcome import CallerError
-from bluebellbeam.platform.records import Order
+from bluebellbeam.provider.records import Order
 
 __all__ = [
     "AnswerError",
@@ -123,11 +123,14 @@
         Fixed prefix of the part that speaks.
     sentence : str
     request_id : str
+    fields : dict of str to object
+        What was decided on, its age or version, and the outcome.
     """
 
     part: str
     sentence: str
     request_id: str = ""
+    fields: dict[str, object] = {}
 
 
 class Exit(Struct, frozen=True):
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -10,11 +10,13 @@
 from bluebellbeam.node.loads import ask_unconfirmed
 from bluebellbeam.node.outcome import make_error
 from bluebellbeam.node.request import Attempt
+from bluebellbeam.node.routed import choose_peer
 from bluebellbeam.node.waiting import demand_share, local_wait_ms, pool_rows
 from bluebellbeam.operations import mark_sent, record_answer, release_operation
 from bluebellbeam.recovery import earn
 from bluebellbeam.routing import (
     choose_replica,
+    note_cold_send,
     note_finished,
     note_prefix,
     note_started,
@@ -64,12 +66,17 @@
     blocked = _used_quotas(state, pool, now_ms)
     leased = {lease.workspace for lease in state.borrower.rows.values()}
     for request in next_requests(queue, now_ms):
-        if now_ms >= request.deadline_ms:
+        if now_ms >= request.waits_until_ms:
             pop_request(queue, request)
             fail_request(state, request, expired_error(request), now_ms)
             return True
         full = request.priority in blocked
-        if full and request.workspace not in leased and is_local(state, request):
+        if (
+            full
+            and request.route is None
+            and request.workspace not in leased
+            and is_local(state, request)
+        ):
             continue
         started, no_room = _try_start(state, queue, request, full, now_ms)
         if started:
@@ -108,6 +115,8 @@
     local = []
     if not full and is_local(state, request):
         local = choose_replica(state, request, now_ms)
+    if request.route is not None:
+        return _start_routed(state, queue, request, local, now_ms)
     lease = find_held(
         state.borrower, request.pool, request.workspace, request.allowed, now_ms
     )
@@ -121,6 +130,22 @@
     return False, is_local(state, request) and not request.tried and not waits
 
 
+def _start_routed(state, queue, request, local, now_ms):
+    """Start a routed request here or forward it; see :func:`_try_start`."""
+    if local:
+        return _start_at_server(state, queue, request, local, now_ms), False
+    member = choose_peer(state, request, now_ms)
+    if member is not None:
+        pop_request(queue, request)
+        attempt = _new_attempt(state, request, now_ms)
+        _send_to_peer(state, attempt, member)
+        state.decide(
+            request.request_id, ("peer", now_ms, member.name, member.region, "")
+        )
+        return True, False
+    return False, is_local(state, request) and not request.tried
+
+
 def _prefers_lease(state, request, local, lease):
     if not is_local(state, request):
         return True
@@ -168,6 +193,7 @@
     """Emit the command that sends an attempt to `row`, and count it there."""
     request = attempt.request
     attempt.server = row.name
+    note_cold_send(row, attempt.started_ms)
     note_started(state.replicas, row, attempt.tokens)
     _count_inflight(state, request, 1)
     state.emit(
@@ -272,7 +298,7 @@
 
 
 def _claim_send(state, request, now_ms):
-    if request.idempotent or request.origin:
+    if request.idempotent or request.origin or request.route is not None:
         return True
     if mark_sent(state.ledger, request.operation_id):
         return True
@@ -370,7 +396,7 @@
 
 
 def _settle_operation(state, request, error):
-    if request.idempotent or request.origin:
+    if request.idempotent or request.origin or request.route is not None:
         return
     if error.outcome == "not_run":
         release_operation(state.ledger, request.operation_id)
--- a/bluebellbeam/node/event.py
+++ b/bluebellbeam/node/event.py
@@ -4,7 +4,7 @@
 
 from bluebellbeam.feeds.feed import Snapshot
 from bluebellbeam.node.outcome import CallerError
-from bluebellbeam.platform.records import BriefLoad, CacheEvents, LoadReport
+from bluebellbeam.provider.records import BriefLoad, CacheEvents, LoadReport
 
 __all__ = [
     "AttemptFailed",
@@ -77,12 +77,15 @@
     emitted_tokens : int
         Tokens of this request passed on to the caller so far.
     reason : str
+    lost_connection : bool
+        Whether the connection was refused, reset or closed without an answer.
     """
 
     attempt_id: int
     sent: bool
     emitted_tokens: int = 0
     reason: str = "failed"
+    lost_connection: bool = False
 
 
 class AttemptRefused(Struct, frozen=True):
@@ -140,11 +143,14 @@
         The server that was asked.
     name, incarnation : str, int
         The server that has answered.
+    warm_up_left_ms : int
+        How much longer it says that it stays cold.
     """
 
     server: str
     name: str
     incarnation: int
+    warm_up_left_ms: int = 0
 
 
 class CacheEventsHeard(Struct, frozen=True):
--- a/bluebellbeam/node/gossip.py
+++ b/bluebellbeam/node/gossip.py
@@ -16,6 +16,7 @@
     usable_members,
 )
 from bluebellbeam.node.command import Log, SendPeer
+from bluebellbeam.node.introduce import own_introduction, take_introductions
 from bluebellbeam.node.lending import capacity_offers, own_demand
 from bluebellbeam.node.message import Ping, Pong, ProbeFor, TargetAlive
 from bluebellbeam.node.state import backends_feed
@@ -33,6 +34,10 @@
 ]
 
 
+SEED_ROUNDS = 20
+"""Rounds between two questions to a seed peer that is no known member."""
+
+
 def tick_membership(state, now_ms):
     """Probe members and move the suspicions on."""
     policy = state.policy
@@ -58,15 +63,30 @@
     targets = next_targets(state.ring, state.members, own.vm, own.region, state.rng)
     for name in targets:
         state.ring.pending.setdefault(name, Probe(name, now_ms))
-        send_to(state, name, (make_ping(state, name, now_ms),))
+        ping = make_ping(state, name, now_ms)
+        send_to(state, name, (*take_introductions(state), ping))
     if not targets or not state.peers_heard:
-        _ask_seeds(state, now_ms)
+        _ask_seeds(state, state.identity.seed_peers)
+    elif state.ring.rounds % SEED_ROUNDS == 0:
+        _ask_seeds(state, _unknown_seeds(state))
 
 
-def _ask_seeds(state, now_ms):
+def _ask_seeds(state, addresses):
     ping = Ping(feed_versions(state, same_region=True))
-    for address in state.identity.seed_peers:
-        state.emit(SendPeer("", address, (ping,)))
+    for address in addresses:
+        messages = (*own_introduction(state), ping)
+        state.emit(SendPeer("", address, messages))
+
+
+def _unknown_seeds(state):
+    """Return a seed peer at which no known member listens, if there is one.
+
+    Two groups of daemons that started apart find each other by it.
+    """
+    known = {row.peer_address for row in state.members.rows.values()}
+    known.add(state.identity.peer_address)
+    unknown = [item for item in state.identity.seed_peers if item not in known]
+    return (state.rng.choice(unknown),) if unknown else ()
 
 
 def feed_versions(state, same_region):
--- /dev/null
+++ b/bluebellbeam/node/introduce.py
@@ -0,0 +1,89 @@
+"""Introductions: how daemons find each other where no list shows them.
+
+A daemon that starts tells its seed peers of itself and is told of everybody
+they know. What is new is passed on with probes a number of times that grows
+with the logarithm of the members, as rumors are.
+"""
+
+import math
+
+from bluebellbeam.membership import introduce_member
+from bluebellbeam.node.command import Log, SendPeer
+from bluebellbeam.node.message import Introduce
+from bluebellbeam.provider.records import VmRecord
+
+__all__ = ["hear_introduce", "own_introduction", "take_introductions"]
+
+RECORDS_PER_MESSAGE = 8
+"""Introductions that ride on one probe, so that its size is bounded."""
+
+
+def own_introduction(state):
+    """Return the message that introduces this daemon, or nothing."""
+    if state.identity.lists_entries:
+        return ()
+    return (Introduce((_own_record(state),), wants_all=True),)
+
+
+def _own_record(state):
+    own = state.identity
+    return VmRecord(
+        name=own.vm,
+        incarnation=own.incarnation,
+        role="entry",
+        region=own.region,
+        failure_domain=own.failure_domain,
+        state="leaving" if state.leaving else "live",
+        peer_address=own.peer_address,
+        caller_address=own.caller_address,
+    )
+
+
+def take_introductions(state):
+    """Return the message that passes on entry VMs heard of lately, or nothing."""
+    if not state.introductions:
+        return ()
+    limit = 3 * max(1, math.ceil(math.log2(len(state.members.rows) + 2)))
+    records = []
+    for name, entry in list(state.introductions.items())[:RECORDS_PER_MESSAGE]:
+        records.append(entry[0])
+        entry[1] += 1
+        if entry[1] >= limit:
+            del state.introductions[name]
+    return (Introduce(tuple(records)),)
+
+
+def hear_introduce(state, sender, message, now_ms):
+    """Take in entry VMs that a peer tells of; answer one that knows nobody."""
+    for record in message.records:
+        if record.name == state.identity.vm:
+            continue
+        if introduce_member(state.members, record, now_ms):
+            state.introductions[record.name] = [record, 0]
+            fields = {"source": sender, "incarnation": record.incarnation}
+            state.emit(Log("membership", f"hear of {record.name}", fields=fields))
+    if message.wants_all:
+        _answer_all(state, sender)
+
+
+def _answer_all(state, sender):
+    records = [_own_record(state)]
+    for row in state.members.rows.values():
+        if row.name != sender and row.status != "dead":
+            records.append(_member_record(row))
+    row = state.members.rows.get(sender)
+    address = row.peer_address if row is not None else ""
+    state.emit(SendPeer(sender, address, (Introduce(tuple(records)),)))
+
+
+def _member_record(row):
+    return VmRecord(
+        name=row.name,
+        incarnation=row.incarnation,
+        role="entry",
+        region=row.region,
+        failure_domain=row.failure_domain,
+        state="leaving" if row.leaving else "live",
+        peer_address=row.peer_address,
+        caller_address=row.caller_address,
+    )
--- a/bluebellbeam/node/loads.py
+++ b/bluebellbeam/node/loads.py
@@ -12,6 +12,7 @@
     forget_server,
     mark_leaving,
     note_miss,
+    note_warm_up,
     reindex,
     server_subset,
     update_replicas,
@@ -31,16 +32,26 @@
 ASK_AGAIN_MS = 250
 """A server that does not answer is asked again after this time."""
 
+LAPSE_MS = 2200
+"""Servers that a disturbed source dropped are listed again within two seconds
+of its return, or are gone."""
+
+DISTURBED_MS = 3000
+"""A list is doubted this long after its source last failed."""
+
 MAX_ASKED = 4
 """Servers asked at once before a request is sent."""
 
 
 def tick_loads(state, now_ms):
     """Choose the servers to use and ask those that have said nothing lately."""
-    _refresh_subset(state)
+    _refresh_subset(state, now_ms)
+    _expire_lapsed(state, now_ms)
     policy = state.policy
     interval_ms = poll_interval_ms(policy, len(state.replicas.rows))
     for row in state.replicas.rows.values():
+        if row.listed and row.identified:
+            continue
         due_ms = interval_ms
         known_ms = max(row.asked_ms, row.reported_ms or -due_ms)
         if row.leaving and row.identified and row.inflight == 0:
@@ -60,7 +71,7 @@
     return max(policy.load_interval_ms, spread_ms)
 
 
-def _refresh_subset(state):
+def _refresh_subset(state, now_ms):
     feed = state.feeds[backends_feed(state.region)]
     members = state.region_members()
     key = (feed.version, state.policy.subset_size)
@@ -76,13 +87,47 @@
         chosen.extend(server_subset(own, members, names, size))
     wanted = set(chosen)
     before = {row.name: row.incarnation for row in state.replicas.rows.values()}
-    update_replicas(state.replicas, [r for r in records if r.name in wanted])
+    used = [record for record in records if record.name in wanted]
+    lapsed = _lapsed_servers(state, {record.name for record in records}, now_ms)
+    update_replicas(state.replicas, used, now_ms, lapsed)
     for name, incarnation in before.items():
         row = state.replicas.rows.get(name)
         if row is None or row.incarnation != incarnation:
             forget_server(state.prefixes, name)
 
 
+def _lapsed_servers(state, listed, now_ms):
+    """Return servers that vanished while the source of the list was disturbed.
+
+    A source that was away may have dropped servers that still run. They come
+    back to the list within `LAPSE_MS`, or are gone.
+    """
+    feed = state.feeds[backends_feed(state.region)]
+    failed_ms = state.feed_failed_ms.get(feed.key)
+    for name in [name for name in state.lapsed_ms if name in listed]:
+        del state.lapsed_ms[name]
+    if failed_ms is None or now_ms - failed_ms > DISTURBED_MS:
+        state.lapsed_ms.clear()
+        return frozenset()
+    for row in state.replicas.rows.values():
+        if row.name not in listed and not row.leaving:
+            state.lapsed_ms.setdefault(row.name, now_ms)
+    return frozenset(state.lapsed_ms)
+
+
+def _expire_lapsed(state, now_ms):
+    for name, since_ms in list(state.lapsed_ms.items()):
+        if now_ms - since_ms >= LAPSE_MS:
+            del state.lapsed_ms[name]
+            state.subset_key = None
+            row = state.replicas.rows.get(name)
+            if row is not None:
+                row.leaving = True
+                reindex(state.replicas, row)
+            text = f"take {name} as gone: it is still not listed"
+            state.emit(Log("routing", text, fields={"age_ms": now_ms - since_ms}))
+
+
 def note_load(state, event, now_ms):
     """Take in the answer of a backend server's address."""
     row = state.replicas.rows.get(event.server)
@@ -95,6 +140,7 @@
     row = state.replicas.rows.get(event.server)
     if row is None:
         return
+    note_warm_up(row, event.warm_up_left_ms, now_ms)
     same = confirm_replica(state.replicas, row, event.name, event.incarnation, now_ms)
     if not same:
         state.counters.identity_mismatches += 1
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -8,10 +8,12 @@
 
 from bluebellbeam.feeds.feed import Delta, Snapshot
 from bluebellbeam.membership.table import Rumor
+from bluebellbeam.provider.records import VmRecord
 
 __all__ = [
     "Envelope",
     "FeedPull",
+    "Introduce",
     "LeaseAnswer",
     "LeaseWanted",
     "Ping",
@@ -76,6 +78,21 @@
     version: int
 
 
+class Introduce(Struct, frozen=True, array_like=True, tag="in"):
+    """Tell of entry VMs that no list shows.
+
+    Parameters
+    ----------
+    records : tuple of VmRecord
+        The incarnation of each is the start of its process.
+    wants_all : bool
+        Whether the sender knows nobody yet.
+    """
+
+    records: tuple[VmRecord, ...]
+    wants_all: bool = False
+
+
 class LeaseWanted(Struct, frozen=True, array_like=True, tag="lw"):
     """Ask a lender for slots.
 
@@ -122,6 +139,7 @@
     | ProbeFor
     | TargetAlive
     | FeedPull
+    | Introduce
     | LeaseWanted
     | LeaseAnswer
     | Delta
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -28,6 +28,7 @@
     note_unreachable,
     tick_membership,
 )
+from bluebellbeam.node.introduce import hear_introduce
 from bluebellbeam.node.lending import (
     hear_lease_answer,
     hear_lease_wanted,
@@ -217,6 +218,8 @@
             hear_probe_for(state, sender, message, now_ms)
         case msg.TargetAlive():
             hear_target_alive(state, message, now_ms)
+        case msg.Introduce():
+            hear_introduce(state, sender, message, now_ms)
         case msg.FeedPull():
             hear_pull(state, sender, message)
         case Delta():
--- a/bluebellbeam/node/readiness.py
+++ b/bluebellbeam/node/readiness.py
@@ -3,7 +3,7 @@
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.command import Exit, Log
 from bluebellbeam.node.gossip import announce_leaving
-from bluebellbeam.node.state import CONFIG_FEED, ENTRIES_FEED, backends_feed
+from bluebellbeam.node.state import required_feeds
 
 __all__ = ["begin_leaving", "tick_leaving", "tick_readiness"]
 
@@ -23,7 +23,7 @@
     """
     if state.ready or state.leaving:
         return
-    keys = (CONFIG_FEED, ENTRIES_FEED, backends_feed(state.region))
+    keys = required_feeds(state.identity)
     if any(state.feeds[key].version == 0 for key in keys):
         return
     others = [row for row in usable_members(state.members) if _is_other(state, row)]
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -20,8 +20,26 @@
     prompt_tokens, max_output_tokens : int
     blocks : tuple of int
         Hashes of the prompt's leading blocks.
+    block_ends : tuple of int
+        Prompt tokens up to the end of each block; empty where every block
+        has the same size.
     expected_ms : float
         Expected time of a service call.
+    host : str
+        Host that a routed request named; empty for the product's own paths.
+    route : Route or None
+        Route that it follows.
+    attempt_key : str
+        Id that the caller gave a routed request.
+    queue_ends_ms : int
+        A routed request that has not been sent by then is refused; 0 where
+        only `deadline_ms` counts.
+    ends_ms : int
+        The whole answer is due by then; 0 for no bound beyond `deadline_ms`.
+    max_attempts : int
+        Servers to which it may be sent; 0 for the policy's number.
+    sends : int
+        Servers to which it may have been sent.
     priority : {"interactive", "batch", "guest"}
     cost : float
         Token cost for fair sharing.
@@ -61,6 +79,14 @@
         "prompt_tokens",
         "max_output_tokens",
         "blocks",
+        "block_ends",
+        "host",
+        "route",
+        "attempt_key",
+        "queue_ends_ms",
+        "ends_ms",
+        "max_attempts",
+        "sends",
         "expected_ms",
         "priority",
         "cost",
@@ -95,6 +121,14 @@
         self.prompt_tokens = values.pop("prompt_tokens", 0)
         self.max_output_tokens = values.pop("max_output_tokens", 0)
         self.blocks = values.pop("blocks", ())
+        self.block_ends = values.pop("block_ends", ())
+        self.host = values.pop("host", "")
+        self.route = None
+        self.attempt_key = values.pop("attempt_key", "")
+        self.queue_ends_ms = 0
+        self.ends_ms = values.pop("ends_ms", 0)
+        self.max_attempts = 0
+        self.sends = values.pop("sends", 0)
         self.expected_ms = values.pop("expected_ms", 0.0)
         self.priority = values.pop("priority", "interactive")
         self.cost = values.pop("cost", 1.0)
@@ -114,6 +148,11 @@
         self.running = []
         self.stalled = False
 
+    @property
+    def waits_until_ms(self):
+        """Time at which it is given up while it waits for a server."""
+        return self.queue_ends_ms or self.deadline_ms
+
 
 class Attempt:
     """One try to run a request, at a backend server or at a lender.
--- /dev/null
+++ b/bluebellbeam/node/routed.py
@@ -0,0 +1,162 @@
+"""Routed requests: which route, service, regions and times apply to one.
+
+A routed request names a host and a path instead of a model or service. It has
+no operation id: each request has an id of its own and a route says whether it
+may run more than once. In another region it is served by one forward to a
+daemon there, without a lease.
+"""
+
+from bluebellbeam.borrowing import fresh_offers
+from bluebellbeam.membership import usable_members
+from bluebellbeam.node.outcome import make_error
+from bluebellbeam.node.waiting import local_wait_ms
+from bluebellbeam.routing import choose_service, match_route
+
+__all__ = [
+    "choose_peer",
+    "is_known_locally",
+    "resolve_route",
+    "routed_start_ms",
+]
+
+OUTPUT_COST_FACTOR = 10.0
+"""Cost of an output token relative to one of the prompt, for fair sharing."""
+
+
+def resolve_route(state, request, now_ms):
+    """Apply the route of a request; return a `CallerError` where there is none."""
+    route = match_route(state.config.routes, request.host, request.path)
+    if route is None:
+        return make_error("not_found")
+    workspace = state.base.workspaces[route.workspace]
+    allowed = frozenset(workspace.allowed_regions)
+    if route.home_regions:
+        allowed &= frozenset(route.home_regions)
+    request.allowed = request.allowed & allowed if request.origin else allowed
+    if not request.allowed:
+        return make_error("region_not_permitted")
+    request.workspace = route.workspace
+    request.revision = request.revision or state.config.revision
+    request.route = route
+    request.service = choose_service(route, request.attempt_key)
+    request.pool = f"s/{request.service}"
+    request.idempotent = route.repeatable
+    request.max_attempts = route.max_attempts
+    _set_costs(state, request)
+    _set_times(request, route, now_ms)
+    return None
+
+
+def _set_costs(state, request):
+    service = state.base.services[request.service]
+    request.expected_ms = service.expected_ms
+    tokens = request.prompt_tokens + OUTPUT_COST_FACTOR * request.max_output_tokens
+    request.cost = tokens or service.expected_ms
+
+
+def _set_times(request, route, now_ms):
+    """Bound the whole answer by the caller's limit and the route's."""
+    ends_ms = now_ms + route.timeout_ms
+    if request.ends_ms:
+        ends_ms = min(ends_ms, request.ends_ms)
+    request.ends_ms = ends_ms
+    request.deadline_ms = ends_ms
+    request.queue_ends_ms = min(ends_ms, now_ms + route.objective_ms)
+
+
+def is_known_locally(state, request):
+    """Return whether a backend server of the own region may soon serve it.
+
+    A server that is being asked whether it still runs counts as well.
+    """
+    return any(
+        row.service == request.service
+        and not row.leaving
+        and row.failure_domain not in state.evacuated
+        for row in state.replicas.rows.values()
+    )
+
+
+def routed_start_ms(state, request, now_ms):
+    """Return the expected wait until the request starts somewhere, or None.
+
+    None means that no backend server can be reached.
+    """
+    waits = []
+    if state.region in request.allowed and is_known_locally(state, request):
+        waits.append(local_wait_ms(state, request.pool, request) or 0.0)
+    if not request.origin and _peers(state, request):
+        waits.append(_away_ms(state, request, now_ms))
+    return min(waits) if waits else None
+
+
+def _away_ms(state, request, now_ms):
+    offers = _offers(state, request, now_ms)
+    delays = state.base.regions[state.region].one_way_delay_ms
+    if not offers:
+        return 0.0 if state.region not in request.allowed else float(request.ends_ms)
+    return min(
+        offer.wait_ms + 2 * delays.get(offer.region, 0.0) for offer in offers.values()
+    )
+
+
+def _offers(state, request, now_ms):
+    allowed = request.allowed - {state.region}
+    found = fresh_offers(state.borrower, request.pool, allowed, now_ms)
+    return {offer.lender: offer for offer in found}
+
+
+def _peers(state, request):
+    """Return the daemons of other allowed regions that take a forward."""
+    return [
+        row
+        for row in usable_members(state.members)
+        if row.region != state.region
+        and row.region in request.allowed
+        and row.status == "alive"
+        and row.name not in request.tried
+    ]
+
+
+def choose_peer(state, request, now_ms):
+    """Return the daemon of another region that is to serve `request`, or None.
+
+    Work that may run here leaves only for a daemon that has offered room; work
+    bound to other regions goes to one of their daemons in any case.
+    """
+    if request.origin:
+        return None
+    peers = _peers(state, request)
+    offers = _offers(state, request, now_ms)
+    bound = state.region not in request.allowed
+    offering = [row for row in peers if _has_room(state, offers.get(row.name))]
+    if offering:
+        peers = offering
+    elif not bound:
+        return None
+    if not peers:
+        return None
+    delays = state.base.regions[state.region].one_way_delay_ms
+    return min(peers, key=lambda row: _peer_key(state, row, offers, delays))
+
+
+def _has_room(state, offer):
+    if offer is None:
+        return False
+    return offer.spare - _forwarded(state, offer.lender, offer.pool) >= 1.0
+
+
+def _forwarded(state, name, pool):
+    return sum(
+        1
+        for attempt in state.attempts.values()
+        if attempt.peer == name and attempt.request.pool == pool
+    )
+
+
+def _peer_key(state, row, offers, delays):
+    """Order peers by delay, then by what they are expected to have running."""
+    offer = offers.get(row.name)
+    wait_ms = offer.wait_ms if offer is not None else 0.0
+    running = sum(1 for item in state.attempts.values() if item.peer == row.name)
+    return (round(delays.get(row.region, 0.0) + wait_ms, -1), running, row.name)
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -26,6 +26,7 @@
     "NodeState",
     "backends_feed",
     "make_node_state",
+    "required_feeds",
 ]
 
 CONFIG_FEED = "config"
@@ -46,6 +47,14 @@
     return f"backends/{region}"
 
 
+def required_feeds(identity):
+    """Return the keys of the feeds that the daemon `identity` needs."""
+    backends = backends_feed(identity.region)
+    if identity.lists_entries:
+        return (CONFIG_FEED, ENTRIES_FEED, backends)
+    return (CONFIG_FEED, backends)
+
+
 class NodeIdentity(Struct, frozen=True):
     """Name and place of a daemon, and the start of its process.
 
@@ -55,6 +64,11 @@
         Wall-clock ms at the start of the process.
     seed_peers : tuple of str
         Peer addresses to ask before the VM list is known.
+    peer_address, caller_address : str
+        Own listeners, told to the other daemons where no list shows them.
+    lists_entries : bool
+        Whether the provider lists the entry VMs. Where it does not, daemons
+        introduce themselves to the seed peers and pass introductions on.
     """
 
     vm: str
@@ -63,6 +77,9 @@
     failure_domain: str
     site: str
     seed_peers: tuple[str, ...] = ()
+    peer_address: str = ""
+    caller_address: str = ""
+    lists_entries: bool = True
 
 
 class Counters:
@@ -104,6 +121,13 @@
     feed_asked_ms, feed_answered_ms, feed_failed_ms : dict of str to int
         Times of the reads of the platform, by feed.
     members, ring : MemberTable, ProbeRing
+    introductions : dict of str to list of (VmRecord, int)
+        Entry VMs heard of lately and how often each was passed on.
+    evacuated : frozenset of str
+        Failure domains whose backend servers are to get nothing.
+    lapsed_ms : dict of str to int
+        When a backend server vanished from the list while its source was
+        disturbed.
     replicas : ReplicaTable
     prefixes : PrefixIndex
     requests : dict of str to Request
@@ -143,6 +167,9 @@
         "feed_answered_ms",
         "feed_failed_ms",
         "members",
+        "introductions",
+        "evacuated",
+        "lapsed_ms",
         "ring",
         "replicas",
         "prefixes",
@@ -189,12 +216,14 @@
     def __init__(self, identity, seed, operation_key):
         self.identity = identity
         self.config = None
-        keys = (CONFIG_FEED, ENTRIES_FEED, backends_feed(identity.region))
-        self.feeds = {key: make_feed(key) for key in keys}
+        self.feeds = {key: make_feed(key) for key in required_feeds(identity)}
         self.feed_asked_ms = {}
         self.feed_answered_ms = {}
         self.feed_failed_ms = {}
         self.members = make_member_table()
+        self.introductions = {}
+        self.evacuated = frozenset()
+        self.lapsed_ms = {}
         self.ring = make_probe_ring()
         self.replicas = make_replica_table()
         self.prefixes = make_prefix_index()
--- a/bluebellbeam/node/sync.py
+++ b/bluebellbeam/node/sync.py
@@ -22,7 +22,9 @@
 from bluebellbeam.node.gossip import send_to
 from bluebellbeam.node.message import FeedPull
 from bluebellbeam.node.state import CONFIG_FEED, ENTRIES_FEED, backends_feed
-from bluebellbeam.platform.records import VmRecord
+from bluebellbeam.provider.records import EVACUATED_PREFIX, VmRecord
+from bluebellbeam.recovery import set_burst
+from bluebellbeam.routing import forget_answers
 
 __all__ = [
     "ask_for_config",
@@ -208,9 +210,11 @@
 
 def _put_in_force(state, feed, now_ms):
     if feed.key == CONFIG_FEED:
-        state.emit(Log("config", f"adopt revision {feed.version}"))
+        fields = {"version": feed.version, "source": feed.source}
+        state.emit(Log("config", f"adopt revision {feed.version}", fields=fields))
         state.ledger.max_rows = state.policy.max_operations
         state.retries.share = state.policy.retry_share
+        set_burst(state.retries, state.policy.retry_burst)
         state.hedges.share = state.objective.hedge_share
         state.subset_key = None
     elif feed.key == ENTRIES_FEED:
@@ -219,10 +223,35 @@
         state.subset_key = None
     else:
         state.subset_key = None
+        _note_evacuated(state, feed)
+
+
+def _note_evacuated(state, feed):
+    """Take in which failure domains are evacuated.
+
+    The servers of one that is taken back may have become cold meanwhile; they
+    are asked before they are used.
+    """
+    length = len(EVACUATED_PREFIX)
+    now = frozenset(n[length:] for n in feed.parts if n.startswith(EVACUATED_PREFIX))
+    before = state.evacuated
+    if now == before:
+        return
+    state.evacuated = now
+    for row in state.replicas.rows.values():
+        if row.failure_domain in before - now:
+            forget_answers(state.replicas, row)
+    names = ", ".join(sorted(now)) or "none"
+    fields = {"version": feed.version, "source": feed.source}
+    state.emit(Log("routing", f"evacuated failure domains: {names}", fields=fields))
 
 
 def _records(feed):
-    return [msgspec.json.decode(raw, type=VmRecord) for raw in feed.parts.values()]
+    return [
+        msgspec.json.decode(raw, type=VmRecord)
+        for name, raw in feed.parts.items()
+        if not name.startswith(EVACUATED_PREFIX)
+    ]
 
 
 def listed_backends(state):
--- a/bluebellbeam/orders/plan.py
+++ b/bluebellbeam/orders/plan.py
@@ -4,7 +4,7 @@
 that both believe they are responsible give the same order.
 """
 
-from bluebellbeam.platform.records import Order
+from bluebellbeam.provider.records import Order
 from bluebellbeam.utils.hashing import rendezvous_order, rendezvous_score
 
 __all__ = ["plan_placement", "pending_orders", "responsible_member"]
--- a/bluebellbeam/platform/__init__.py
+++ b/bluebellbeam/provider/__init__.py
@@ -1,6 +1,6 @@
 """What the platform publishes, and the clients that read it."""
 
-from bluebellbeam.platform.records import (
+from bluebellbeam.provider.records import (
     BriefLoad,
     CacheEvents,
     LoadReport,
--- a/bluebellbeam/platform/records.py
+++ b/bluebellbeam/provider/records.py
@@ -7,6 +7,7 @@
 __all__ = [
     "BriefLoad",
     "CacheEvents",
+    "EVACUATED_PREFIX",
     "LoadReport",
     "Order",
     "VmRecord",
@@ -15,6 +16,10 @@
 ]
 
 
+EVACUATED_PREFIX = "evacuated/"
+"""Parts of a list of backend servers that name an evacuated failure domain."""
+
+
 class VmRecord(Struct, frozen=True, kw_only=True):
     """A VM as the VM list shows it.
 
@@ -39,6 +44,11 @@
     guarded : bool
         Whether the server refuses, before running anything, a request that
         is meant for another server or that comes while it is leaving.
+    slots : int
+        Requests that the server runs at once, where the list tells it; such
+        a server is used without being asked for its load first.
+    warm_up_left_ms : int
+        How much longer a server that was listed just now stays cold.
     """
 
     name: str
@@ -54,6 +64,8 @@
     fenced: bool = False
     checks_sender: bool = False
     guarded: bool = False
+    slots: int = 0
+    warm_up_left_ms: int = 0
 
 
 class BriefLoad(Struct, frozen=True):
--- a/bluebellbeam/platform/tests/test_clients.py
+++ b/bluebellbeam/provider/tests/test_clients.py
@@ -5,8 +5,8 @@
 
 from bluebellbeam.examples import read_example
 from bluebellbeam.exception import PlatformError
-from bluebellbeam.platform import BriefLoad, format_brief_load, parse_brief_load
-from bluebellbeam.platform.clients import (
+from bluebellbeam.provider import BriefLoad, format_brief_load, parse_brief_load
+from bluebellbeam.provider.clients import (
     KEY_TTL_MS,
     make_directory_client,
     make_feed_client,
--- a/bluebellbeam/recovery/budget.py
+++ b/bluebellbeam/recovery/budget.py
@@ -1,6 +1,6 @@
 """Budgets that keep retries and hedges to a share of the requests."""
 
-__all__ = ["Budget", "earn", "make_budget", "spend"]
+__all__ = ["Budget", "earn", "make_budget", "set_burst", "spend"]
 
 
 class Budget:
@@ -31,6 +31,12 @@
     return Budget(share, burst)
 
 
+def set_burst(budget, burst):
+    """Change the highest level of the budget."""
+    budget.burst = burst
+    budget.level = min(budget.level, burst)
+
+
 def earn(budget):
     """Credit the budget for one first attempt."""
     budget.level = min(budget.burst, budget.level + budget.share)
--- /dev/null
+++ b/bluebellbeam/routing/affinity.py
@@ -0,0 +1,65 @@
+"""Leaning of prompts towards the backend servers that hold their shared parts.
+
+Every daemon ranks the servers of a pool by the same hash of the prompt's
+longest shared part, so that daemons which exchange nothing send it to the same
+server from the first request on, as consistent hashing with bounded loads
+does [1]_: the lean is worth the time that computing the part again would take,
+so a longer queue outweighs it.
+
+References
+----------
+.. [1] Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded
+   loads", SODA 2018.
+"""
+
+from bluebellbeam.utils.hashing import rendezvous_order
+
+__all__ = ["lean_ms", "shared_block"]
+
+LEAN_SHARE = 0.5
+"""Share of the time to compute the shared part that the lean is worth; the
+part may have been evicted from the server meanwhile."""
+
+
+def shared_block(request):
+    """Return ``(hash, tokens)`` of the prompt's leading shared parts, or None.
+
+    The last part of a prompt belongs to its request or session alone.
+    """
+    if len(request.blocks) < 2 or not request.block_ends:
+        return None
+    return request.blocks[-2], request.block_ends[-2]
+
+
+def lean_ms(view, request, speed_per_s):
+    """Return the server that `request` leans to and the lean in ms.
+
+    Parameters
+    ----------
+    view : RoutingView
+    request : Request
+    speed_per_s : float
+        Prompt tokens that a server computes each second.
+
+    Returns
+    -------
+    tuple of (str, float)
+        An empty name where the request leans nowhere.
+    """
+    shared = shared_block(request)
+    if shared is None or speed_per_s <= 0:
+        return "", 0.0
+    block, tokens = shared
+    names = view.cached(
+        ("pool names", request.pool),
+        view.replicas.pool_changes,
+        lambda: [row.name for row in view.replicas.pool(request.pool)],
+    )
+    if not names:
+        return "", 0.0
+    first = view.cached(
+        ("lean", request.pool, block),
+        view.replicas.pool_changes,
+        lambda: rendezvous_order(f"prompt:{block}", names)[0],
+    )
+    return first, LEAN_SHARE * 1000.0 * tokens / speed_per_s
--- a/bluebellbeam/routing/choose.py
+++ b/bluebellbeam/routing/choose.py
@@ -9,9 +9,19 @@
 
 from msgspec import Struct
 
-from bluebellbeam.routing.estimate import estimate_local, score_estimate
-from bluebellbeam.routing.prefix import cached_blocks, deepest_holders
+from bluebellbeam.routing.affinity import lean_ms
+from bluebellbeam.routing.estimate import (
+    estimate_local,
+    prompt_speed,
+    score_estimate,
+)
+from bluebellbeam.routing.prefix import (
+    cached_blocks,
+    cached_tokens,
+    deepest_holders,
+)
 from bluebellbeam.routing.separate import separation_ms
+from bluebellbeam.routing.warmup import is_cold, may_send_cold
 
 __all__ = ["Candidate", "choose_replica"]
 
@@ -35,6 +45,9 @@
 BATCH_PREFIX_TOKENS = 1024
 """Cached tokens that are worth this wait."""
 
+CROWDING_MS = 100.0
+"""Penalty on a full server of a service: tokens come more slowly there."""
+
 
 class Candidate(Struct):
     """A scored backend server, kept for the decision log.
@@ -71,14 +84,18 @@
     """
     names = _candidate_names(view, request, now_ms)
     region = view.base.regions[view.region]
-    model = view.base.models.get(request.model) if request.model else None
+    speed = prompt_speed(view.base, request)
+    leaning, worth_ms = lean_ms(view, request, speed) if names else ("", 0.0)
     scored = []
     for row in names:
-        blocks = cached_blocks(view.prefixes, row.name, request.blocks)
-        cached = min(blocks * view.block_tokens, request.prompt_tokens)
-        estimate = estimate_local(row, request, model, region, cached, now_ms)
+        cached = cached_tokens(view.prefixes, row.name, request, view.block_tokens)
+        estimate = estimate_local(row, request, speed, region, cached, now_ms)
         score = score_estimate(estimate, view.objective)
         score += separation_ms(view, row, request)
+        if request.service:
+            score += CROWDING_MS * row.occupancy() / row.slots
+        if leaning and row.name != leaning:
+            score += worth_ms
         scored.append(Candidate(row.name, score, estimate, cached))
     scored.sort(key=lambda item: (item.score, item.server))
     if scored and _waits_for_prefix(view, request, scored[0], now_ms):
@@ -105,20 +122,24 @@
     return False
 
 
-def is_available(row, request, now_ms, slack, confirm_ms):
+def is_available(view, row, request, now_ms):
     """Return whether `row` may be sent `request` now.
 
-    A server that has not answered anything for `confirm_ms` may be leaving
-    or replaced without our knowing; it is asked before it is used.
+    A server that has not answered anything for the policy's `confirm_ms` may
+    be leaving or replaced without our knowing; it is asked before it is used.
     """
+    if row.failure_domain in view.evacuated:
+        return False
+    if is_cold(row, now_ms) and not may_send_cold(view, row, now_ms):
+        return False
     if request.priority == "batch":
         room = row.free_slots() >= 1.0 + BATCH_RESERVE * row.slots
         room = room and row.inflight_tokens <= BATCH_AHEAD_TOKENS
     else:
-        room = row.free_slots(slack) >= 1.0
+        room = row.free_slots(view.slack) >= 1.0
     return (
         room
-        and row.is_confirmed(now_ms, confirm_ms)
+        and row.is_confirmed(now_ms, view.policy.confirm_ms)
         and row.ejected_until_ms <= now_ms
         and row.name not in request.tried
     )
@@ -126,10 +147,9 @@
 
 def _candidate_names(view, request, now_ms):
     pool = view.replicas.pool(request.pool)
-    limits = (view.slack, view.policy.confirm_ms)
     found = []
     for row in islice(pool, LEAST_LOADED * 3):
-        if is_available(row, request, now_ms, *limits):
+        if is_available(view, row, request, now_ms):
             found.append(row)
             if len(found) == LEAST_LOADED:
                 break
@@ -138,6 +158,6 @@
             row = view.replicas.rows.get(name)
             if row is None or row in found or request.pool not in row.pools:
                 continue
-            if is_available(row, request, now_ms, *limits):
+            if is_available(view, row, request, now_ms):
                 found.append(row)
     return found
--- a/bluebellbeam/routing/estimate.py
+++ b/bluebellbeam/routing/estimate.py
@@ -2,7 +2,13 @@
 
 from msgspec import Struct
 
-__all__ = ["Estimate", "estimate_local", "estimate_remote", "score_estimate"]
+__all__ = [
+    "Estimate",
+    "estimate_local",
+    "estimate_remote",
+    "prompt_speed",
+    "score_estimate",
+]
 
 
 class Estimate(Struct):
@@ -26,27 +32,41 @@
     away: bool
 
 
-def estimate_local(row, request, model, region, cached_tokens, now_ms):
+def prompt_speed(base, request):
+    """Return the prompt tokens that a server computes each second, 0 for none.
+
+    Parameters
+    ----------
+    base : Base
+    request : Request
+    """
+    if request.service:
+        service = base.services.get(request.service)
+        return service.prefill_tokens_per_s if service and request.blocks else 0.0
+    return base.models[request.model].prefill_tokens_per_s if request.model else 0.0
+
+
+def estimate_local(row, request, speed_per_s, region, cached_tokens, now_ms):
     """Return the estimate for backend server `row` of the own region.
 
     Parameters
     ----------
     row : Replica
     request : Request
-    model : Model or None
-        None for a call of a plain service.
+    speed_per_s : float
+        Prompt tokens computed each second; 0 for a call of a plain service.
     region : Region
         The region's prices.
     cached_tokens : int
         Leading prompt tokens estimated to be in the server's cache.
     """
     wait_ms = slot_wait_ms(row)
-    if model is None:
+    if not speed_per_s:
         expected_ms = wait_ms + (row.service_ms or request.expected_ms)
         return Estimate(expected_ms * row.slowness, 0, 0.0, False)
     uncached = max(0, request.prompt_tokens - cached_tokens)
-    ahead = tokens_ahead(row, model.prefill_tokens_per_s, now_ms)
-    prefill_ms = 1000.0 * (uncached + ahead) / model.prefill_tokens_per_s
+    ahead = tokens_ahead(row, speed_per_s, now_ms)
+    prefill_ms = 1000.0 * (uncached + ahead) / speed_per_s
     first_token_ms = (wait_ms + prefill_ms) * row.slowness
     tokens = uncached + request.max_output_tokens
     cost = tokens / 1000.0 * region.price_per_1k_tokens
--- a/bluebellbeam/routing/prefix.py
+++ b/bluebellbeam/routing/prefix.py
@@ -12,6 +12,7 @@
     "PrefixIndex",
     "apply_cache_events",
     "cached_blocks",
+    "cached_tokens",
     "deepest_holders",
     "forget_server",
     "make_prefix_index",
@@ -78,6 +79,20 @@
     return bisect.bisect_left(blocks, True, key=lambda block: block not in held)
 
 
+def cached_tokens(index, server, request, block_tokens):
+    """Return the leading prompt tokens estimated to be held by `server`.
+
+    Blocks have `block_tokens` each, unless the request tells where each of
+    its blocks ends.
+    """
+    blocks = cached_blocks(index, server, request.blocks)
+    if not blocks:
+        return 0
+    if request.block_ends:
+        return request.block_ends[blocks - 1]
+    return min(blocks * block_tokens, request.prompt_tokens)
+
+
 def deepest_holders(index, blocks, count):
     """Return up to `count` servers that hold the most leading `blocks`.
 
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -9,12 +9,14 @@
     "apply_load",
     "confirm_replica",
     "drop_replica",
+    "forget_answers",
     "make_replica_table",
     "mark_leaving",
     "note_answer",
     "note_finished",
     "note_miss",
     "note_started",
+    "note_warm_up",
     "prune_left",
     "reindex",
     "update_replicas",
@@ -23,6 +25,9 @@
 MAX_MISSES = 2
 """Consecutive misses after which a server is not counted as capacity."""
 
+MAX_LISTED_MISSES = 1
+"""The same for a server that is used without having been asked before."""
+
 GUARDED_CONFIRM_MS = 60_000
 """Time after its last answer at which a guarded server is asked before use."""
 
@@ -54,7 +59,14 @@
     leaving : bool
         Never taken back for the same incarnation.
     identified : bool
-        Whether the address has answered with this name and incarnation.
+        Whether the address has answered with this name and incarnation, or
+        the list tells all that is needed.
+    listed : bool
+        Whether the list tells its slots: it is used without being asked.
+    cold_until_ms : int or None
+        Until when it bears few requests; None before its first answer.
+    cold_sent_ms : int
+        When it was last sent a request while cold.
     reported_ms : int or None
     confirmed_ms : int or None
         Last answer of any kind that came from this name and incarnation.
@@ -84,6 +96,9 @@
         "service",
         "fenced",
         "guarded",
+        "listed",
+        "cold_until_ms",
+        "cold_sent_ms",
         "slots",
         "running",
         "waiting",
@@ -120,7 +135,10 @@
         self.service = record.service
         self.fenced = record.fenced
         self.guarded = record.guarded
-        self.slots = 1
+        self.listed = record.slots > 0 and record.guarded
+        self.cold_until_ms = 0
+        self.cold_sent_ms = 0
+        self.slots = max(1, record.slots)
         self.running = 0
         self.waiting = 0
         self.waiting_tokens = 0
@@ -130,7 +148,7 @@
         self.loaded = frozenset()
         self.loading = ""
         self.leaving = record.state == "leaving"
-        self.identified = False
+        self.identified = self.listed
         self.reported_ms = None
         self.confirmed_ms = None
         self.asked_ms = -1
@@ -157,8 +175,10 @@
         """Return whether the server has answered within `limit_ms`.
 
         A guarded server refuses by itself what it must not run; for it
-        `GUARDED_CONFIRM_MS` is enough.
+        `GUARDED_CONFIRM_MS` is enough, and nothing when it is listed.
         """
+        if self.listed:
+            return self.identified
         if self.guarded:
             limit_ms = max(limit_ms, GUARDED_CONFIRM_MS)
         return self.confirmed_ms is not None and now_ms - self.confirmed_ms <= limit_ms
@@ -200,7 +220,7 @@
     return ReplicaTable()
 
 
-def update_replicas(table, records):
+def update_replicas(table, records, now_ms=0, lapsed=frozenset()):
     """Take the listed backend servers `records` into the table.
 
     A server that the list no longer shows stays while it has own requests in
@@ -211,6 +231,9 @@
     table : ReplicaTable
     records : iterable of VmRecord
         The servers that this daemon is to use.
+    now_ms : int
+    lapsed : frozenset of str
+        Servers to keep although the list does not show them.
     """
     seen = set()
     for record in records:
@@ -225,14 +248,17 @@
             if table.left.get(record.name, 0) >= record.incarnation:
                 row.leaving = True
             row.order = len(table.rows)
+            note_warm_up(row, record.warm_up_left_ms, now_ms)
             table.rows[record.name] = row
         elif row.address != record.address:
             row.address = record.address
             row.identified = False
+        else:
+            note_warm_up(row, record.warm_up_left_ms, now_ms)
         if record.state == "leaving":
             mark_leaving(table, row.name, row.incarnation)
         reindex(table, row)
-    for name in [name for name in table.rows if name not in seen]:
+    for name in [name for name in table.rows if name not in seen | lapsed]:
         row = table.rows[name]
         row.leaving = True
         reindex(table, row)
@@ -240,6 +266,12 @@
             drop_replica(table, name)
 
 
+def note_warm_up(row, left_ms, now_ms):
+    """Record how much longer the server of `row` stays cold."""
+    if left_ms > 0:
+        row.cold_until_ms = max(row.cold_until_ms, now_ms + left_ms)
+
+
 def drop_replica(table, name):
     """Remove a server from the table and its indexes."""
     row = table.rows.pop(name, None)
@@ -320,6 +352,15 @@
     row.misses = 0
 
 
+def forget_answers(table, row):
+    """Ask the server of `row` again before it is used."""
+    row.identified = False
+    row.asked_ms = -1
+    row.reported_ms = None
+    row.confirmed_ms = None
+    reindex(table, row)
+
+
 def confirm_replica(table, row, name, incarnation, now_ms):
     """Record which server has answered at the address of `row`.
 
@@ -333,7 +374,7 @@
         reindex(table, row)
         return False
     note_answer(row, now_ms)
-    if not row.identified and row.reported_ms is not None:
+    if not row.identified and (row.listed or row.reported_ms is not None):
         row.identified = True
         reindex(table, row)
     return True
@@ -346,7 +387,8 @@
     answers again.
     """
     row.misses += 1
-    if row.misses >= MAX_MISSES and row.identified:
+    limit = MAX_LISTED_MISSES if row.listed else MAX_MISSES
+    if row.misses >= limit and row.identified:
         row.identified = False
         reindex(table, row)
 
--- a/bluebellbeam/standins/deployment.py
+++ b/bluebellbeam/standins/deployment.py
@@ -1,6 +1,6 @@
 """The VMs of a deployment at today's size, from its base file."""
 
-from bluebellbeam.platform.records import VmRecord
+from bluebellbeam.provider.records import VmRecord
 from bluebellbeam.standins.engine import make_engine
 from bluebellbeam.standins.service import make_service
 
--- a/bluebellbeam/standins/engine.py
+++ b/bluebellbeam/standins/engine.py
@@ -10,7 +10,7 @@
 
 from msgspec import Struct
 
-from bluebellbeam.platform.records import BriefLoad, CacheEvents, LoadReport
+from bluebellbeam.provider.records import BriefLoad, CacheEvents, LoadReport
 
 __all__ = ["Engine", "EngineJob", "JobEvent", "make_engine"]
 
--- a/bluebellbeam/standins/http.py
+++ b/bluebellbeam/standins/http.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from bluebellbeam.config.bundle import hash_part
-from bluebellbeam.platform.records import Order, format_brief_load
+from bluebellbeam.provider.records import Order, format_brief_load
 from bluebellbeam.standins.engine import EngineJob
 from bluebellbeam.utils.clock import monotonic_clock
 from bluebellbeam.utils.hashing import hash_text, prefix_blocks
--- a/bluebellbeam/standins/service.py
+++ b/bluebellbeam/standins/service.py
@@ -1,6 +1,6 @@
 """A plain service stand-in that counts how often each operation took effect."""
 
-from bluebellbeam.platform.records import LoadReport
+from bluebellbeam.provider.records import LoadReport
 
 __all__ = ["PlainService", "make_service"]
 
