--- a/bluebellbeam/cli/main.py
+++ b/bluebellbeam/cli/main.py
@@ -33,11 +33,14 @@
 
 
 @main.command()
-@click.argument("settings_file", type=_FILE)
+@click.argument("settings_file", type=_FILE, envvar="BLUEBELLBEAM_SETTINGS")
 @_LOG_FORMAT
 def serve(settings_file, log_format):
     """Run the daemon with the process settings in SETTINGS_FILE.
 
+    Without the argument, the environment variable BLUEBELLBEAM_SETTINGS names
+    the file.
+
     Example: bluebellbeam serve examples/fraserleaf/burnaby-hall-settings.json
     """
     from bluebellbeam.daemon import run_daemon
--- a/bluebellbeam/config/__init__.py
+++ b/bluebellbeam/config/__init__.py
@@ -37,6 +37,7 @@
 from bluebellbeam.config.settings import (
     PlatformAddresses,
     Settings,
+    StoreAccess,
     decode_settings,
     read_settings,
 )
@@ -59,6 +60,7 @@
     "Region",
     "Service",
     "Settings",
+    "StoreAccess",
     "Site",
     "Workspace",
     "WorkspaceOverlay",
--- a/bluebellbeam/config/model.py
+++ b/bluebellbeam/config/model.py
@@ -186,7 +186,23 @@
 
 
 class Policy(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Intervals and bounds of the mechanisms."""
+    """Intervals and bounds of the mechanisms.
+
+    Parameters
+    ----------
+    retry_share : float
+        Extra attempts earned by each request.
+    retry_burst : float
+        Extra attempts that one daemon may hold in store.
+    retry_slack : float
+        Extra attempts to one service of routes that all daemons together may
+        hold in store; each keeps its share.
+    leave_linger_ms : int
+        Least time between announcing a leave and the end of the process;
+        callers that have not heard yet are served meanwhile.
+    leave_grace_ms : int
+        Time after which a leaving daemon ends whatever runs; 0 for never.
+    """
 
     probe_interval_ms: int = 1000
     suspect_timeout_ms: int = 4000
@@ -200,6 +216,9 @@
     pause_ms: int = 2500
     retry_share: float = 0.1
     retry_burst: float = 10.0
+    retry_slack: float = 0.0
+    leave_linger_ms: int = 500
+    leave_grace_ms: int = 0
     max_attempts: int = 3
     eject_failures: int = 3
     eject_ms: int = 5000
--- a/bluebellbeam/config/settings.py
+++ b/bluebellbeam/config/settings.py
@@ -8,7 +8,13 @@
 
 from bluebellbeam.config.fault import Fault, decode_document
 
-__all__ = ["PlatformAddresses", "Settings", "decode_settings", "read_settings"]
+__all__ = [
+    "PlatformAddresses",
+    "Settings",
+    "StoreAccess",
+    "decode_settings",
+    "read_settings",
+]
 
 _MIN_KEY_CHARACTERS = 16
 
@@ -21,6 +27,32 @@
     directory: str
 
 
+class StoreAccess(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Access to a platform whose metadata store publishes routes and servers.
+
+    Parameters
+    ----------
+    address : str
+        Of the store, as ``ip:port``.
+    domains : dict of str to str
+        Region of each failure domain.
+    readiness_address, directory_address : str
+        Listeners on which the platform and callers ask.
+    retry_share, retry_slack : float
+        Bounds of extra attempts over all daemons.
+    grace_s : float
+        Time between the signal to stop and the end of the process.
+    """
+
+    address: str
+    domains: dict[str, str]
+    readiness_address: str
+    directory_address: str
+    retry_share: float = 0.1
+    retry_slack: float = 10.0
+    grace_s: float = 8.0
+
+
 class Settings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of a daemon.
 
@@ -32,7 +64,12 @@
     caller_address, peer_address, operator_address : str
         Listening addresses as ``ip:port``.
     peer_key : str
-        Secret shared by the daemons of a deployment.
+        Secret shared by the daemons of a deployment. May be empty behind a
+        store, where only the system's own VMs reach the peers' listener.
+    platform : PlatformAddresses or None
+        The provider's services.
+    store : StoreAccess or None
+        In place of `platform`, a metadata store.
     seed_peers : tuple of str
         Peer addresses to ask before the VM list has been read.
     """
@@ -44,8 +81,9 @@
     caller_address: str
     peer_address: str
     operator_address: str
-    peer_key: str
-    platform: PlatformAddresses
+    peer_key: str = ""
+    platform: PlatformAddresses | None = None
+    store: StoreAccess | None = None
     seed_peers: tuple[str, ...] = ()
 
 
@@ -86,12 +124,11 @@
         faults.append(
             Fault("$", "two listeners share an address", "give each its own address")
         )
-    platform = settings.platform
-    for name in ("configuration", "vm_list", "directory"):
-        _check_address(getattr(platform, name), f"$.platform.{name}", faults)
+    _check_provider(settings, faults)
     for i, address in enumerate(settings.seed_peers):
         _check_address(address, f"$.seed_peers[{i}]", faults)
-    if len(settings.peer_key) < _MIN_KEY_CHARACTERS:
+    needs_key = settings.store is None or settings.peer_key
+    if needs_key and len(settings.peer_key) < _MIN_KEY_CHARACTERS:
         faults.append(
             Fault(
                 "$.peer_key",
@@ -102,6 +139,24 @@
     return faults
 
 
+def _check_provider(settings, faults):
+    platform, store = settings.platform, settings.store
+    if (platform is None) == (store is None):
+        fix = "name the provider's services or its store"
+        faults.append(Fault("$", "not exactly one of platform and store", fix))
+        return
+    if platform is not None:
+        for name in ("configuration", "vm_list", "directory"):
+            _check_address(getattr(platform, name), f"$.platform.{name}", faults)
+        return
+    for name in ("address", "readiness_address", "directory_address"):
+        _check_address(getattr(store, name), f"$.store.{name}", faults)
+    if store.domains.get(settings.failure_domain) != settings.region:
+        fix = "list every failure domain with its region"
+        text = f"'{settings.failure_domain}' is not in '{settings.region}'"
+        faults.append(Fault("$.store.domains", text, fix))
+
+
 def _check_address(address, path, faults):
     host, _, port = address.rpartition(":")
     try:
--- a/bluebellbeam/daemon/auth.py
+++ b/bluebellbeam/daemon/auth.py
@@ -89,6 +89,35 @@
         return hmac.new(self._key, text.encode(), hashlib.sha256).hexdigest()
 
 
+class OpenPeers:
+    """Takes the sender's word, where only the system's own VMs reach peers."""
+
+    __slots__ = ()
+
+    def sign(self, path, vm, body):
+        """Return the header value: the name of the VM."""
+        return vm
+
+    def sign_answer(self, nonce, body):
+        """Return the header value for an answer."""
+        return "open"
+
+    def check(self, path, header, body):
+        """Return ``(vm, nonce)`` of the sender.
+
+        Raises
+        ------
+        PeerError
+            If no sender is named.
+        """
+        if not header:
+            raise PeerError("the message names no sender")
+        return header, ""
+
+    def check_answer(self, header, answer_header, body):
+        """Accept any answer."""
+
+
 def make_peer_auth(key, clock):
-    """Return the authentication of the deployment's shared `key`."""
-    return PeerAuth(key, clock)
+    """Return the authentication of the deployment's shared `key`, if it has one."""
+    return PeerAuth(key, clock) if key else OpenPeers()
--- a/bluebellbeam/daemon/callers.py
+++ b/bluebellbeam/daemon/callers.py
@@ -73,7 +73,7 @@
     if scheme.lower() != "bearer" or not key:
         return error_response(make_error("unauthorized"), request_id)
     try:
-        workspace = await driver.directory.resolve(key.strip())
+        workspace = await driver.provider.directory.resolve(key.strip())
     except PlatformError:
         return error_response(make_error("directory_unavailable"), request_id)
     if workspace is None:
--- /dev/null
+++ b/bluebellbeam/daemon/channels.py
@@ -0,0 +1,103 @@
+"""Idle connections to backend servers and peers, kept for the next request."""
+
+from bluebellbeam.daemon.channel import connect_channel
+
+__all__ = ["ChannelPool", "make_channel_pool"]
+
+CONNECT_TIMEOUT_MS = 400
+"""Several round trips to any server of the own region, with room for one lost
+packet that is sent again early."""
+
+FAR_CONNECT_TIMEOUT_MS = 1000
+"""The same for a daemon of another region."""
+
+REUSE_MARGIN_MS = 1000
+"""A connection is not used in the last second of the time that the other side
+keeps it, since both would then cross."""
+
+UNTOLD_KEEP_ALIVE_MS = 300
+"""Idle time after which a connection is not used again where the other side
+does not tell how long it keeps it."""
+
+MAX_IDLE_MS = 8000
+"""Longest idle time in any case."""
+
+
+class ChannelPool:
+    """Idle connections by the process at their other end.
+
+    Attributes
+    ----------
+    idle : dict of hashable to list of Channel
+        Most recently used last.
+    opened : int
+        Connections made so far.
+    """
+
+    __slots__ = ("idle", "opened", "clock")
+
+    def __init__(self, clock):
+        self.idle = {}
+        self.opened = 0
+        self.clock = clock
+
+    async def acquire(self, key, address, far=False):
+        """Return a connection to the process `key` at `address`.
+
+        Raises
+        ------
+        ChannelError
+            If none can be made.
+        """
+        now_ms = self.clock.now_ms()
+        channels = self.idle.get(key, [])
+        while channels:
+            channel = channels.pop()
+            if _is_fresh(channel, now_ms, far):
+                return channel
+            channel.close()
+        self.opened += 1
+        limit_ms = FAR_CONNECT_TIMEOUT_MS if far else CONNECT_TIMEOUT_MS
+        return await connect_channel(key, address, limit_ms)
+
+    def release(self, channel):
+        """Take back a connection; one that cannot be used again is closed."""
+        channel.finish(self.clock.now_ms())
+        if channel.is_reusable:
+            self.idle.setdefault(channel.key, []).append(channel)
+
+    def sweep(self, known):
+        """Close what is idle for too long or leads to a process not in `known`."""
+        now_ms = self.clock.now_ms()
+        for key, channels in list(self.idle.items()):
+            kept = []
+            for channel in channels:
+                if key in known and _is_fresh(channel, now_ms, far=True):
+                    kept.append(channel)
+                else:
+                    channel.close()
+            if kept:
+                self.idle[key] = kept
+            else:
+                del self.idle[key]
+
+    def close(self):
+        """Close every idle connection."""
+        self.sweep(frozenset())
+
+
+def _is_fresh(channel, now_ms, far):
+    """Return whether the other side surely still keeps an idle connection."""
+    if not channel.is_reusable:
+        return False
+    told_ms = channel.keep_alive_ms
+    if told_ms is not None:
+        limit_ms = max(UNTOLD_KEEP_ALIVE_MS, told_ms - REUSE_MARGIN_MS)
+    else:
+        limit_ms = MAX_IDLE_MS if far else UNTOLD_KEEP_ALIVE_MS
+    return now_ms - channel.idle_since_ms <= min(limit_ms, MAX_IDLE_MS)
+
+
+def make_channel_pool(clock):
+    """Return an empty pool."""
+    return ChannelPool(clock)
--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -7,14 +7,16 @@
 import structlog
 
 from bluebellbeam.daemon.auth import AUTH_HEADER, make_peer_auth
+from bluebellbeam.daemon.channels import make_channel_pool
 from bluebellbeam.daemon.exchange import Chunk, End, Head, make_exchange
-from bluebellbeam.daemon.upstream import SERVER_HEADER, run_attempt
+from bluebellbeam.daemon.published import LOAD_TIMEOUT_S
+from bluebellbeam.daemon.routed_attempt import run_routed_attempt
+from bluebellbeam.daemon.upstream import run_attempt
 from bluebellbeam.exception import PeerError, PlatformError
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.message import Envelope, decode_envelope, encode_envelope
-from bluebellbeam.provider.clients import make_directory_client, make_feed_client
-from bluebellbeam.provider.records import CacheEvents, LoadReport
+from bluebellbeam.provider.records import CacheEvents
 from bluebellbeam.utils.clock import monotonic_clock, wall_clock
 
 __all__ = ["Driver", "make_driver"]
@@ -24,11 +26,16 @@
 
 MESSAGES_PATH = "/peer/v1/messages"
 PEER_TIMEOUT_S = 2.0
-LOAD_TIMEOUT_S = 1.0
+SWEEP_S = 1.0
+"""Interval at which idle connections are looked through."""
+
 MAX_PEER_BYTES = 64 * 1024 * 1024
 """Largest answer of a peer; a snapshot of a whole feed fits."""
 
 
+_NO_FIELDS = {}
+
+
 class Driver:
     """One running daemon outside its node.
 
@@ -38,8 +45,12 @@
     settings : Settings
     clock : Clock
         Monotonic clock that the node sees.
+    provider : PublishedProvider or Platform
+        Who publishes the configuration and the backend servers.
     session : aiohttp.ClientSession
         Reused connections, for calls that may be repeated.
+    channels : ChannelPool
+        Connections of routed requests.
     exchanges : dict of str to Exchange
         Requests whose caller waits, by request id.
     attempts : dict of int to asyncio.Task
@@ -53,9 +64,10 @@
         "settings",
         "clock",
         "auth",
+        "provider",
         "session",
-        "directory",
-        "feed_clients",
+        "channels",
+        "routed_ids",
         "exchanges",
         "attempts",
         "tasks",
@@ -66,14 +78,15 @@
         "observe_first",
     )
 
-    def __init__(self, node, settings):
+    def __init__(self, node, settings, provider, clock):
         self.node = node
         self.settings = settings
-        self.clock = monotonic_clock()
+        self.provider = provider
+        self.clock = clock
+        self.channels = make_channel_pool(clock)
+        self.routed_ids = 0
         self.auth = make_peer_auth(settings.peer_key, wall_clock())
         self.session = None
-        self.directory = None
-        self.feed_clients = {}
         self.exchanges = {}
         self.attempts = {}
         self.tasks = set()
@@ -89,14 +102,9 @@
         self.session = aiohttp.ClientSession(
             connector=pool, auto_decompress=False, read_bufsize=2**17
         )
-        platform = self.settings.platform
-        configuration = make_feed_client(self.session, platform.configuration)
-        vm_list = make_feed_client(self.session, platform.vm_list)
-        self.feed_clients = {"config": configuration, "": vm_list}
-        self.directory = make_directory_client(
-            self.session, platform.directory, self.clock
-        )
+        self.provider.open(self.session)
         self._spawn(self._run_ticks())
+        self._spawn(self._sweep_channels())
         self._spawn(self._run_cache_events())
 
     async def close(self):
@@ -104,6 +112,8 @@
         for task in [*self.tasks, *self.attempts.values()]:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.channels.close()
+        self.provider.close()
         await self.session.close()
 
     def handle(self, event):
@@ -120,6 +130,23 @@
         self.handle(ev.RequestArrived(request))
         return exchange
 
+    @property
+    def codec(self):
+        """Spelling of the headers of routed requests."""
+        return self.provider.codec
+
+    def new_routed_id(self, attempt_key):
+        """Return an id for a routed request that no open one has."""
+        if attempt_key not in self.exchanges:
+            return attempt_key
+        self.routed_ids += 1
+        return f"{attempt_key}#{self.routed_ids}"
+
+    def accept_routed(self, exchange):
+        """Take in a routed request."""
+        self.exchanges[exchange.request.request_id] = exchange
+        self.handle(ev.RequestArrived(exchange.request))
+
     def note_first(self, request):
         """Report how long the answer to `request` took to begin."""
         exchange = self.exchanges.get(request.request_id)
@@ -170,12 +197,19 @@
                 self.log.exception("node: a tick failed", vm=self.settings.vm)
             await asyncio.sleep(TICK_MS / 1000.0)
 
+    async def _sweep_channels(self):
+        while not self.stopped.is_set():
+            await asyncio.sleep(SWEEP_S)
+            state = self.node.state
+            known = {(row.name, row.incarnation) for row in _rows(state)}
+            known.update((name, 0) for name in state.members.rows)
+            self.channels.sweep(known)
+
     async def _run_cache_events(self):
         while not self.stopped.is_set():
             interval_ms = self.node.state.policy.load_interval_ms
             await asyncio.sleep(interval_ms * 2 / 1000.0)
-            rows = list(self.node.state.replicas.rows.values())
-            for row in rows:
+            for row in _rows(self.node.state):
                 if row.role == "engine" and row.identified:
                     self._spawn(self._read_cache_events(row.address))
 
@@ -202,17 +236,19 @@
                     self._spawn(self._read_load(command))
                 case cmd.GiveOrder():
                     self._spawn(self._give_order(command))
-                case cmd.Log(part, sentence, request_id):
-                    self._log(part, sentence, request_id)
+                case cmd.Log(part, sentence, request_id, fields):
+                    self._log(part, sentence, request_id, fields)
                 case cmd.Exit():
                     self.stopped.set()
 
-    def _log(self, part, sentence, request_id):
-        values = {"request_id": request_id} if request_id else {}
+    def _log(self, part, sentence, request_id="", fields=_NO_FIELDS):
+        values = {"request_id": request_id, **fields} if request_id else fields
         self.log.info(f"{part}: {sentence}", vm=self.settings.vm, **values)
 
     def _start_attempt(self, command):
-        task = asyncio.get_running_loop().create_task(run_attempt(self, command))
+        routed = command.request.route is not None
+        run = run_routed_attempt if routed else run_attempt
+        task = asyncio.get_running_loop().create_task(run(self, command))
         self.attempts[command.attempt_id] = task
         task.add_done_callback(lambda _: self.attempts.pop(command.attempt_id, None))
 
@@ -253,13 +289,13 @@
                 self.handle(ev.PeerUnreachable(command.vm))
             return
         except PeerError as error:
-            self._log("peer", f"ignore an answer: {error}", "")
+            self._log("peer", f"ignore an answer: {error}")
             return
         self.peer_bytes_received += len(body)
         self.handle(ev.PeerHeard(envelope, answer=True))
 
     async def _read_feed(self, command):
-        client = self.feed_clients.get(command.key, self.feed_clients[""])
+        client = self.provider.feed_client(command.key)
         try:
             snapshot = await client.read(
                 command.key, command.after_version, command.wait
@@ -270,30 +306,7 @@
         self.handle(ev.FeedRead(snapshot))
 
     async def _read_load(self, command):
-        timeout = aiohttp.ClientTimeout(total=LOAD_TIMEOUT_S)
-        url = f"http://{command.address}/load"
-        try:
-            async with self.session.get(
-                url, timeout=timeout, allow_redirects=False
-            ) as answer:
-                raw = await answer.read()
-                identity = answer.headers.get(SERVER_HEADER, "")
-            if answer.status != 200:
-                self._confirm(command.server, identity)
-                return
-            report = msgspec.json.decode(raw, type=LoadReport)
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
-            self.handle(ev.LoadMissed(command.server))
-            return
-        self.handle(ev.LoadReported(command.server, report))
-
-    def _confirm(self, server, identity):
-        """Tell the node who has answered without a load report."""
-        name, _, incarnation = identity.rpartition("/")
-        if incarnation.isdigit():
-            self.handle(ev.ServerConfirmed(server, name, int(incarnation)))
-        else:
-            self.handle(ev.LoadMissed(server))
+        self.handle(await self.provider.ask_server(self.session, command))
 
     async def _read_cache_events(self, address):
         try:
@@ -354,6 +367,10 @@
     return answers, rest
 
 
-def make_driver(node, settings):
+def _rows(state):
+    return list(state.replicas.rows.values())
+
+
+def make_driver(node, settings, provider, clock=None):
     """Return a driver; open it inside the running loop."""
-    return Driver(node, settings)
+    return Driver(node, settings, provider, clock or monotonic_clock())
--- a/bluebellbeam/daemon/exchange.py
+++ b/bluebellbeam/daemon/exchange.py
@@ -4,7 +4,16 @@
 
 from msgspec import Struct
 
-__all__ = ["Chunk", "End", "Exchange", "Failed", "Head", "make_exchange"]
+__all__ = [
+    "Chunk",
+    "End",
+    "Exchange",
+    "Failed",
+    "Head",
+    "RoutedExchange",
+    "Whole",
+    "make_exchange",
+]
 
 MAX_CHUNKS = 64
 """Chunks that may wait for a slow caller before the engine is held back."""
@@ -34,6 +43,21 @@
     """The answer is whole."""
 
 
+class Whole(Struct, frozen=True):
+    """A whole answer of a routed request.
+
+    Parameters
+    ----------
+    status : int
+    headers : tuple of (str, str)
+    payload : bytes
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    payload: bytes
+
+
 class Failed(Struct, frozen=True):
     """The request has a final error.
 
@@ -108,6 +132,33 @@
         return item
 
 
+class RoutedExchange(Exchange):
+    """What is known of a routed request outside the node.
+
+    Attributes
+    ----------
+    head : RequestHead
+    target : str
+        Path and query as the caller sent them.
+    last_event_id : str
+        Last event that the caller has, from this answer or before it.
+    begun : bool
+        Whether the caller has been given a status.
+    refused : Whole or None
+        Failure that a server has answered and that may be tried elsewhere.
+    """
+
+    __slots__ = ("head", "target", "last_event_id", "begun", "refused")
+
+    def __init__(self, request, payload, head, target, arrived_ms):
+        super().__init__(request, payload, {}, "", None, arrived_ms)
+        self.head = head
+        self.target = target
+        self.last_event_id = head.resume_after
+        self.begun = False
+        self.refused = None
+
+
 def make_exchange(request, payload, headers, query, body, arrived_ms):
     """Return the exchange of a request that has just arrived."""
     return Exchange(request, payload, headers, query, body, arrived_ms)
--- a/bluebellbeam/daemon/peers.py
+++ b/bluebellbeam/daemon/peers.py
@@ -10,9 +10,17 @@
 from sanic import Sanic, response
 
 from bluebellbeam.daemon.auth import AUTH_HEADER
+from bluebellbeam.daemon.codec import RequestHead
 from bluebellbeam.daemon.driver import MESSAGES_PATH
+from bluebellbeam.daemon.exchange import RoutedExchange
 from bluebellbeam.daemon.listener import configure, error_response
 from bluebellbeam.daemon.relay import collect_service, relay_stream
+from bluebellbeam.daemon.routed import (
+    answer_routed,
+    make_forwarded_routed,
+    peer_headers,
+)
+from bluebellbeam.daemon.routed_attempt import META_HEADER, ROUTED_PATH, RoutedForward
 from bluebellbeam.daemon.upstream import FORWARD_PATH
 from bluebellbeam.daemon.wire import (
     ForwardAnswer,
@@ -52,6 +60,17 @@
             return _refuse(error)
         return await _forwarded(driver, request, vm, found)
 
+    async def routed(request):
+        raw = request.headers.get(META_HEADER, "").encode("latin-1")
+        try:
+            header = request.headers.get(AUTH_HEADER)
+            vm, _ = driver.auth.check(ROUTED_PATH, header, raw + request.body)
+            found = msgspec.json.decode(raw, type=RoutedForward)
+        except (PeerError, msgspec.DecodeError) as error:
+            return _refuse(error)
+        return await _routed(driver, request, vm, found)
+
+    app.add_route(routed, ROUTED_PATH, ["POST"], name="routed")
     app.add_route(messages, MESSAGES_PATH, ["POST"], name="messages")
     app.add_route(forward, FORWARD_PATH, ["POST"], name="forward")
     return app
@@ -81,6 +100,21 @@
         driver.release(request_id)
 
 
+async def _routed(driver, request, vm, found):
+    """Run a routed request that daemon `vm` has forwarded."""
+    request_id = driver.new_routed_id(found.attempt_key)
+    entity = make_forwarded_routed(found, vm, request_id, driver.clock.now_ms())
+    head = RequestHead(
+        found.attempt_key, resume_after=found.last_event_id, passed=found.passed
+    )
+    exchange = RoutedExchange(
+        entity, request.body, head, found.target, driver.clock.now_ms()
+    )
+    return await answer_routed(
+        driver, request, exchange, peer_headers(found.request_id)
+    )
+
+
 def make_forwarded(found, vm, request_id, now_ms):
     """Return the :class:`Request` for a :class:`ForwardRequest` of daemon `vm`."""
     entity = Request(
--- /dev/null
+++ b/bluebellbeam/daemon/routed.py
@@ -0,0 +1,276 @@
+"""Routed requests over HTTP: from callers, and from peers that forward them."""
+
+import re
+import secrets
+
+from sanic import Sanic, response
+
+from bluebellbeam.daemon.codec import HOP_HEADERS, chain_blocks
+from bluebellbeam.daemon.exchange import Chunk, End, Failed, Head, RoutedExchange, Whole
+from bluebellbeam.daemon.listener import configure
+from bluebellbeam.daemon.routed_attempt import (
+    CODE_HEADER,
+    META_HEADER,
+    OUTCOME_HEADER,
+    RETRY_HEADER,
+)
+from bluebellbeam.daemon.wire import encode_error
+from bluebellbeam.exception import BluebellbeamError
+from bluebellbeam.node import Request, make_error
+
+__all__ = [
+    "BrokenAnswer",
+    "answer_routed",
+    "make_forwarded_routed",
+    "make_routed_app",
+    "peer_headers",
+    "refuse_routed",
+    "serve_routed",
+]
+
+METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD", "OPTIONS")
+
+_HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\r\n\x00]*")
+
+
+class BrokenAnswer(BluebellbeamError):
+    """Raised to end a response without the mark of a whole one."""
+
+
+def make_routed_app(driver):
+    """Return the sanic application of a listener for routed requests alone."""
+    app = Sanic(f"routed-{driver.settings.vm}-{secrets.token_hex(4)}")
+    configure(app, MAX_BODY_BYTES)
+
+    async def serve(request, path=""):
+        return await serve_routed(driver, request)
+
+    app.add_route(serve, "/", METHODS, name="root")
+    app.add_route(serve, "/<path:path>", METHODS, name="any")
+    return app
+
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Bound of the listener itself; the configuration's is checked per request."""
+
+
+async def serve_routed(driver, request):
+    """Serve a caller's request by its route.
+
+    Parameters
+    ----------
+    driver : Driver
+    request : sanic.Request
+    """
+    head = driver.codec.read_request(_pairs(request))
+    request_id = head.request_id
+    if not _is_well_formed(request.head):
+        request.stream.keep_alive = False
+        return refuse_routed(driver, make_error("bad_request"), request_id)
+    host = request.headers.get("host", "")
+    if not request_id or not host:
+        text = "The request has no id of its own or names no host."
+        error = make_error("bad_request", message=text)
+        return refuse_routed(driver, error, request_id)
+    error = _check_limits(driver, request)
+    if error is not None:
+        return refuse_routed(driver, error, request_id)
+    entity = _make_request(driver, request, head, host)
+    target = request.raw_url.decode("latin-1")
+    exchange = RoutedExchange(entity, request.body, head, target, driver.clock.now_ms())
+    return await answer_routed(driver, request, exchange, _no_headers)
+
+
+def _pairs(request):
+    return [(name.lower(), value.strip()) for name, value in request.headers.items()]
+
+
+def _is_well_formed(head):
+    """Return whether each header line has a name that nobody reads differently.
+
+    A name followed by a space, a folded line or a bare line end could hide a
+    second request from one side of a connection.
+    """
+    lines = head.split(b"\r\n")[1:]
+    return all(_HEADER_LINE.fullmatch(line) for line in lines if line)
+
+
+def _check_limits(driver, request):
+    config = driver.node.state.config
+    if config is None:
+        return None
+    limits = config.base.caller_limits
+    if len(request.head) > limits.max_header_bytes:
+        return make_error("headers_too_large")
+    if len(request.body) > limits.max_body_bytes:
+        return make_error("too_large")
+    return None
+
+
+def _make_request(driver, request, head, host):
+    blocks, ends = chain_blocks(head.parts)
+    now_ms = driver.clock.now_ms()
+    return Request(
+        driver.new_routed_id(head.request_id),
+        "",
+        host=host,
+        method=request.method,
+        path=_plain_path(request.raw_url),
+        attempt_key=head.request_id,
+        ends_ms=now_ms + head.left_ms if head.left_ms is not None else 0,
+        prompt_tokens=head.prompt_tokens,
+        max_output_tokens=head.max_output_tokens,
+        blocks=blocks,
+        block_ends=ends,
+    )
+
+
+def _plain_path(raw_url):
+    return raw_url.partition(b"?")[0].decode("latin-1")
+
+
+def make_forwarded_routed(forward, vm, request_id, now_ms):
+    """Return the :class:`Request` for a :class:`RoutedForward` of daemon `vm`."""
+    return Request(
+        request_id,
+        "",
+        origin=vm,
+        host=forward.host,
+        method=forward.method,
+        path=forward.target.partition("?")[0],
+        attempt_key=forward.attempt_key,
+        ends_ms=now_ms + forward.left_ms,
+        prompt_tokens=forward.prompt_tokens,
+        max_output_tokens=forward.max_output_tokens,
+        blocks=forward.blocks,
+        block_ends=forward.block_ends,
+        allowed=frozenset(forward.allowed),
+        revision=forward.revision,
+        sends=forward.sends,
+    )
+
+
+async def answer_routed(driver, request, exchange, headers_for):
+    """Run a routed request and answer it.
+
+    Parameters
+    ----------
+    driver : Driver
+    request : sanic.Request
+    exchange : RoutedExchange
+    headers_for : callable
+        Of a `CallerError` or None; returns own headers of the answer.
+
+    Raises
+    ------
+    BrokenAnswer
+        If the answer breaks off behind its status.
+    """
+    request_id = exchange.request.request_id
+    driver.accept_routed(exchange)
+    try:
+        item = await exchange.next_item()
+        if driver.node.state.leaving:
+            request.stream.keep_alive = False
+        match item:
+            case Failed(error):
+                return _final_failure(driver, exchange, error, headers_for)
+            case Whole(status, headers, payload):
+                return _whole_response(status, headers, payload, headers_for(None))
+            case Head(status, headers):
+                await _stream(request, exchange, status, headers, headers_for(None))
+                return None
+    finally:
+        driver.release(request_id)
+
+
+def _final_failure(driver, exchange, error, headers_for):
+    """Answer a request that has failed.
+
+    A failure that a server has answered is passed on as it came, unless the
+    request was refused before.
+    """
+    if exchange.refused is not None and error.outcome != "not_run":
+        kept = exchange.refused
+        return _whole_response(kept.status, kept.headers, kept.payload, [])
+    request_id = exchange.request.attempt_key
+    return refuse_routed(driver, error, request_id, headers_for(error))
+
+
+def _whole_response(status, headers, payload, extra):
+    pairs, content_type = _split_type((*headers, *extra))
+    return response.raw(payload, status, pairs, content_type)
+
+
+def _split_type(pairs):
+    kept = {}
+    content_type = None
+    for name, value in pairs:
+        if name == "content-type":
+            content_type = value
+        elif name not in HOP_HEADERS:
+            kept[name] = value if name not in kept else f"{kept[name]}, {value}"
+    return kept, content_type
+
+
+async def _stream(request, exchange, status, headers, extra):
+    pairs, content_type = _split_type((*headers, *extra))
+    answer = await request.respond(
+        status=status, headers=pairs, content_type=content_type
+    )
+    while True:
+        match await exchange.next_item():
+            case Chunk(events):
+                await answer.send(b"".join(events))
+            case End():
+                await answer.eof()
+                return
+            case Failed(error):
+                raise BrokenAnswer(f"the answer broke off: {error.code}")
+
+
+def refuse_routed(driver, error, request_id, extra=()):
+    """Return the answer for an error of the daemon itself."""
+    status = _told_status(error)
+    headers = dict(driver.codec.own_answer(request_id))
+    headers.update(extra)
+    if error.retry_after_ms and error.outcome == "not_run":
+        headers["retry-after"] = f"{error.retry_after_ms / 1000.0:.1f}"
+    body = encode_error(error, request_id)
+    return response.raw(body, status, headers, "application/json")
+
+
+def _told_status(error):
+    """Return the status that tells the truth about whether the request ran."""
+    if error.outcome == "not_run":
+        return 503 if error.status >= 500 else error.status
+    return 502 if error.status in PROMISING else error.status
+
+
+PROMISING = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request has not run and never will."""
+
+
+def _no_headers(error):
+    """Return no headers beside those of every answer to a caller."""
+    return []
+
+
+def peer_headers(request_id):
+    """Return the function that gives a forwarding peer's answer its headers.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the request at the peer.
+    """
+
+    def headers_for(error):
+        pairs = [(META_HEADER, request_id)]
+        if error is not None:
+            pairs.append((OUTCOME_HEADER, error.outcome))
+            pairs.append((CODE_HEADER, error.code))
+            pairs.append((RETRY_HEADER, str(error.retry_after_ms)))
+        return pairs
+
+    return headers_for
--- /dev/null
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -0,0 +1,312 @@
+"""One attempt to run a routed request, at a backend server or a peer.
+
+The request goes out on a connection that repeats nothing by itself. Its answer
+is passed on only as far as it is whole: events one by one, everything else in
+one piece.
+"""
+
+import msgspec
+from msgspec import Struct
+
+from bluebellbeam.daemon.auth import AUTH_HEADER
+from bluebellbeam.daemon.channel import ChannelError
+from bluebellbeam.daemon.codec import HOP_HEADERS, AnswerHead, SendHead
+from bluebellbeam.daemon.events import make_event_splitter
+from bluebellbeam.daemon.exchange import Chunk, End, Head, Whole
+from bluebellbeam.exception import UpstreamError
+from bluebellbeam.node import event as ev
+from bluebellbeam.node.outcome import ERRORS, make_error
+
+__all__ = [
+    "CODE_HEADER",
+    "META_HEADER",
+    "OUTCOME_HEADER",
+    "ROUTED_PATH",
+    "RETRY_HEADER",
+    "RoutedForward",
+    "run_routed_attempt",
+]
+
+ROUTED_PATH = "/peer/v1/routed"
+META_HEADER = "x-bluebellbeam-forward"
+OUTCOME_HEADER = "x-bluebellbeam-outcome"
+CODE_HEADER = "x-bluebellbeam-code"
+RETRY_HEADER = "x-bluebellbeam-retry-after-ms"
+_OWN_PREFIX = "x-bluebellbeam-"
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Largest answer that is collected before it is passed on."""
+
+EVENT_STREAM = "text/event-stream"
+
+
+class RoutedForward(Struct, frozen=True):
+    """Head of a routed request that another daemon is to run.
+
+    Parameters
+    ----------
+    request_id, attempt_key : str
+        Names of the request at the sender and at the caller.
+    revision : int
+        Configuration revision of the sender.
+    left_ms : int
+        Time left for the whole answer, when it was sent.
+    allowed : tuple of str
+        Regions allowed by the sender's configuration.
+    sends : int
+        Servers to which the request may have been sent before.
+    method, host, target : str
+    prompt_tokens, max_output_tokens : int
+    blocks, block_ends : tuple of int
+    last_event_id : str
+    passed : tuple of (str, str)
+    """
+
+    request_id: str
+    attempt_key: str
+    revision: int
+    left_ms: int
+    allowed: tuple[str, ...]
+    sends: int
+    method: str
+    host: str
+    target: str
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    blocks: tuple[int, ...] = ()
+    block_ends: tuple[int, ...] = ()
+    last_event_id: str = ""
+    passed: tuple[tuple[str, str], ...] = ()
+
+
+class _Progress:
+    """How far an attempt has come."""
+
+    __slots__ = ("sent", "started", "settled")
+
+    def __init__(self):
+        self.sent = False
+        self.started = False
+        self.settled = False
+
+
+async def run_routed_attempt(driver, command):
+    """Run the attempt of a :class:`StartAttempt` and report its end.
+
+    Parameters
+    ----------
+    driver : Driver
+    command : StartAttempt
+    """
+    exchange = driver.exchanges.get(command.request.request_id)
+    if exchange is None:
+        return
+    progress = _Progress()
+    reason, lost = "failed", False
+    try:
+        await _run(driver, command, exchange, progress)
+    except ChannelError as error:
+        reason, lost = str(error), error.lost
+    except (UpstreamError, ValueError, msgspec.DecodeError) as error:
+        reason = str(error)
+    except Exception:
+        driver.log.exception("upstream: an attempt failed", vm=driver.settings.vm)
+        reason = "internal"
+    if progress.settled:
+        return
+    driver.handle(
+        ev.AttemptFailed(
+            command.attempt_id, progress.sent, exchange.emitted, reason, lost
+        )
+    )
+
+
+async def _run(driver, command, exchange, progress):
+    key = (command.server or command.peer, command.incarnation)
+    address = command.address or command.peer_address
+    channel = await driver.channels.acquire(key, address, far=bool(command.peer))
+    try:
+        method, raw = _encode(driver, command, exchange)
+        progress.sent = True
+        channel.send(method, raw, exchange.payload)
+        await channel.read_head()
+        answer = _read_answer(driver, command, channel)
+        _check_owner(command, answer)
+        if answer.not_run:
+            await _refused(driver, command, channel, answer, progress)
+        elif _is_stream(channel):
+            await _relay_events(driver, command, exchange, channel, answer, progress)
+        else:
+            await _relay_whole(driver, command, exchange, channel, answer, progress)
+    finally:
+        driver.channels.release(channel)
+
+
+def _encode(driver, command, exchange):
+    """Return the method and the encoded head of the request to send."""
+    request = command.request
+    left_ms = max(1, request.ends_ms - driver.clock.now_ms())
+    if command.peer:
+        pairs = _peer_headers(driver, command, exchange, left_ms)
+        head = _encode_head("POST", ROUTED_PATH, command.peer_address, pairs)
+        return "POST", _with_length(head, "POST", exchange.payload)
+    send = SendHead(
+        server=command.server,
+        incarnation=command.incarnation,
+        left_ms=left_ms,
+        urgency=request.route.urgency,
+        resume_after=exchange.last_event_id,
+    )
+    pairs = driver.codec.write_request(exchange.head, send)
+    head = _encode_head(request.method, exchange.target, request.host, pairs)
+    return request.method, _with_length(head, request.method, exchange.payload)
+
+
+def _peer_headers(driver, command, exchange, left_ms):
+    request = command.request
+    forward = RoutedForward(
+        request_id=request.request_id,
+        attempt_key=request.attempt_key,
+        revision=driver.node.state.config.revision,
+        left_ms=left_ms,
+        allowed=tuple(sorted(request.allowed)),
+        sends=request.sends,
+        method=request.method,
+        host=request.host,
+        target=exchange.target,
+        prompt_tokens=request.prompt_tokens,
+        max_output_tokens=request.max_output_tokens,
+        blocks=request.blocks,
+        block_ends=request.block_ends,
+        last_event_id=exchange.last_event_id,
+        passed=exchange.head.passed,
+    )
+    raw = msgspec.json.encode(forward)
+    signed = driver.auth.sign(ROUTED_PATH, driver.settings.vm, raw + exchange.payload)
+    return [(AUTH_HEADER, signed), (META_HEADER, raw.decode())]
+
+
+def _encode_head(method, target, host, pairs):
+    lines = [f"{method} {target} HTTP/1.1", f"host: {host}"]
+    lines.extend(f"{name}: {value}" for name, value in pairs)
+    return "\r\n".join(lines)
+
+
+def _with_length(head, method, payload):
+    if payload or method in ("POST", "PUT", "PATCH"):
+        head = f"{head}\r\ncontent-length: {len(payload)}"
+    return f"{head}\r\n\r\n".encode("latin-1")
+
+
+def _read_answer(driver, command, channel):
+    if not command.peer:
+        return driver.codec.read_answer(channel.status, channel.headers)
+    first = dict(reversed(channel.headers))
+    passed = tuple(
+        pair
+        for pair in channel.headers
+        if pair[0] not in HOP_HEADERS and not pair[0].startswith(_OWN_PREFIX)
+    )
+    return AnswerHead(
+        request_id=first.get(META_HEADER),
+        not_run=first.get(OUTCOME_HEADER) == "not_run",
+        other_server=False,
+        load=None,
+        passed=passed,
+    )
+
+
+def _check_owner(command, answer):
+    """Refuse an answer that belongs to another request.
+
+    A server need not name a request that it did not run.
+    """
+    request = command.request
+    own = request.request_id if command.peer else request.attempt_key
+    if answer.request_id == own or (answer.request_id is None and answer.not_run):
+        return
+    raise UpstreamError("the answer belongs to another request")
+
+
+def _is_stream(channel):
+    kind = dict(reversed(channel.headers)).get("content-type", "")
+    return channel.status == 200 and kind.lower().startswith(EVENT_STREAM)
+
+
+async def _refused(driver, command, channel, answer, progress):
+    first = dict(reversed(channel.headers))
+    await channel.read_all(MAX_ANSWER_BYTES)
+    code = first.get(CODE_HEADER, "") if command.peer else ""
+    if code not in ERRORS:
+        code = "server_changed" if answer.other_server else "upstream_failed"
+    retry = first.get(RETRY_HEADER, "")
+    error = make_error(
+        code,
+        outcome="not_run",
+        retry_after_ms=int(retry) if retry.isdecimal() else 0,
+    )
+    progress.settled = True
+    driver.handle(ev.AttemptRefused(command.attempt_id, error, answer.load))
+
+
+async def _relay_whole(driver, command, exchange, channel, answer, progress):
+    payload = await channel.read_all(MAX_ANSWER_BYTES)
+    first = dict(reversed(channel.headers))
+    if command.peer and OUTCOME_HEADER in first:
+        raise UpstreamError(f"the peer answers {first.get(CODE_HEADER, 'an error')}")
+    whole = Whole(channel.status, answer.passed, payload)
+    if exchange.begun:
+        raise UpstreamError("a resumed stream was answered without events")
+    if channel.status >= 500 and command.request.idempotent:
+        exchange.refused = whole
+        raise UpstreamError(f"the server answers {channel.status}")
+    if not _begin(driver, command, progress):
+        return
+    progress.settled = True
+    driver.handle(ev.AttemptFinished(command.attempt_id, 0, None, answer.load))
+    exchange.begun = True
+    await exchange.put(whole)
+
+
+async def _relay_events(driver, command, exchange, channel, answer, progress):
+    """Pass whole events on as they come."""
+    splitter = make_event_splitter()
+    while data := await channel.read_some():
+        events = splitter.feed(data)
+        if not events:
+            continue
+        if not _begin(driver, command, progress):
+            return
+        await _pass_events(exchange, channel.status, answer, events)
+    if not _begin(driver, command, progress):
+        return
+    if splitter.rest:
+        await _pass_events(exchange, channel.status, answer, [("", splitter.rest)])
+    progress.settled = True
+    load = answer.load
+    driver.handle(ev.AttemptFinished(command.attempt_id, exchange.emitted, None, load))
+    if not exchange.begun:
+        exchange.begun = True
+        await exchange.put(Head(channel.status, answer.passed))
+    await exchange.put(End())
+
+
+async def _pass_events(exchange, status, answer, events):
+    if not exchange.begun:
+        exchange.begun = True
+        await exchange.put(Head(status, answer.passed))
+    for event_id, _ in events:
+        exchange.emitted += 1
+        exchange.last_event_id = event_id or exchange.last_event_id
+    await exchange.put(Chunk(tuple(raw for _, raw in events)))
+
+
+def _begin(driver, command, progress):
+    """Tell the node of the first bytes; False when the attempt was given up."""
+    if not progress.started:
+        progress.started = True
+        driver.handle(ev.AttemptStarted(command.attempt_id))
+        driver.note_first(command.request)
+    running = command.attempt_id in driver.node.state.attempts
+    progress.settled = progress.settled or not running
+    return running
--- a/bluebellbeam/daemon/server.py
+++ b/bluebellbeam/daemon/server.py
@@ -16,9 +16,12 @@
 from bluebellbeam.daemon.metrics import make_metrics
 from bluebellbeam.daemon.operators import make_operator_app
 from bluebellbeam.daemon.peers import make_peer_app
+from bluebellbeam.daemon.published import make_published_provider
+from bluebellbeam.daemon.routed import make_routed_app
 from bluebellbeam.node import NodeIdentity, make_node
 from bluebellbeam.node.event import StopRequested
-from bluebellbeam.utils.clock import wall_clock
+from bluebellbeam.platform import make_platform
+from bluebellbeam.utils.clock import monotonic_clock, wall_clock
 
 __all__ = ["Daemon", "make_daemon", "run_daemon"]
 
@@ -50,13 +53,17 @@
         return bound_address(self.sockets[listener])
 
     async def start(self):
-        """Open the clients and serve all three listeners."""
+        """Open the clients and serve every listener."""
         await self.driver.open()
+        behind_store = self.driver.settings.store is not None
+        make_callers = make_routed_app if behind_store else make_caller_app
         apps = {
-            "callers": make_caller_app(self.driver),
+            "callers": make_callers(self.driver),
             "peers": make_peer_app(self.driver),
             "operators": make_operator_app(self.driver, self.metrics),
         }
+        for name, (_, make_app) in self.driver.provider.listeners().items():
+            apps[name] = make_app(self.driver)
         for name, app in apps.items():
             self.servers.append(await start_listener(app, self.sockets[name]))
 
@@ -85,12 +92,17 @@
     sockets : dict of str to socket, optional
         Listeners that are bound already.
     """
+    clock = monotonic_clock()
+    provider = _make_provider(settings, clock)
     if sockets is None:
-        sockets = {
-            "callers": bind_address(settings.caller_address),
-            "peers": bind_address(settings.peer_address),
-            "operators": bind_address(settings.operator_address),
+        addresses = {
+            "callers": settings.caller_address,
+            "peers": settings.peer_address,
+            "operators": settings.operator_address,
         }
+        for name, (address, _) in provider.listeners().items():
+            addresses[name] = address
+        sockets = {name: bind_address(item) for name, item in addresses.items()}
     identity = NodeIdentity(
         vm=settings.vm,
         incarnation=wall_clock().now_ms(),
@@ -98,10 +110,19 @@
         failure_domain=settings.failure_domain,
         site=settings.site,
         seed_peers=settings.seed_peers,
+        peer_address=settings.peer_address,
+        caller_address=settings.caller_address,
+        lists_entries=settings.store is None,
     )
     seed = secrets.randbits(64)
     node = make_node(identity, seed, secrets.token_bytes(OPERATION_KEY_BYTES))
-    return Daemon(make_driver(node, settings), sockets)
+    return Daemon(make_driver(node, settings, provider, clock), sockets)
+
+
+def _make_provider(settings, clock):
+    if settings.store is not None:
+        return make_platform(settings)
+    return make_published_provider(settings.platform, clock)
 
 
 async def run_daemon(settings):
--- /dev/null
+++ b/bluebellbeam/daemon/tests/test_channel.py
@@ -0,0 +1,154 @@
+import asyncio
+import unittest
+
+from bluebellbeam.daemon.channel import ChannelError, connect_channel
+from bluebellbeam.daemon.channels import make_channel_pool
+from bluebellbeam.utils.clock import manual_clock
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class Scripted:
+    """A server that answers each request with the next of its byte strings."""
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.connections = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while self.answers:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(self.answers.pop(0))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        except asyncio.CancelledError:
+            return
+        writer.close()
+
+
+class TestChannel(unittest.IsolatedAsyncioTestCase):
+    async def start(self, answers):
+        scripted = Scripted(answers)
+        server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        return scripted, f"{host}:{port}"
+
+    async def ask(self, answers):
+        _, address = await self.start(answers)
+        channel = await connect_channel("s", address, 1000)
+        self.addCleanup(channel.close)
+        channel.send("GET", REQUEST, b"")
+        await channel.read_head()
+        return channel, await channel.read_all(1000)
+
+    async def test_whole_answer_leaves_the_connection_reusable(self):
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nhi"
+        channel, body = await self.ask([raw, raw])
+        channel.finish(0)
+        self.assertEqual((channel.status, body), (200, b"hi"))
+        self.assertTrue(channel.is_reusable)
+        self.assertEqual(channel.keep_alive_ms, 5000)
+        channel.send("GET", REQUEST, b"")
+        await channel.read_head()
+        self.assertEqual(await channel.read_all(10), b"hi")
+
+    async def test_bytes_behind_an_answer_spoil_the_connection(self):
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\n\r\n"
+        channel, body = await self.ask([raw])
+        channel.finish(0)
+        self.assertEqual(body, b"hi")
+        self.assertFalse(channel.is_reusable)
+
+    async def test_late_bytes_spoil_an_idle_connection(self):
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        channel, _ = await self.ask([raw])
+        channel.finish(0)
+        channel.data_received(b"HTTP/1.1 200 OK\r\n")
+        self.assertFalse(channel.is_reusable)
+
+    async def test_truncated_answer_is_not_whole(self):
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhi"
+        with self.assertRaises(ChannelError) as caught:
+            await self.ask([raw])
+        self.assertTrue(caught.exception.lost)
+
+    async def test_answer_without_length_ends_with_its_connection(self):
+        channel, body = await self.ask([b"HTTP/1.1 200 OK\r\n\r\nhello"])
+        channel.finish(0)
+        self.assertEqual(body, b"hello")
+        self.assertFalse(channel.is_reusable)
+
+    async def test_reset_answer_without_length_is_not_whole(self):
+        channel = await self.open_unanswered()
+        channel.data_received(b"HTTP/1.1 200 OK\r\n\r\nhel")
+        channel.connection_lost(ConnectionResetError())
+        self.assertEqual(await channel.read_some(), b"hel")
+        with self.assertRaises(ChannelError):
+            await channel.read_some()
+
+    async def open_unanswered(self):
+        _, address = await self.start([b""])
+        channel = await connect_channel("s", address, 1000)
+        self.addCleanup(channel.close)
+        channel.send("GET", REQUEST, b"")
+        return channel
+
+    async def test_garbage_is_malformed_and_not_lost(self):
+        with self.assertRaises(ChannelError) as caught:
+            await self.ask([b"\x00\x01 not http\r\n\r\n"])
+        self.assertFalse(caught.exception.lost)
+
+    async def test_close_header_ends_the_connection(self):
+        raw = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        channel, _ = await self.ask([raw])
+        channel.finish(0)
+        self.assertFalse(channel.is_reusable)
+
+    async def test_refused_connection_is_lost(self):
+        with self.assertRaises(ChannelError) as caught:
+            await connect_channel("s", "127.0.0.1:1", 500)
+        self.assertTrue(caught.exception.lost)
+
+
+class TestChannelPool(unittest.IsolatedAsyncioTestCase):
+    async def use(self, pool, address):
+        channel = await pool.acquire("s", address)
+        channel.send("GET", REQUEST, b"")
+        await channel.read_head()
+        await channel.read_all(100)
+        pool.release(channel)
+        return channel
+
+    async def test_connection_is_reused_within_what_the_server_told(self):
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=3\r\n\r\n"
+        scripted = Scripted([raw] * 5)
+        server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        clock = manual_clock()
+        pool = make_channel_pool(clock)
+        self.addCleanup(pool.close)
+        first = await self.use(pool, f"{host}:{port}")
+        clock.advance(1900)
+        self.assertIs(await self.use(pool, f"{host}:{port}"), first)
+        clock.advance(2100)
+        self.assertIsNot(await self.use(pool, f"{host}:{port}"), first)
+        self.assertEqual(pool.opened, 2)
+
+    async def test_sweep_closes_connections_of_processes_that_are_gone(self):
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        scripted = Scripted([raw])
+        server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        pool = make_channel_pool(manual_clock())
+        channel = await self.use(pool, f"{host}:{port}")
+        pool.sweep({"s"})
+        self.assertTrue(channel.is_reusable)
+        pool.sweep({"t"})
+        self.assertFalse(channel.is_reusable)
+        self.assertEqual(pool.idle, {})
--- a/bluebellbeam/node/__init__.py
+++ b/bluebellbeam/node/__init__.py
@@ -2,6 +2,7 @@
 
 from bluebellbeam.node.arrivals import entry_addresses
 from bluebellbeam.node.dump import TABLES, dump_state, explain_request
+from bluebellbeam.node.entries import entries_near
 from bluebellbeam.node.node import Node, make_node
 from bluebellbeam.node.outcome import ERRORS, CallerError, make_error
 from bluebellbeam.node.request import Attempt, Request
@@ -18,6 +19,7 @@
     "Request",
     "backends_feed",
     "dump_state",
+    "entries_near",
     "entry_addresses",
     "explain_request",
     "make_error",
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -106,9 +106,10 @@
 
 
 def _check_node(state, request):
-    if state.leaving:
+    if state.leaving and not request.host:
         return make_error("leaving", entries=entry_addresses(state, request.workspace))
-    if not state.ready or state.config is None:
+    serving = state.ready or state.leaving
+    if not serving or state.config is None:
         return make_error("not_ready")
     return None
 
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -124,6 +124,9 @@
 
 
 def _note_refusal(state, row, event, now_ms):
+    if event.error.code == "server_changed":
+        note_miss(state.replicas, row)
+        return
     if event.load is not None:
         take_brief_load(state, row, event.load, now_ms)
         return
@@ -185,7 +188,7 @@
         return False
     if not request.started and now_ms >= request.waits_until_ms:
         return False
-    if not _is_first_send(request) and not spend(state.retries):
+    if not _is_first_send(request) and not spend(state.retry_budget(request)):
         return False
     state.counters.retries += 1
     if request.started:
--- a/bluebellbeam/node/command.py
+++ b/bluebellbeam/node/command.py
@@ -94,10 +94,20 @@
 
 
 class ReadLoad(Struct, frozen=True):
-    """Ask a backend server for its load report."""
+    """Ask a backend server whether it runs, and for its load.
+
+    Parameters
+    ----------
+    server, incarnation : str, int
+        The server that is expected at the address.
+    health_path : str
+        Path of the health check of its service, if it offers one.
+    """
 
     server: str
     address: str
+    incarnation: int = 0
+    health_path: str = ""
 
 
 class GiveOrder(Struct, frozen=True):
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -313,7 +313,7 @@
     request.running.append(attempt)
     request.state = "running"
     if request.attempts == 0:
-        earn(state.retries)
+        earn(state.retry_budget(request))
         earn(state.hedges)
     request.attempts += 1
     state.counters.attempts += 1
--- a/bluebellbeam/node/loads.py
+++ b/bluebellbeam/node/loads.py
@@ -58,7 +58,13 @@
             due_ms *= 4
         if row.asked_ms < 0 or now_ms - known_ms >= due_ms:
             row.asked_ms = now_ms
-            state.emit(ReadLoad(row.name, row.address))
+            state.emit(_read_load(state, row))
+
+
+def _read_load(state, row):
+    service = state.base.services.get(row.service)
+    path = service.health_path if service is not None else ""
+    return ReadLoad(row.name, row.address, row.incarnation, path)
 
 
 def poll_interval_ms(policy, servers):
@@ -155,7 +161,7 @@
         if now_ms - row.asked_ms < ASK_AGAIN_MS:
             continue
         row.asked_ms = now_ms
-        state.emit(ReadLoad(row.name, row.address))
+        state.emit(_read_load(state, row))
         asked += 1
         if asked == MAX_ASKED:
             return
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -144,6 +144,7 @@
     expire_operations(state.ledger, now_ms)
     prune_buckets(state.rates, now_ms)
     prune_left(state.replicas)
+    state.share_route_budgets()
     for queue in state.queues.values():
         prune_lanes(queue)
 
--- a/bluebellbeam/node/outcome.py
+++ b/bluebellbeam/node/outcome.py
@@ -74,6 +74,9 @@
         408, "not_run", "The request did not arrive within the time allowed."
     ),
     "too_large": ErrorKind(413, "not_run", "The request is larger than allowed."),
+    "headers_too_large": ErrorKind(
+        431, "not_run", "The headers are larger than allowed."
+    ),
     "operation_invalid": ErrorKind(
         422, "not_run", "The operation id does not fit this call."
     ),
@@ -103,6 +106,9 @@
     "no_backend": ErrorKind(
         503, "not_run", "No backend server can take the request now.", retry=True
     ),
+    "server_changed": ErrorKind(
+        503, "not_run", "The backend server at the address has changed.", retry=True
+    ),
     "not_ready": ErrorKind(503, "not_run", "This entry VM is not ready.", retry=True),
     "directory_unavailable": ErrorKind(
         503, "not_run", "The client directory cannot be read.", retry=True
--- a/bluebellbeam/node/readiness.py
+++ b/bluebellbeam/node/readiness.py
@@ -10,9 +10,6 @@
 PEER_PATIENCE_MS = 3_000
 """A starting daemon waits this long for an answer of a peer."""
 
-ANNOUNCE_MS = 500
-"""Least time between announcing the leave and the end of the process."""
-
 
 def tick_readiness(state, now_ms):
     """Become ready once the published state is known.
@@ -56,10 +53,14 @@
 
 
 def tick_leaving(state, now_ms):
-    """End the process when nothing is in flight."""
-    if not state.leaving or state.stopped or state.requests:
+    """End the process when nothing is in flight, or its grace is over."""
+    if not state.leaving or state.stopped:
         return
-    if now_ms - state.leaving_ms < ANNOUNCE_MS:
+    since_ms = now_ms - state.leaving_ms
+    grace_ms = state.policy.leave_grace_ms
+    over = grace_ms and since_ms >= grace_ms
+    if not over and (state.requests or since_ms < state.policy.leave_linger_ms):
         return
     state.stopped = True
+    state.emit(Log("node", f"stop with {len(state.requests)} requests in flight"))
     state.emit(Exit())
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -16,7 +16,7 @@
     usable_members,
 )
 from bluebellbeam.operations import make_ledger
-from bluebellbeam.recovery import make_budget
+from bluebellbeam.recovery import make_budget, set_burst
 from bluebellbeam.routing import make_prefix_index, make_replica_table
 
 __all__ = [
@@ -35,6 +35,10 @@
 BLOCK_TOKENS = 64
 """Tokens of one prefix block."""
 
+SLACK_USED = 0.7
+"""Share of the retry slack that is dealt out: daemons that have not heard of
+each other yet may deal it twice."""
+
 CACHED = 4000
 """Results that are kept until what they depend on changes."""
 
@@ -145,6 +149,8 @@
     lender, borrower : LenderTable, BorrowerTable
     ledger : Ledger
     retries, hedges : Budget
+    route_retries : dict of str to Budget
+        Budgets of routed requests by pool.
     routing_policy : EstimatePolicy or a baseline
     baseline_turn : int
         Choices made so far by a baseline.
@@ -185,6 +191,7 @@
         "borrower",
         "ledger",
         "retries",
+        "route_retries",
         "hedges",
         "decisions",
         "counters",
@@ -242,6 +249,7 @@
             identity.vm, identity.incarnation, operation_key, policy.max_operations
         )
         self.retries = make_budget(policy.retry_share)
+        self.route_retries = {}
         self.hedges = make_budget(Objective().hedge_share, burst=3.0)
         self.decisions = OrderedDict()
         self.counters = Counters()
@@ -331,6 +339,29 @@
             names.append(self.identity.vm)
         return sorted(names)
 
+    def retry_budget(self, request):
+        """Return the budget from which a repeat of `request` is paid."""
+        if request.route is None:
+            return self.retries
+        budget = self.route_retries.get(request.pool)
+        if budget is None:
+            budget = make_budget(self.policy.retry_share, self._route_burst())
+            self.route_retries[request.pool] = budget
+        return budget
+
+    def share_route_budgets(self):
+        """Bring the budgets of routes in line with the policy and the members."""
+        for budget in self.route_retries.values():
+            budget.share = self.policy.retry_share
+            set_burst(budget, self._route_burst())
+
+    def _route_burst(self):
+        slack = self.policy.retry_slack
+        if not slack:
+            return self.policy.retry_burst
+        daemons = len(self.members.rows) + 1
+        return max(1.0, SLACK_USED * slack / daemons)
+
     def emit(self, command):
         """Add a command for the I/O layer."""
         self.out.append(command)
--- /dev/null
+++ b/bluebellbeam/platform/headers.py
@@ -0,0 +1,110 @@
+"""Headers of requests and answers in the platform's spelling."""
+
+from bluebellbeam.daemon.codec import (
+    HOP_HEADERS,
+    AnswerHead,
+    Codec,
+    RequestHead,
+)
+from bluebellbeam.provider.records import BriefLoad
+
+__all__ = ["make_platform_codec"]
+
+# Id that the caller gives each of its attempts; a server echoes it.
+REQUEST_ID = "x-attempt-id"
+LEFT_MS = "x-deadline-ms"
+# Prompt tokens and the largest number of output tokens.
+TOKENS = "x-token-count"
+PARTS = "x-prompt-prefix"
+RESUME_AFTER = "last-event-id"
+# Server that alone may run the request.
+SERVER = "x-target-instance"
+# Running and waiting requests and slots of the server that answers.
+LOAD = "x-server-load"
+NOT_RUN = "x-not-executed"
+URGENCY = "x-request-priority"
+
+SET_BY_SYSTEM = frozenset(
+    {
+        LEFT_MS,
+        RESUME_AFTER,
+        SERVER,
+        URGENCY,
+        "kv-fetch",
+        "kv-from",
+        "x-expected-version",
+        "x-hold",
+        "x-kv-backup",
+        "x-pin-ms",
+    }
+)
+"""Headers that only the system sets; a caller's own are dropped."""
+
+FIRST_URGENCY = 1
+LAST_URGENCY = 9
+
+
+def make_platform_codec():
+    """Return the codec of the platform's header names."""
+    return Codec(_read_request, _write_request, _read_answer, _own_answer)
+
+
+def _read_request(pairs):
+    first = dict(reversed(pairs))
+    left = first.get(LEFT_MS, "").partition(".")[0]
+    prompt, _, output = first.get(TOKENS, "").partition(",")
+    return RequestHead(
+        request_id=first.get(REQUEST_ID, ""),
+        left_ms=int(left) if left.isdecimal() else None,
+        parts=tuple(_read_parts(first.get(PARTS, ""))),
+        prompt_tokens=_number(prompt),
+        max_output_tokens=_number(output),
+        resume_after=first.get(RESUME_AFTER, ""),
+        passed=tuple(p for p in pairs if p[0] not in HOP_HEADERS | SET_BY_SYSTEM),
+    )
+
+
+def _number(text):
+    text = text.strip()
+    return int(text) if text.isdecimal() else 0
+
+
+def _read_parts(text):
+    for item in text.split(","):
+        name, _, tokens = item.strip().partition(":")
+        if name and tokens.isdecimal():
+            yield name, int(tokens)
+
+
+def _write_request(head, send):
+    pairs = list(head.passed)
+    pairs.append((SERVER, send.server))
+    pairs.append((LEFT_MS, str(send.left_ms)))
+    if any(name == PARTS for name, _ in head.passed):
+        urgency = min(LAST_URGENCY, FIRST_URGENCY + send.urgency)
+        pairs.append((URGENCY, str(urgency)))
+    if send.resume_after:
+        pairs.append((RESUME_AFTER, send.resume_after))
+    return pairs
+
+
+def _read_answer(status, pairs):
+    first = dict(reversed(pairs))
+    return AnswerHead(
+        request_id=first.get(REQUEST_ID),
+        not_run=NOT_RUN in first or status == 421,
+        other_server=status == 421,
+        load=_read_load(first.get(LOAD, "")),
+        passed=tuple(p for p in pairs if p[0] not in HOP_HEADERS and p[0] != LOAD),
+    )
+
+
+def _read_load(text):
+    fields = text.split(",")
+    if len(fields) != 3 or not all(item.strip().isdecimal() for item in fields):
+        return None
+    return BriefLoad(int(fields[0]), int(fields[1]), 0)
+
+
+def _own_answer(request_id):
+    return [(REQUEST_ID, request_id)] if request_id else []
--- /dev/null
+++ b/bluebellbeam/platform/health.py
@@ -0,0 +1,38 @@
+"""Health checks of the platform's backend servers."""
+
+import aiohttp
+
+from bluebellbeam.node import event as ev
+
+__all__ = ["check_health"]
+
+TIMEOUT_MS = 1000
+"""A health check waits for a slot like any request."""
+
+INSTANCE = "x-instance-id"
+# How much longer the server bears only few requests.
+COLD_MS = "x-warmup-ms"
+
+
+async def check_health(session, command):
+    """Ask a backend server whether it runs; return the event for the node.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+    command : ReadLoad
+    """
+    url = f"http://{command.address}{command.health_path}"
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_MS / 1000.0)
+    try:
+        async with session.get(url, timeout=timeout, allow_redirects=False) as answer:
+            await answer.read()
+            name = answer.headers.get(INSTANCE, "")
+            cold = answer.headers.get(COLD_MS, "0").partition(".")[0]
+            if answer.status != 200 or not name:
+                return ev.LoadMissed(command.server)
+    except (TimeoutError, aiohttp.ClientError, OSError):
+        return ev.LoadMissed(command.server)
+    incarnation = command.incarnation
+    left_ms = int(cold) if cold.isdecimal() else 0
+    return ev.ServerConfirmed(command.server, name, incarnation, left_ms)
--- /dev/null
+++ b/bluebellbeam/platform/listeners.py
@@ -0,0 +1,48 @@
+"""Listeners that the platform and its callers ask: readiness and directory."""
+
+import secrets
+
+import msgspec
+from sanic import Sanic, response
+
+from bluebellbeam.daemon.listener import configure
+from bluebellbeam.node import entries_near
+
+__all__ = ["make_directory_app", "make_readiness_app"]
+
+MAX_BODY_BYTES = 64 * 1024
+
+TTL_S = 2
+"""Time for which a caller keeps the answer; some keep it three times as long,
+which together stays within the time in which a leaving daemon still serves."""
+
+
+def make_readiness_app(driver):
+    """Return the sanic application that tells whether the daemon is ready."""
+    app = Sanic(f"readiness-{driver.settings.vm}-{secrets.token_hex(4)}")
+    configure(app, MAX_BODY_BYTES)
+
+    async def readiness(request):
+        state = driver.node.state
+        ready = state.ready and not state.leaving
+        return response.text("ready" if ready else "not ready", 200 if ready else 503)
+
+    app.add_route(readiness, "/readiness", name="readiness")
+    return app
+
+
+def make_directory_app(driver):
+    """Return the sanic application that names entry VMs to callers."""
+    app = Sanic(f"directory-{driver.settings.vm}-{secrets.token_hex(4)}")
+    configure(app, MAX_BODY_BYTES)
+
+    async def resolve(request):
+        region = request.args.get("region", driver.settings.region)
+        found = entries_near(driver.node.state, region)
+        if not found:
+            return response.text("no entry VM is ready", 503)
+        body = msgspec.json.encode({"addresses": found, "ttlS": TTL_S})
+        return response.raw(body, content_type="application/json")
+
+    app.add_route(resolve, "/resolve", name="resolve")
+    return app
--- /dev/null
+++ b/bluebellbeam/platform/records.py
@@ -0,0 +1,314 @@
+"""Records of the platform's store, decoded into the product's own types.
+
+Only the fields that are used are read; unknown ones are ignored. A record that
+cannot be read raises `PlatformError` and names nothing.
+"""
+
+import base64
+import binascii
+
+import msgspec
+from msgspec import Struct, field
+
+from bluebellbeam.config import canonical_json, split_documents
+from bluebellbeam.exception import PlatformError
+from bluebellbeam.provider.records import VmRecord
+
+__all__ = [
+    "CONFIG_KEY",
+    "EVACUATE_PREFIX",
+    "SERVERS_PREFIX",
+    "Item",
+    "canonical_record",
+    "decode_events",
+    "decode_page",
+    "decode_server",
+    "translate_config",
+]
+
+CONFIG_KEY = "op/config"
+EVACUATE_PREFIX = "op/evacuate/"
+SERVERS_PREFIX = "servers/"
+
+WORKSPACE = "callers"
+"""The platform names no workspaces on these deployments: all callers share one."""
+
+PREFILL_TOKENS_PER_S = 40_000.0
+"""Speed expected of an engine until its answers show another."""
+
+EXPECTED_SERVICE_MS = 45.0
+"""Time expected of a plain call until the answers show another."""
+
+REGION_DELAY_MS = 55.0
+"""One way between two regions, from the deployments' sheets."""
+
+
+class Item(Struct, frozen=True):
+    """One item of the store.
+
+    Parameters
+    ----------
+    key : str
+    revision : int
+        Of its last change.
+    value : bytes or None
+        None for an item that was removed.
+    """
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class _RawItem(Struct):
+    key: str
+    revision: int
+    value: str | None = None
+    removed: bool = False
+
+
+class _Page(Struct):
+    items: list[_RawItem]
+    # The revision of the whole store, not of this answer.
+    revision: int = field(name="storeRevision")
+    more: bool = field(default=False, name="hasMore")
+
+
+class _Events(Struct):
+    events: list[_RawItem]
+    revision: int = field(name="storeRevision")
+
+
+def decode_page(raw):
+    """Return ``(items, store revision, whether more follow)`` of a range."""
+    page = _decode(raw, _Page)
+    return [_item(item) for item in page.items], page.revision, page.more
+
+
+def decode_events(raw):
+    """Return ``(items, store revision)`` of a watch."""
+    found = _decode(raw, _Events)
+    return [_item(item) for item in found.events], found.revision
+
+
+def _decode(raw, kind):
+    try:
+        return msgspec.json.decode(raw, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise PlatformError(f"what the store holds cannot be read: {error}") from error
+
+
+def _item(raw):
+    if raw.removed or raw.value is None:
+        return Item(raw.key, raw.revision, None)
+    try:
+        value = base64.b64decode(raw.value, validate=True)
+    except (binascii.Error, ValueError):
+        # Bytes of another writer: kept as they are, so that decoding the
+        # record fails for this one alone.
+        value = raw.value.encode()
+    return Item(raw.key, raw.revision, value)
+
+
+class _Server(Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    # Milliseconds since 1970 at which this process of the server started.
+    born: int = 1
+    cold_ms: float = field(default=0.0, name="warmupLeftMs")
+
+
+STATES = {"ready": "live", "draining": "leaving"}
+
+
+def decode_server(key, value, domains):
+    """Return the :class:`VmRecord` of a backend server's entry.
+
+    Parameters
+    ----------
+    key : str
+    value : bytes
+    domains : dict of str to str
+        Region of each failure domain.
+
+    Raises
+    ------
+    PlatformError
+        If the entry cannot be read or names an unknown state or place.
+    """
+    found = _decode(value, _Server)
+    if found.state not in STATES or found.zone not in domains or found.slots < 1:
+        raise PlatformError(f"entry {key} names a state or place that is not known")
+    host, _, port = found.address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise PlatformError(f"entry {key} has no usable address")
+    return VmRecord(
+        name=key.removeprefix(SERVERS_PREFIX),
+        incarnation=found.born,
+        role="service",
+        region=domains[found.zone],
+        failure_domain=found.zone,
+        state=STATES[found.state],
+        address=found.address,
+        service=found.service,
+        guarded=True,
+        slots=found.slots,
+        warm_up_left_ms=max(0, int(found.cold_ms)),
+    )
+
+
+class _Split(Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(Struct):
+    name: str
+    host: str
+    prefix: str = field(name="pathPrefix")
+    kind: str
+    timeout_ms: int = field(name="timeoutMs")
+    objective_ms: int = field(default=1000, name="targetLatencyMs")
+    priority: int = 0
+    service: str = ""
+    split: list[_Split] = field(default_factory=list, name="weightedServices")
+    attempts: int = field(default=1, name="maxAttempts")
+    # Whether requests name the parts of their prompt.
+    sticky: bool = False
+    resumable: bool = False
+    pause_ms: int = field(default=0, name="gapTargetMs")
+    homes: list[str] = field(default_factory=list, name="homeRegions")
+
+
+class _Engine(Struct):
+    slots: int = 1
+
+
+class _Service(Struct):
+    name: str
+    health_path: str = field(default="/health", name="healthPath")
+    max_connections: int = field(default=0, name="maxConnections")
+    cold_per_s: float = field(default=0.0, name="warmupPerS")
+    engine: _Engine | None = None
+
+
+class _Limits(Struct):
+    header_bytes: int = field(default=16384, name="maxHeaderBytes")
+    body_bytes: int = field(default=16777216, name="maxBodyBytes")
+    header_ms: int = field(default=10000, name="headerTimeoutMs")
+    idle_ms: int = field(default=30000, name="idleTimeoutMs")
+
+
+class _Config(Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = field(default_factory=_Limits)
+
+
+KINDS = {"safe": "idempotent", "unsafe": "non_idempotent", "streaming": "stream"}
+
+
+def translate_config(value, store):
+    """Return the parts of the product's configuration for the platform's.
+
+    Parameters
+    ----------
+    value : bytes
+        The item of the configuration.
+    store : StoreAccess
+        Places and bounds from the settings.
+
+    Returns
+    -------
+    dict of str to bytes
+
+    Raises
+    ------
+    PlatformError
+        If the configuration cannot be read.
+    """
+    found = _decode(value, _Config)
+    regions = sorted(set(store.domains.values()))
+    base = {
+        "deployment": "platform",
+        "regions": {name: _region(name, regions) for name in regions},
+        "failure_domains": {n: {"region": r} for n, r in store.domains.items()},
+        "sites": {n: {"region": r} for n, r in store.domains.items()},
+        "services": {item.name: _service(item) for item in found.services},
+        "routes": [_route(item) for item in found.routes],
+        "caller_limits": _limits(found.limits),
+        "workspaces": {WORKSPACE: {"allowed_regions": regions}},
+        "policy": _policy(store),
+    }
+    return split_documents(base, {})
+
+
+def _region(name, regions):
+    delays = {other: REGION_DELAY_MS for other in regions if other != name}
+    return {"one_way_delay_ms": delays}
+
+
+def _service(item):
+    return {
+        "health_path": item.health_path,
+        "max_connections": item.max_connections,
+        "warm_up_per_s": item.cold_per_s,
+        "prefill_tokens_per_s": PREFILL_TOKENS_PER_S if item.engine else 0.0,
+        "expected_ms": EXPECTED_SERVICE_MS,
+    }
+
+
+def _route(item):
+    split = item.split or [_Split(item.service)]
+    return {
+        "name": item.name,
+        "host": item.host.lower(),
+        "path_prefix": item.prefix,
+        "services": [{"service": s.service, "weight": s.weight} for s in split],
+        "workspace": WORKSPACE,
+        "kind": KINDS.get(item.kind, "non_idempotent"),
+        "resumable": item.resumable,
+        "timeout_ms": item.timeout_ms,
+        "objective_ms": item.objective_ms,
+        "pause_objective_ms": item.pause_ms,
+        "max_attempts": item.attempts,
+        "urgency": item.priority,
+        "home_regions": item.homes,
+        "shares_prompts": item.sticky,
+    }
+
+
+def _limits(item):
+    return {
+        "max_header_bytes": item.header_bytes,
+        "max_body_bytes": item.body_bytes,
+        "header_timeout_ms": item.header_ms,
+        "idle_timeout_ms": item.idle_ms,
+    }
+
+
+LEAVE_MARGIN_MS = 500
+"""A leaving daemon ends this long before the platform would kill it."""
+
+
+def _policy(store):
+    return {
+        # All daemons watch: today's fleets are small, and a cut-off daemon
+        # hears from its peers.
+        "watchers_per_domain": 64,
+        "probe_interval_ms": 500,
+        "suspect_timeout_ms": 1500,
+        "retry_share": store.retry_share,
+        "retry_slack": store.retry_slack,
+        "leave_linger_ms": 3000,
+        "leave_grace_ms": int(store.grace_s * 1000) - LEAVE_MARGIN_MS,
+    }
+
+
+def canonical_record(record):
+    """Return a record as the bytes of a feed's part."""
+    return canonical_json(msgspec.to_builtins(record))
--- /dev/null
+++ b/bluebellbeam/platform/store.py
@@ -0,0 +1,314 @@
+"""Client of the platform's metadata store, read only.
+
+One watch over the whole store feeds a mirror, from which the feeds of the
+daemon are cut. The mirror is started over from a range whenever the watch
+cannot go on.
+"""
+
+import asyncio
+import random
+
+import aiohttp
+import msgspec
+import structlog
+
+from bluebellbeam.config import bundle_digest
+from bluebellbeam.exception import PlatformError
+from bluebellbeam.feeds import Snapshot
+from bluebellbeam.platform.records import (
+    CONFIG_KEY,
+    EVACUATE_PREFIX,
+    SERVERS_PREFIX,
+    canonical_record,
+    decode_events,
+    decode_page,
+    decode_server,
+    translate_config,
+)
+from bluebellbeam.provider.records import EVACUATED_PREFIX
+
+__all__ = ["StoreMirror", "make_store_mirror"]
+
+READ_TIMEOUT_MS = 1500
+"""Time for a page; the store answers within milliseconds."""
+
+WATCH_MS = 4000
+"""Time that a watch waits. A connection that went silent is noticed at its
+end, within the time in which a configuration has to be in force."""
+
+RETRY_MS = 250
+"""Pause after a failed call, spread by chance."""
+
+MAX_PAGES = 1000
+"""Pages of one range; more mean that the store repeats itself."""
+
+
+class Trimmed(PlatformError):
+    """Raised when the store no longer has the history that a watch asks for."""
+
+
+class StoreMirror:
+    """What the store publishes, as far as this daemon uses it.
+
+    Attributes
+    ----------
+    items : dict of str to Item
+        By key.
+    revision : int
+        Revision of the store that the items show; 0 before the first range.
+    versions : dict of str to int
+        Version of each feed: the revision of its last change.
+    calls : int
+    """
+
+    __slots__ = (
+        "access",
+        "region",
+        "session",
+        "items",
+        "revision",
+        "versions",
+        "calls",
+        "failure",
+        "changed",
+        "task",
+        "unreadable",
+        "snapshots",
+        "log",
+    )
+
+    def __init__(self, session, access, region):
+        self.session = session
+        self.access = access
+        self.region = region
+        self.items = {}
+        self.revision = 0
+        self.versions = {}
+        self.calls = 0
+        self.failure = None
+        self.changed = asyncio.Event()
+        self.task = None
+        self.unreadable = set()
+        self.snapshots = {}
+        self.log = structlog.get_logger()
+
+    async def read(self, key, after_version, wait):
+        """Return the :class:`Snapshot` of a feed.
+
+        Parameters
+        ----------
+        key : str
+            ``config``, or ``backends/`` and the own region.
+        after_version : int
+        wait : bool
+            Whether to wait for a version after `after_version`.
+
+        Raises
+        ------
+        PlatformError
+            If the store does not answer, or does not publish the feed yet.
+        """
+        if self.task is None:
+            self.task = asyncio.get_running_loop().create_task(self._follow())
+        if not self.revision and self.failure is None:
+            await self._wait_change()
+        while wait and self.failure is None:
+            if self.versions.get(key, 0) > after_version:
+                break
+            await self._wait_change()
+        if self.failure is not None:
+            raise PlatformError(str(self.failure))
+        return self._snapshot(key)
+
+    def close(self):
+        """Stop following the store."""
+        if self.task is not None:
+            self.task.cancel()
+
+    async def _wait_change(self):
+        await self.changed.wait()
+
+    def _wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _follow(self):
+        """Keep the mirror up to date for good."""
+        fresh = False
+        while True:
+            try:
+                if not fresh:
+                    await self._load(exact=self.failure is not None)
+                    fresh = True
+                await self._watch()
+            except Trimmed as error:
+                fresh = False
+                self.log.info("platform: history is gone", reason=str(error))
+                await self._load_exact()
+                fresh = self.failure is None
+            except PlatformError as error:
+                fresh = False
+                await self._note_failure(error)
+            except Exception as error:
+                fresh = False
+                self.log.exception("platform: the mirror failed")
+                await self._note_failure(PlatformError(str(error)))
+
+    async def _load_exact(self):
+        try:
+            await self._load(exact=True)
+        except PlatformError as error:
+            await self._note_failure(error)
+
+    async def _note_failure(self, error):
+        if self.failure is None:
+            age = {"revision": self.revision}
+            self.log.warning("platform: store lost", reason=str(error), **age)
+        self.failure = error
+        self._wake()
+        await asyncio.sleep(RETRY_MS * (0.5 + random.random()) / 1000.0)
+
+    def _note_success(self):
+        if self.failure is not None:
+            self.log.info("platform: store regained", revision=self.revision)
+        self.failure = None
+        self._wake()
+
+    async def _load(self, exact):
+        """Read every item.
+
+        The pages are no snapshot of one moment; the watch goes on from the
+        revision of the first.
+        """
+        items = {}
+        first = 0
+        after = ""
+        for _ in range(MAX_PAGES):
+            query = {"pathPrefix": ""}
+            if after:
+                query["after"] = after
+            if not exact:
+                query["serializable"] = "1"
+            raw = await self._get("/kv-range", query, READ_TIMEOUT_MS)
+            page, revision, more = decode_page(raw)
+            first = first or revision
+            items.update((item.key, item) for item in page)
+            if not more or not page:
+                break
+            after = page[-1].key
+        if first < self.revision:
+            raise PlatformError("the store shows an older state than before")
+        self._replace(items, first)
+        self._note_success()
+
+    def _replace(self, items, revision):
+        keys = items.keys() | self.items.keys()
+        for key in keys:
+            before, now = self.items.get(key), items.get(key)
+            if before is None or now is None or before.revision != now.revision:
+                # Every daemon gives one configuration the same version.
+                own = now is not None and key == CONFIG_KEY
+                self._touch(key, now.revision if own else revision)
+        self.items = items
+        self.revision = revision
+        self.versions.setdefault(f"backends/{self.region}", revision)
+
+    async def _watch(self):
+        query = {
+            "pathPrefix": "",
+            "after": str(self.revision),
+            "waitMs": str(WATCH_MS),
+        }
+        raw = await self._get("/kv-watch", query, WATCH_MS + READ_TIMEOUT_MS)
+        events, revision = decode_events(raw)
+        for item in events:
+            held = self.items.get(item.key)
+            if held is not None and held.revision >= item.revision:
+                continue
+            if item.value is None:
+                self.items.pop(item.key, None)
+            else:
+                self.items[item.key] = item
+            self._touch(item.key, item.revision)
+        self.revision = max(self.revision, revision)
+        if events:
+            self._note_success()
+
+    def _touch(self, key, revision):
+        """Move on the version of the feed that an item belongs to."""
+        if key == CONFIG_KEY:
+            feed = "config"
+        elif key.startswith((SERVERS_PREFIX, EVACUATE_PREFIX)):
+            feed = f"backends/{self.region}"
+        else:
+            return
+        self.versions[feed] = max(self.versions.get(feed, 0), revision)
+
+    async def _get(self, path, query, timeout_ms):
+        self.calls += 1
+        url = f"http://{self.access.address}{path}"
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000.0)
+        try:
+            async with self.session.get(
+                url, params=query, timeout=timeout, allow_redirects=False
+            ) as answer:
+                raw = await answer.read()
+                if answer.status == 410:
+                    raise Trimmed(f"no history for {path}")
+                if answer.status != 200:
+                    raise PlatformError(f"status {answer.status} for {path}")
+                return raw
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            text = f"no answer for {path}: {type(error).__name__}"
+            raise PlatformError(text) from error
+
+    def _snapshot(self, key):
+        version = self.versions.get(key, 0)
+        if not version:
+            raise PlatformError(f"the store does not publish {key} yet")
+        kept = self.snapshots.get(key)
+        if kept is not None and kept.version == version:
+            return kept
+        parts = self._config_parts() if key == "config" else self._server_parts()
+        raws = {name: msgspec.Raw(raw) for name, raw in parts.items()}
+        snapshot = Snapshot(key, version, bundle_digest(parts), raws)
+        self.snapshots[key] = snapshot
+        return snapshot
+
+    def _config_parts(self):
+        item = self.items.get(CONFIG_KEY)
+        if item is None:
+            raise PlatformError("the store does not publish config yet")
+        return translate_config(item.value, self.access)
+
+    def _server_parts(self):
+        parts = {}
+        for key, item in self.items.items():
+            if key.startswith(EVACUATE_PREFIX):
+                domain = key.removeprefix(EVACUATE_PREFIX)
+                parts[f"{EVACUATED_PREFIX}{domain}"] = b"{}"
+            elif key.startswith(SERVERS_PREFIX):
+                record = self._server(key, item)
+                if record is not None and record.region == self.region:
+                    parts[record.name] = canonical_record(record)
+        return parts
+
+    def _server(self, key, item):
+        try:
+            return decode_server(key, item.value, self.access.domains)
+        except PlatformError as error:
+            mark = (key, item.revision)
+            if mark not in self.unreadable:
+                self.unreadable.add(mark)
+                self.log.warning(
+                    "platform: ignore an entry",
+                    key=key,
+                    revision=item.revision,
+                    reason=str(error),
+                )
+            return None
+
+
+def make_store_mirror(session, access, region):
+    """Return a mirror that begins to follow the store with the first read."""
+    return StoreMirror(session, access, region)
