End broken streams without the mark of a whole one; reload on SIGHUP

Cause: a handler that raises behind the status has its stream closed by the server library as if it were whole, and SIGHUP without a handler ends Python (exit 129). Ruled out: resumed runs joined wrongly (each trace shows one run).

--- a/bluebellbeam/cli/main.py
+++ b/bluebellbeam/cli/main.py
@@ -48,7 +48,7 @@
     settings = load_settings(settings_file)
     configure_logs(log_format)
     try:
-        uvloop.run(run_daemon(settings))
+        uvloop.run(run_daemon(settings, settings_file))
     except OSError as error:
         raise click.ClickException(f"cannot listen: {error}") from error
 
--- a/bluebellbeam/daemon/published.py
+++ b/bluebellbeam/daemon/published.py
@@ -68,6 +68,9 @@
         """Return further listeners: none."""
         return {}
 
+    def reload(self, settings):
+        """Take new settings into use: nothing here can change."""
+
     def close(self):
         """Stop using the provider."""
 
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -15,11 +15,9 @@
     RETRY_HEADER,
 )
 from bluebellbeam.daemon.wire import encode_error
-from bluebellbeam.exception import BluebellbeamError
 from bluebellbeam.node import Request, make_error
 
 __all__ = [
-    "BrokenAnswer",
     "answer_routed",
     "make_forwarded_routed",
     "make_routed_app",
@@ -33,10 +31,6 @@
 _HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\r\n\x00]*")
 
 
-class BrokenAnswer(BluebellbeamError):
-    """Raised to end a response without the mark of a whole one."""
-
-
 def make_routed_app(driver):
     """Return the sanic application of a listener for routed requests alone."""
     app = Sanic(f"routed-{driver.settings.vm}-{secrets.token_hex(4)}")
@@ -160,11 +154,6 @@
     exchange : RoutedExchange
     headers_for : callable
         Of a `CallerError` or None; returns own headers of the answer.
-
-    Raises
-    ------
-    BrokenAnswer
-        If the answer breaks off behind its status.
     """
     request_id = exchange.request.request_id
     driver.accept_routed(exchange)
@@ -225,8 +214,19 @@
             case End():
                 await answer.eof()
                 return
-            case Failed(error):
-                raise BrokenAnswer(f"the answer broke off: {error.code}")
+            case Failed():
+                _break_off(request)
+                return
+
+
+def _break_off(request):
+    """End a response without the mark of a whole one.
+
+    A handler that only returned or raised would have the stream closed as if
+    it were whole.
+    """
+    request.stream.keep_alive = False
+    request.transport.close()
 
 
 def refuse_routed(driver, error, request_id, extra=()):
--- a/bluebellbeam/daemon/server.py
+++ b/bluebellbeam/daemon/server.py
@@ -17,6 +17,7 @@
 from bluebellbeam.daemon.operators import make_operator_app
 from bluebellbeam.daemon.peers import make_peer_app
 from bluebellbeam.daemon.published import make_published_provider
+from bluebellbeam.daemon.reload import follow_settings
 from bluebellbeam.daemon.routed import make_routed_app
 from bluebellbeam.node import NodeIdentity, make_node
 from bluebellbeam.node.event import StopRequested
@@ -125,14 +126,28 @@
     return make_published_provider(settings.platform, clock)
 
 
-async def run_daemon(settings):
-    """Run a daemon until it has been stopped by a signal."""
+async def run_daemon(settings, path=None):
+    """Run a daemon until it has been stopped by a signal.
+
+    Parameters
+    ----------
+    settings : Settings
+    path : str, optional
+        File that the settings are read from again on SIGHUP.
+    """
     daemon = make_daemon(settings)
-    await daemon.start()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.request_stop)
+    asked = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, asked.set)
+    await daemon.start()
+    follower = None
+    if path is not None:
+        follower = loop.create_task(follow_settings(daemon.driver, path, asked))
     try:
         await daemon.wait_stopped()
     finally:
+        if follower is not None:
+            follower.cancel()
         await daemon.close()
--- a/bluebellbeam/platform/start.py
+++ b/bluebellbeam/platform/start.py
@@ -46,6 +46,12 @@
             "directory": (self.access.directory_address, make_directory_app),
         }
 
+    def reload(self, settings):
+        """Take new settings into use."""
+        self.access = settings.store
+        if self.mirror is not None:
+            self.mirror.access = settings.store
+
     def close(self):
         """Stop using the platform."""
         if self.mirror is not None:
