--- a/bluebellbeam/cli/logs.py
+++ b/bluebellbeam/cli/logs.py
@@ -1,20 +1,37 @@
 """Set-up of structured logging."""
 
+import atexit
 import logging
 import sys
 
 import structlog
 
+from bluebellbeam.cli.log_writer import make_log_writer
+
 __all__ = ["configure_logs"]
 
 
 def configure_logs(log_format, level="info"):
-    """Write logs to standard error as ``json`` or for a ``console``."""
-    renderer = (
-        structlog.processors.JSONRenderer()
-        if log_format == "json"
-        else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
-    )
+    """Write logs as ``json`` to standard output, or to a ``console``.
+
+    The JSON stream is bounded and never waits for its reader; what a person
+    reads goes to standard error.
+
+    Returns
+    -------
+    callable
+        Writes the lines that still wait.
+    """
+    if log_format == "json":
+        renderer = structlog.processors.JSONRenderer()
+        writer = make_log_writer(sys.stdout.fileno())
+        factory = structlog.WriteLoggerFactory(writer)
+        drain = writer.drain
+        atexit.register(drain)
+    else:
+        renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+        factory = structlog.PrintLoggerFactory(sys.stderr)
+        drain = sys.stderr.flush
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -25,8 +42,9 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelName(level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=factory,
     )
     logging.getLogger("sanic").setLevel(logging.ERROR)
     for name in ("sanic.root", "sanic.error", "sanic.server"):
         logging.getLogger(name).setLevel(logging.CRITICAL)
+    return drain
--- a/bluebellbeam/cli/main.py
+++ b/bluebellbeam/cli/main.py
@@ -22,7 +22,7 @@
     type=click.Choice(["json", "console"]),
     default="console",
     show_default=True,
-    help="Form of the log lines on standard error.",
+    help="JSON lines on standard output, or text on standard error.",
 )
 
 
@@ -46,9 +46,9 @@
     from bluebellbeam.daemon import run_daemon
 
     settings = load_settings(settings_file)
-    configure_logs(log_format)
+    drain = configure_logs(log_format)
     try:
-        uvloop.run(run_daemon(settings, settings_file))
+        uvloop.run(run_daemon(settings, settings_file, drain))
     except OSError as error:
         raise click.ClickException(f"cannot listen: {error}") from error
 
--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -55,6 +55,8 @@
         Requests whose caller waits, by request id.
     attempts : dict of int to asyncio.Task
     stopped : asyncio.Event
+    flush_logs : callable
+        Writes the log lines that wait, as far as their reader takes them.
     observe_first : callable or None
         Told the kind of a request and the seconds until its answer began.
     """
@@ -76,6 +78,7 @@
         "peer_bytes_sent",
         "peer_bytes_received",
         "observe_first",
+        "flush_logs",
     )
 
     def __init__(self, node, settings, provider, clock):
@@ -95,6 +98,7 @@
         self.peer_bytes_sent = 0
         self.peer_bytes_received = 0
         self.observe_first = None
+        self.flush_logs = _flush_nothing
 
     async def open(self):
         """Open the HTTP clients; call it inside the running loop."""
@@ -102,7 +106,7 @@
         self.session = aiohttp.ClientSession(
             connector=pool, auto_decompress=False, read_bufsize=2**17
         )
-        self.provider.open(self.session)
+        self.provider.open(self.session, self._note_source_heard)
         self._spawn(self._run_ticks())
         self._spawn(self._sweep_channels())
         self._spawn(self._run_cache_events())
@@ -116,6 +120,9 @@
         self.provider.close()
         await self.session.close()
 
+    def _note_source_heard(self):
+        self.handle(ev.SourceHeard())
+
     def handle(self, event):
         """Give the node an event and carry out what follows."""
         commands = self.node.handle(event, self.clock.now_ms())
@@ -195,6 +202,7 @@
                 self._run(self.node.tick(self.clock.now_ms()))
             except Exception:
                 self.log.exception("node: a tick failed", vm=self.settings.vm)
+            self.flush_logs()
             await asyncio.sleep(TICK_MS / 1000.0)
 
     async def _sweep_channels(self):
@@ -256,8 +264,6 @@
         exchange = self.exchanges.get(request_id)
         if exchange is not None:
             exchange.fail(error)
-        if error.status >= 500:
-            self._log("request", f"answer {error.code}", request_id)
 
     def _answer_recorded(self, request_id, answer):
         exchange = self.exchanges.get(request_id)
@@ -367,6 +373,10 @@
     return answers, rest
 
 
+def _flush_nothing():
+    """Leave lines to the stream that they were written to."""
+
+
 def _rows(state):
     return list(state.replicas.rows.values())
 
--- a/bluebellbeam/daemon/published.py
+++ b/bluebellbeam/daemon/published.py
@@ -35,8 +35,8 @@
         self._config = None
         self._lists = None
 
-    def open(self, session):
-        """Begin to use the provider through an HTTP client session."""
+    def open(self, session, heard):
+        """Begin to use the provider; see :meth:`Platform.open`."""
         self._config = make_feed_client(session, self.addresses.configuration)
         self._lists = make_feed_client(session, self.addresses.vm_list)
         self.directory = make_directory_client(
--- a/bluebellbeam/daemon/server.py
+++ b/bluebellbeam/daemon/server.py
@@ -5,6 +5,8 @@
 import secrets
 import signal
 
+import structlog
+
 from bluebellbeam.daemon.callers import make_caller_app
 from bluebellbeam.daemon.driver import make_driver
 from bluebellbeam.daemon.listener import (
@@ -126,7 +128,7 @@
     return make_published_provider(settings.platform, clock)
 
 
-async def run_daemon(settings, path=None):
+async def run_daemon(settings, path=None, flush_logs=None):
     """Run a daemon until it has been stopped by a signal.
 
     Parameters
@@ -134,8 +136,14 @@
     settings : Settings
     path : str, optional
         File that the settings are read from again on SIGHUP.
+    flush_logs : callable, optional
+        Writes the log lines that wait.
     """
     daemon = make_daemon(settings)
+    if flush_logs is not None:
+        daemon.driver.flush_logs = flush_logs
+    log = structlog.get_logger()
+    log.info("daemon: start", vm=settings.vm, region=settings.region)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.request_stop)
@@ -151,3 +159,4 @@
         if follower is not None:
             follower.cancel()
         await daemon.close()
+        log.info("daemon: stop", vm=settings.vm)
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -49,7 +49,7 @@
     """Take in a request, or give it its final error at once."""
     state.counters.requests += 1
     request.arrival_ms = now_ms
-    error = _check_node(state, request)
+    error = _check_node(state, request, now_ms)
     if error is None:
         error = _resolve(state, request, now_ms)
     if error is None and request.origin:
@@ -83,6 +83,13 @@
     errors = state.counters.errors
     errors[error.code] = errors.get(error.code, 0) + 1
     state.decide(request.request_id, ("error", now_ms, error.code, error.outcome))
+    state.log_request(
+        request,
+        f"refuse: {error.code}",
+        outcome=error.outcome,
+        retry_after_ms=error.retry_after_ms,
+        pool=request.pool,
+    )
     state.emit(AnswerError(request.request_id, error))
 
 
@@ -105,15 +112,35 @@
         borrow_for(state, request.pool, lane, now_ms)
 
 
-def _check_node(state, request):
+def _check_node(state, request, now_ms):
     if state.leaving and not request.host:
         return make_error("leaving", entries=entry_addresses(state, request.workspace))
     serving = state.ready or state.leaving
+    if serving and state.config is not None and state.leaving:
+        return _check_leaving(state, request, now_ms)
     if not serving or state.config is None:
         return make_error("not_ready")
     return None
 
 
+def _check_leaving(state, request, now_ms):
+    """Serve on while a leaving daemon is still named, but nothing that is long.
+
+    Callers that have not heard of the leave come for a while; a stream that
+    they begin late would be cut by the end of the process.
+    """
+    if now_ms - state.leaving_ms < state.policy.leave_linger_ms:
+        return None
+    route = match_route(state.config.routes, request.host, request.path)
+    if route is None or route.kind != "stream":
+        return None
+    return make_error("leaving", retry_after_ms=LEAVING_RETRY_MS)
+
+
+LEAVING_RETRY_MS = 100
+"""A caller refused by a leaving daemon is served by another one at once."""
+
+
 def entry_addresses(state, workspace_name, include_self=False):
     """Return caller addresses of entry VMs for a workspace, best first."""
     own = state.identity
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -87,6 +87,13 @@
         take_brief_load(state, row, event.load, now_ms)
     end_request(state, request)
     state.counters.answered += 1
+    state.log_request(
+        request,
+        "answered",
+        target=attempt.server or attempt.peer,
+        took_ms=now_ms - request.arrival_ms,
+        first_ms=attempt.first_ms - request.arrival_ms,
+    )
     if not request.idempotent and not request.origin and request.route is None:
         record_answer(state.ledger, request.operation_id, "ran", event.answer)
     state.decide(
@@ -153,7 +160,13 @@
     if attempt.peer:
         drop_lender(state.borrower, attempt.peer)
     _again_or_fail(
-        state, request, attempt, not event.sent, _failure_code(request, event), now_ms
+        state,
+        request,
+        attempt,
+        not event.sent,
+        _failure_code(request, event),
+        now_ms,
+        event.reason,
     )
     pump(state, request.pool, now_ms)
 
@@ -166,12 +179,20 @@
     return "upstream_failed" if event.sent else "no_backend"
 
 
-def _again_or_fail(state, request, attempt, not_run, code, now_ms):
+def _again_or_fail(state, request, attempt, not_run, code, now_ms, reason=""):
     if request.state == "ended" or request.running:
         return
     request.tried.add(attempt.server or attempt.peer)
     entry = ("failed", now_ms, attempt.server or attempt.peer, code)
     state.decide(request.request_id, entry)
+    state.log_request(
+        request,
+        f"attempt failed: {code}",
+        target=attempt.server or attempt.peer,
+        reason=reason,
+        not_run=not_run,
+        took_ms=now_ms - attempt.started_ms,
+    )
     if _may_try_again(state, request, not_run, now_ms):
         if not request.idempotent and not request.origin and not request.route:
             mark_not_run(state.ledger, request.operation_id)
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -16,6 +16,7 @@
 from bluebellbeam.recovery import earn
 from bluebellbeam.routing import (
     choose_replica,
+    is_cold,
     note_cold_send,
     note_finished,
     note_prefix,
@@ -139,6 +140,14 @@
         pop_request(queue, request)
         attempt = _new_attempt(state, request, now_ms)
         _send_to_peer(state, attempt, member)
+        state.log_request(
+            request,
+            "forward to a peer",
+            peer=member.name,
+            region=member.region,
+            heard_age_ms=now_ms - member.heard_ms,
+            waited_ms=now_ms - request.arrival_ms,
+        )
         state.decide(
             request.request_id, ("peer", now_ms, member.name, member.region, "")
         )
@@ -177,6 +186,19 @@
     attempt = _new_attempt(state, request, now_ms)
     _send_to_server(state, attempt, row, best, now_ms)
     state.decide(request.request_id, ("server", now_ms, candidates[:6]))
+    state.log_request(
+        request,
+        "send to a backend server",
+        server=row.name,
+        expected_ms=round(best.estimate.first_token_ms),
+        score_ms=round(best.score),
+        cached_tokens=best.cached_tokens,
+        running=row.inflight,
+        others=round(row.others, 1),
+        report_age_ms=now_ms - row.reported_ms if row.reported_ms else None,
+        waited_ms=now_ms - request.arrival_ms,
+        cold=is_cold(row, now_ms),
+    )
     return True
 
 
@@ -392,6 +414,13 @@
     errors = state.counters.errors
     errors[error.code] = errors.get(error.code, 0) + 1
     state.decide(request.request_id, ("error", now_ms, error.code, error.outcome))
+    state.log_request(
+        request,
+        f"give up: {error.code}",
+        outcome=error.outcome,
+        age_ms=now_ms - request.arrival_ms,
+        tried=sorted(request.tried),
+    )
     state.emit(AnswerError(request.request_id, error))
 
 
--- a/bluebellbeam/node/event.py
+++ b/bluebellbeam/node/event.py
@@ -22,6 +22,7 @@
     "PeerUnreachable",
     "RequestArrived",
     "ServerConfirmed",
+    "SourceHeard",
     "StopRequested",
 ]
 
@@ -115,6 +116,10 @@
     reason: str
 
 
+class SourceHeard(Struct, frozen=True):
+    """The publisher of the feeds has answered, with or without news."""
+
+
 class LoadReported(Struct, frozen=True):
     """The address of a backend server has answered with a load report.
 
--- a/bluebellbeam/node/gossip.py
+++ b/bluebellbeam/node/gossip.py
@@ -105,12 +105,14 @@
     same_region = row is not None and row.region == state.region
     offers = {} if same_region else capacity_offers(state, now_ms)
     demand = own_demand(state) if same_region else {}
+    heard_ms = state.source_heard_ms
     return kind(
         feed_versions(state, same_region),
         take_rumors(state.members),
         offers,
         demand,
         on_behalf_of,
+        -1 if heard_ms is None else now_ms - heard_ms,
     )
 
 
@@ -192,6 +194,9 @@
 
 def _take_in(state, sender, message, now_ms):
     row = state.members.rows.get(sender)
+    if message.source_age_ms >= 0:
+        heard_ms = now_ms - message.source_age_ms
+        state.source_heard_ms = max(state.source_heard_ms or heard_ms, heard_ms)
     for rumor in message.rumors:
         _apply(state, rumor, now_ms)
     if row is None:
--- a/bluebellbeam/node/loads.py
+++ b/bluebellbeam/node/loads.py
@@ -49,10 +49,11 @@
     _expire_lapsed(state, now_ms)
     policy = state.policy
     interval_ms = poll_interval_ms(policy, len(state.replicas.rows))
+    stale = state.is_list_stale(now_ms)
     for row in state.replicas.rows.values():
-        if row.listed and row.identified:
+        if row.listed and row.identified and not stale:
             continue
-        due_ms = interval_ms
+        due_ms = policy.stale_check_ms if row.listed else interval_ms
         known_ms = max(row.asked_ms, row.reported_ms or -due_ms)
         if row.leaving and row.identified and row.inflight == 0:
             due_ms *= 4
@@ -147,7 +148,12 @@
     if row is None:
         return
     note_warm_up(row, event.warm_up_left_ms, now_ms)
+    was_used = row.identified
     same = confirm_replica(state.replicas, row, event.name, event.incarnation, now_ms)
+    if row.identified != was_used:
+        text = "use again" if row.identified else "leave alone: another server answers"
+        left_ms = event.warm_up_left_ms
+        state.log_server(row, text, answered=event.name, warm_up_left_ms=left_ms)
     if not same:
         state.counters.identity_mismatches += 1
 
@@ -201,9 +207,26 @@
     state.emit(Log("routing", f"stop new work to leaving {row.name}"))
 
 
+def _has_just_answered(row, now_ms):
+    """Return whether a listed server's answers to requests outweigh a miss.
+
+    A health check waits for a slot like a request, so a full server may miss
+    one.
+    """
+    if not (row.listed and row.identified) or row.confirmed_ms is None:
+        return False
+    return now_ms - row.confirmed_ms <= ANSWERED_MS
+
+
+ANSWERED_MS = 1500
+"""Age of an answer to a request that still shows that a server runs."""
+
+
 def note_load_missed(state, server, now_ms):
     """Count a load question without an answer as a failure."""
     row = state.replicas.rows.get(server)
-    if row is not None:
+    if row is not None and not _has_just_answered(row, now_ms):
+        if row.identified:
+            state.log_server(row, "no answer to a health check", misses=row.misses)
         note_miss(state.replicas, row)
         note_failure(state.replicas, row, state.policy, now_ms, state.rng)
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -39,6 +39,8 @@
         the region.
     on_behalf_of : str
         Member that asked for this probe.
+    source_age_ms : int
+        Age of the last news from the source of the lists; -1 for none.
     """
 
     versions: dict[str, int]
@@ -46,6 +48,7 @@
     offers: dict[str, tuple[float, float]] = {}
     demand: dict[str, tuple[float, float]] = {}
     on_behalf_of: str = ""
+    source_age_ms: int = -1
 
 
 class Pong(Struct, frozen=True, array_like=True, tag="po"):
@@ -56,6 +59,7 @@
     offers: dict[str, tuple[float, float]] = {}
     demand: dict[str, tuple[float, float]] = {}
     on_behalf_of: str = ""
+    source_age_ms: int = -1
 
 
 class ProbeFor(Struct, frozen=True, array_like=True, tag="pf"):
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -178,6 +178,8 @@
             note_order_answer(state, event, now_ms)
         case ev.FeedRead(snapshot):
             _with_config_check(state, now_ms, note_feed_read, snapshot)
+        case ev.SourceHeard():
+            state.source_heard_ms = now_ms
         case ev.FeedUnavailable(key):
             note_feed_unavailable(state, key, now_ms)
         case ev.PeerHeard(envelope, answer):
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -15,6 +15,7 @@
     make_probe_ring,
     usable_members,
 )
+from bluebellbeam.node.command import Log
 from bluebellbeam.operations import make_ledger
 from bluebellbeam.recovery import make_budget, set_burst
 from bluebellbeam.routing import make_prefix_index, make_replica_table
@@ -132,6 +133,9 @@
     lapsed_ms : dict of str to int
         When a backend server vanished from the list while its source was
         disturbed.
+    source_heard_ms : int or None
+        When the publisher of the lists last answered this daemon or, as far
+        as was heard, any other.
     replicas : ReplicaTable
     prefixes : PrefixIndex
     requests : dict of str to Request
@@ -176,6 +180,7 @@
         "introductions",
         "evacuated",
         "lapsed_ms",
+        "source_heard_ms",
         "ring",
         "replicas",
         "prefixes",
@@ -231,6 +236,7 @@
         self.introductions = {}
         self.evacuated = frozenset()
         self.lapsed_ms = {}
+        self.source_heard_ms = None
         self.ring = make_probe_ring()
         self.replicas = make_replica_table()
         self.prefixes = make_prefix_index()
@@ -339,6 +345,16 @@
             names.append(self.identity.vm)
         return sorted(names)
 
+    def is_list_stale(self, now_ms):
+        """Return whether no daemon has heard from the list's source for long.
+
+        What the list would tell of servers has to be found out by asking them
+        meanwhile.
+        """
+        limit_ms = self.policy.stale_list_ms
+        heard_ms = self.source_heard_ms
+        return bool(limit_ms and heard_ms is not None and now_ms - heard_ms > limit_ms)
+
     def retry_budget(self, request):
         """Return the budget from which a repeat of `request` is paid."""
         if request.route is None:
@@ -373,6 +389,21 @@
             queue = self.queues[pool] = make_fair_queue()
         return queue
 
+    def log_request(self, request, sentence, **fields):
+        """Log a decision about a request, with what it was based on."""
+        if request.route is not None:
+            fields["route"] = request.route.name
+        if self.config is not None:
+            fields["revision"] = self.config.revision
+        fields["attempt"] = request.attempts
+        self.emit(Log("request", sentence, request.request_id, fields))
+
+    def log_server(self, row, sentence, **fields):
+        """Log a change of what is believed of a backend server."""
+        fields["server"] = row.name
+        fields["incarnation"] = row.incarnation
+        self.emit(Log("routing", sentence, fields=fields))
+
     def decide(self, request_id, entry):
         """Keep `entry` among the decisions about a request."""
         entries = self.decisions.setdefault(request_id, [])
--- a/bluebellbeam/node/sync.py
+++ b/bluebellbeam/node/sync.py
@@ -75,8 +75,8 @@
 
 
 def _watches(state, key):
-    generation = state.members.generation
-    return state.cached(("watch", key), generation, lambda: _is_chosen(state, key))
+    basis = (state.members.generation, state.policy.watchers_per_domain)
+    return state.cached(("watch", key), basis, lambda: _is_chosen(state, key))
 
 
 def _is_chosen(state, key):
@@ -223,6 +223,9 @@
         state.subset_key = None
     else:
         state.subset_key = None
+        fields = {"version": feed.version, "source": feed.source}
+        fields["parts"] = len(feed.parts)
+        state.emit(Log("routing", "adopt a list of backend servers", fields=fields))
         _note_evacuated(state, feed)
 
 
--- /dev/null
+++ b/bluebellbeam/node/tests/routed.py
@@ -0,0 +1,159 @@
+"""A node that serves routes in virtual time, for the tests of its decisions."""
+
+import msgspec
+
+from bluebellbeam.config import bundle_digest, canonical_json, split_documents
+from bluebellbeam.feeds import Snapshot
+from bluebellbeam.node import NodeIdentity, Request, make_node
+from bluebellbeam.node import command as cmd
+from bluebellbeam.node import event as ev
+from bluebellbeam.provider.records import EVACUATED_PREFIX, VmRecord
+
+REGIONS = {"east": "dom-e", "west": "dom-w"}
+
+
+def make_base(routes=(), **policy):
+    """Return a base document with two services, `routes` and `policy`."""
+    plain = {
+        "name": "plain",
+        "host": "a.example",
+        "path_prefix": "/p/",
+        "services": [{"service": "portal"}],
+        "workspace": "all",
+        "kind": "idempotent",
+        "max_attempts": 2,
+        "timeout_ms": 3000,
+        "objective_ms": 400,
+    }
+    once = plain | {"name": "once", "path_prefix": "/o/", "kind": "non_idempotent"}
+    chat = plain | {
+        "name": "chat",
+        "path_prefix": "/c/",
+        "kind": "stream",
+        "resumable": True,
+        "services": [{"service": "llm"}],
+        "timeout_ms": 15_000,
+        "home_regions": ["east"],
+    }
+    delays = {name: {n: 55.0 for n in REGIONS if n != name} for name in REGIONS}
+    return {
+        "deployment": "d",
+        "regions": {name: {"one_way_delay_ms": delays[name]} for name in REGIONS},
+        "failure_domains": {d: {"region": r} for r, d in REGIONS.items()},
+        "sites": {d: {"region": r} for r, d in REGIONS.items()},
+        "services": {
+            "portal": {"expected_ms": 40},
+            "llm": {"warm_up_per_s": 2.0, "prefill_tokens_per_s": 40_000},
+        },
+        "routes": [plain, once, chat, *routes],
+        "workspaces": {"all": {"allowed_regions": list(REGIONS)}},
+        "policy": {"retry_slack": 56.0, "watchers_per_domain": 8, **policy},
+    }
+
+
+def server(name, service="portal", **values):
+    """Return the record of a listed backend server in the east."""
+    fields = {
+        "incarnation": 1,
+        "role": "service",
+        "region": "east",
+        "failure_domain": "dom-e",
+        "address": "10.0.0.1:80",
+        "guarded": True,
+        "slots": 4,
+    }
+    return VmRecord(name=name, service=service, **{**fields, **values})
+
+
+class Harness:
+    """A ready node and the commands that it has given."""
+
+    def __init__(self, region="east", vm="vm-1", base=None):
+        identity = NodeIdentity(
+            vm,
+            1,
+            region,
+            REGIONS[region],
+            REGIONS[region],
+            seed_peers=("10.9.0.1:1",),
+            peer_address=f"{vm}:1",
+            caller_address=f"{vm}:2",
+            lists_entries=False,
+        )
+        self.node = make_node(identity, 7, b"k" * 32)
+        self.state = self.node.state
+        self.now_ms = 10_000
+        self.commands = []
+        self.versions = {}
+        self.publish("config", split_documents(base or make_base(), {}))
+        self.list_servers()
+        self.tick(4000)
+
+    def take(self, commands):
+        self.commands.extend(commands)
+        return commands
+
+    def handle(self, event):
+        return self.take(self.node.handle(event, self.now_ms))
+
+    def tick(self, step_ms=50):
+        """Move time on in ticks of 50 ms."""
+        for _ in range(max(1, step_ms // 50)):
+            self.now_ms += 50
+            self.take(self.node.tick(self.now_ms))
+
+    def publish(self, key, parts):
+        version = self.versions[key] = self.versions.get(key, 0) + 1
+        raws = {name: msgspec.Raw(raw) for name, raw in parts.items()}
+        self.handle(ev.FeedRead(Snapshot(key, version, bundle_digest(parts), raws)))
+
+    def list_servers(self, *records, evacuated=()):
+        parts = {r.name: canonical_json(msgspec.to_builtins(r)) for r in records}
+        parts |= {f"{EVACUATED_PREFIX}{domain}": b"{}" for domain in evacuated}
+        self.publish(f"backends/{self.state.region}", parts)
+        self.tick()
+
+    def peer(self, name, region="west", incarnation=5, **values):
+        """Introduce a daemon."""
+        from bluebellbeam.node.message import Envelope, Introduce
+
+        record = VmRecord(
+            name=name,
+            incarnation=incarnation,
+            role="entry",
+            region=region,
+            failure_domain=REGIONS[region],
+            peer_address=f"{name}:1",
+            caller_address=f"{name}:2",
+            **values,
+        )
+        message = Introduce((record,))
+        envelope = Envelope(name, incarnation, (message,))
+        return self.handle(ev.PeerHeard(envelope, answer=True))
+
+    def request(self, path="/p/x", request_id="r1", **values):
+        """Send a request; return what the node commands at once."""
+        entity = Request(
+            request_id,
+            "",
+            host="a.example:80",
+            path=path,
+            attempt_key=request_id,
+            **values,
+        )
+        return self.handle(ev.RequestArrived(entity))
+
+    def fail(self, attempt_id, sent=True, lost=False):
+        return self.handle(
+            ev.AttemptFailed(attempt_id, sent, reason="x", lost_connection=lost)
+        )
+
+
+def starts(commands):
+    """Return the attempts among commands."""
+    return [item for item in commands if isinstance(item, cmd.StartAttempt)]
+
+
+def errors(commands):
+    """Return the final errors among commands."""
+    return [item.error for item in commands if isinstance(item, cmd.AnswerError)]
--- a/bluebellbeam/platform/health.py
+++ b/bluebellbeam/platform/health.py
@@ -14,6 +14,10 @@
 COLD_MS = "x-warmup-ms"
 
 
+# The server was too busy to run the check.
+NOT_RUN = "x-not-executed"
+
+
 async def check_health(session, command):
     """Ask a backend server whether it runs; return the event for the node.
 
@@ -29,7 +33,8 @@
             await answer.read()
             name = answer.headers.get(INSTANCE, "")
             cold = answer.headers.get(COLD_MS, "0").partition(".")[0]
-            if answer.status != 200 or not name:
+            refused = answer.status == 503 and NOT_RUN in answer.headers
+            if not name or (answer.status != 200 and not refused):
                 return ev.LoadMissed(command.server)
     except (TimeoutError, aiohttp.ClientError, OSError):
         return ev.LoadMissed(command.server)
--- a/bluebellbeam/platform/listeners.py
+++ b/bluebellbeam/platform/listeners.py
@@ -38,7 +38,9 @@
 
     async def resolve(request):
         region = request.args.get("region", driver.settings.region)
-        found = entries_near(driver.node.state, region)
+        host = request.args.get("name", "")
+        now_ms = driver.clock.now_ms()
+        found = entries_near(driver.node.state, host, region, now_ms)
         if not found:
             return response.text("no entry VM is ready", 503)
         body = msgspec.json.encode({"addresses": found, "ttlS": TTL_S})
--- a/bluebellbeam/platform/records.py
+++ b/bluebellbeam/platform/records.py
@@ -301,10 +301,11 @@
         # hears from its peers.
         "watchers_per_domain": 64,
         "probe_interval_ms": 500,
+        "stale_list_ms": 3000,
         "suspect_timeout_ms": 1500,
         "retry_share": store.retry_share,
         "retry_slack": store.retry_slack,
-        "leave_linger_ms": 3000,
+        "leave_linger_ms": 2500,
         "leave_grace_ms": int(store.grace_s * 1000) - LEAVE_MARGIN_MS,
     }
 
--- a/bluebellbeam/platform/start.py
+++ b/bluebellbeam/platform/start.py
@@ -27,9 +27,16 @@
         self.region = region
         self.mirror = None
 
-    def open(self, session):
-        """Begin to use the platform through an HTTP client session."""
-        self.mirror = make_store_mirror(session, self.access, self.region)
+    def open(self, session, heard):
+        """Begin to use the platform.
+
+        Parameters
+        ----------
+        session : aiohttp.ClientSession
+        heard : callable
+            To be called with each sign that what is published is up to date.
+        """
+        self.mirror = make_store_mirror(session, self.access, self.region, heard)
 
     def feed_client(self, key):
         """Return the client of feed `key`."""
--- a/bluebellbeam/platform/store.py
+++ b/bluebellbeam/platform/store.py
@@ -32,9 +32,14 @@
 READ_TIMEOUT_MS = 1500
 """Time for a page; the store answers within milliseconds."""
 
-WATCH_MS = 4000
-"""Time that a watch waits. A connection that went silent is noticed at its
-end, within the time in which a configuration has to be in force."""
+LEAST_WATCH_MS = 1500
+MOST_WATCH_MS = 3000
+"""Times that a watch waits, drawn anew for each so that the daemons of a
+region do not ask in step. A connection that went silent is noticed at the end,
+within the time in which a configuration has to be in force."""
+
+WATCH_MARGIN_MS = 1000
+"""Time for the answer of a watch beyond its wait."""
 
 RETRY_MS = 250
 """Pause after a failed call, spread by chance."""
@@ -59,6 +64,8 @@
     versions : dict of str to int
         Version of each feed: the revision of its last change.
     calls : int
+    heard : callable
+        Called with each answer of the store.
     """
 
     __slots__ = (
@@ -74,10 +81,11 @@
         "task",
         "unreadable",
         "snapshots",
+        "heard",
         "log",
     )
 
-    def __init__(self, session, access, region):
+    def __init__(self, session, access, region, heard):
         self.session = session
         self.access = access
         self.region = region
@@ -90,6 +98,7 @@
         self.task = None
         self.unreadable = set()
         self.snapshots = {}
+        self.heard = heard
         self.log = structlog.get_logger()
 
     async def read(self, key, after_version, wait):
@@ -214,12 +223,13 @@
         self.versions.setdefault(f"backends/{self.region}", revision)
 
     async def _watch(self):
+        wait_ms = random.randint(LEAST_WATCH_MS, MOST_WATCH_MS)
         query = {
             "pathPrefix": "",
             "after": str(self.revision),
-            "waitMs": str(WATCH_MS),
+            "waitMs": str(wait_ms),
         }
-        raw = await self._get("/kv-watch", query, WATCH_MS + READ_TIMEOUT_MS)
+        raw = await self._get("/kv-watch", query, wait_ms + WATCH_MARGIN_MS)
         events, revision = decode_events(raw)
         for item in events:
             held = self.items.get(item.key)
@@ -257,6 +267,7 @@
                     raise Trimmed(f"no history for {path}")
                 if answer.status != 200:
                     raise PlatformError(f"status {answer.status} for {path}")
+                self.heard()
                 return raw
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             text = f"no answer for {path}: {type(error).__name__}"
@@ -309,6 +320,6 @@
             return None
 
 
-def make_store_mirror(session, access, region):
+def make_store_mirror(session, access, region, heard):
     """Return a mirror that begins to follow the store with the first read."""
-    return StoreMirror(session, access, region)
+    return StoreMirror(session, access, region, heard)
--- a/bluebellbeam/routing/routes.py
+++ b/bluebellbeam/routing/routes.py
@@ -21,6 +21,15 @@
         for route in routes:
             self.hosts.setdefault(route.host, {})[route.path_prefix] = route
 
+    def of_host(self, host):
+        """Return the routes of `host`."""
+        return self.hosts.get(plain_host(host), {}).values()
+
+
+def plain_host(host):
+    """Return a host as routes name it: without port, in lower case."""
+    return host.partition(":")[0].lower()
+
 
 def make_route_table(routes):
     """Return the table of `routes`."""
@@ -43,7 +52,7 @@
     Prefixes end with a slash, so the candidates are the prefixes of `path`
     that end there; the cost grows with the depth of the path alone.
     """
-    routes = table.hosts.get(host.partition(":")[0].lower())
+    routes = table.hosts.get(plain_host(host))
     if not routes:
         return None
     end = path.rfind("/")
--- a/bluebellbeam/routing/warmup.py
+++ b/bluebellbeam/routing/warmup.py
@@ -8,7 +8,7 @@
 
 from bluebellbeam.utils.hashing import rendezvous_order
 
-__all__ = ["is_cold", "may_send_cold", "note_cold_send"]
+__all__ = ["is_cold", "may_send_cold", "may_send_unseen", "note_cold_send"]
 
 QUIET_START_MS = 1000
 """A new process sends nothing to cold servers until what a former process of
@@ -44,7 +44,20 @@
     return owner == view.identity.vm
 
 
+def may_send_unseen(view, row, now_ms):
+    """Return whether a server that may have turned cold may be sent a request.
+
+    While the list is stale a server tells of it in a health check alone, so
+    requests between two checks are few.
+    """
+    if not row.listed or not view.is_list_stale(now_ms):
+        return True
+    service = view.base.services.get(row.service)
+    if service is None or service.warm_up_per_s <= 0:
+        return True
+    return now_ms - row.cold_sent_ms >= view.policy.stale_check_ms
+
+
 def note_cold_send(row, now_ms):
     """Record that a request is sent to `row`, which may be cold."""
-    if is_cold(row, now_ms):
-        row.cold_sent_ms = now_ms
+    row.cold_sent_ms = now_ms
