Prove the adapter on loopback: a stand-in of the store and servers, faults, names

Refusals that say 'not run' always say when to come back; limits of callers follow the configuration.

--- a/bluebellbeam/cli/main.py
+++ b/bluebellbeam/cli/main.py
@@ -44,11 +44,13 @@
     Example: bluebellbeam serve examples/fraserleaf/burnaby-hall-settings.json
     """
     from bluebellbeam.daemon import run_daemon
+    from bluebellbeam.platform import make_platform
 
     settings = load_settings(settings_file)
+    provider = make_platform(settings) if settings.store is not None else None
     drain = configure_logs(log_format)
     try:
-        uvloop.run(run_daemon(settings, settings_file, drain))
+        uvloop.run(run_daemon(settings, provider, settings_file, drain))
     except OSError as error:
         raise click.ClickException(f"cannot listen: {error}") from error
 
--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -57,6 +57,8 @@
     stopped : asyncio.Event
     flush_logs : callable
         Writes the log lines that wait, as far as their reader takes them.
+    on_limits : callable or None
+        Told the limits of callers that are in force.
     observe_first : callable or None
         Told the kind of a request and the seconds until its answer began.
     """
@@ -79,6 +81,7 @@
         "peer_bytes_received",
         "observe_first",
         "flush_logs",
+        "on_limits",
     )
 
     def __init__(self, node, settings, provider, clock):
@@ -99,6 +102,7 @@
         self.peer_bytes_received = 0
         self.observe_first = None
         self.flush_logs = _flush_nothing
+        self.on_limits = None
 
     async def open(self):
         """Open the HTTP clients; call it inside the running loop."""
@@ -212,6 +216,8 @@
             known = {(row.name, row.incarnation) for row in _rows(state)}
             known.update((name, 0) for name in state.members.rows)
             self.channels.sweep(known)
+            if self.on_limits is not None and state.config is not None:
+                self.on_limits(state.base.caller_limits)
 
     async def _run_cache_events(self):
         while not self.stopped.is_set():
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "answer_routed",
+    "apply_limits",
     "make_forwarded_routed",
     "make_routed_app",
     "peer_headers",
@@ -35,6 +36,7 @@
     """Return the sanic application of a listener for routed requests alone."""
     app = Sanic(f"routed-{driver.settings.vm}-{secrets.token_hex(4)}")
     configure(app, MAX_BODY_BYTES)
+    driver.on_limits = lambda limits: apply_limits(app, limits)
 
     async def serve(request, path=""):
         return await serve_routed(driver, request)
@@ -44,6 +46,18 @@
     return app
 
 
+def apply_limits(app, limits):
+    """Put what the configuration lets callers do in force for new connections.
+
+    Parameters
+    ----------
+    app : sanic.Sanic
+    limits : CallerLimits
+    """
+    app.config.REQUEST_TIMEOUT = limits.header_timeout_ms / 1000.0
+    app.config.KEEP_ALIVE_TIMEOUT = limits.idle_timeout_ms / 1000.0
+
+
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Bound of the listener itself; the configuration's is checked per request."""
 
--- a/bluebellbeam/daemon/server.py
+++ b/bluebellbeam/daemon/server.py
@@ -23,7 +23,6 @@
 from bluebellbeam.daemon.routed import make_routed_app
 from bluebellbeam.node import NodeIdentity, make_node
 from bluebellbeam.node.event import StopRequested
-from bluebellbeam.platform import make_platform
 from bluebellbeam.utils.clock import monotonic_clock, wall_clock
 
 __all__ = ["Daemon", "make_daemon", "run_daemon"]
@@ -86,7 +85,7 @@
         await self.driver.close()
 
 
-def make_daemon(settings, sockets=None):
+def make_daemon(settings, sockets=None, provider=None):
     """Return a daemon whose listeners are bound and do not serve yet.
 
     Parameters
@@ -94,9 +93,11 @@
     settings : Settings
     sockets : dict of str to socket, optional
         Listeners that are bound already.
+    provider : Platform, optional
+        Adapter to a platform; the product's own interface without it.
     """
     clock = monotonic_clock()
-    provider = _make_provider(settings, clock)
+    provider = provider or make_published_provider(settings.platform, clock)
     if sockets is None:
         addresses = {
             "callers": settings.caller_address,
@@ -122,24 +123,19 @@
     return Daemon(make_driver(node, settings, provider, clock), sockets)
 
 
-def _make_provider(settings, clock):
-    if settings.store is not None:
-        return make_platform(settings)
-    return make_published_provider(settings.platform, clock)
-
-
-async def run_daemon(settings, path=None, flush_logs=None):
+async def run_daemon(settings, provider=None, path=None, flush_logs=None):
     """Run a daemon until it has been stopped by a signal.
 
     Parameters
     ----------
     settings : Settings
+    provider : Platform, optional
     path : str, optional
         File that the settings are read from again on SIGHUP.
     flush_logs : callable, optional
         Writes the log lines that wait.
     """
-    daemon = make_daemon(settings)
+    daemon = make_daemon(settings, provider=provider)
     if flush_logs is not None:
         daemon.driver.flush_logs = flush_logs
     log = structlog.get_logger()
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -199,7 +199,13 @@
         _requeue(state, request)
         return
     outcome = "unknown" if request.touched else "not_run"
-    fail_request(state, request, make_error(code, outcome=outcome), now_ms)
+    retry_ms = REFUSED_RETRY_MS if outcome == "not_run" else 0
+    error = make_error(code, outcome=outcome, retry_after_ms=retry_ms)
+    fail_request(state, request, error, now_ms)
+
+
+REFUSED_RETRY_MS = 500
+"""A server that had no room is likely to have some after one more answer."""
 
 
 def _may_try_again(state, request, not_run, now_ms):
--- /dev/null
+++ b/bluebellbeam/platform/tests/loopback.py
@@ -0,0 +1,148 @@
+"""Real daemons on loopback in front of the stand-in of the platform."""
+
+import asyncio
+import unittest
+
+import aiohttp
+import uvloop
+
+from bluebellbeam.cli.logs import configure_logs
+from bluebellbeam.config import Settings, StoreAccess
+from bluebellbeam.daemon.listener import bind_address, bound_address
+from bluebellbeam.daemon.server import make_daemon
+from bluebellbeam.platform import make_platform
+from bluebellbeam.platform.tests.standin import HOST, Replica, Store, config
+
+DOMAINS = {"hall-e": "east", "hall-w": "west"}
+LISTENERS = ("callers", "peers", "operators", "readiness", "directory")
+
+
+class Site:
+    """A store, two kinds of servers in each region and the daemons."""
+
+    def __init__(self):
+        self.store = Store()
+        self.replicas = {}
+        self.daemons = {}
+        self.session = None
+
+    async def start(self, daemons=("hall-e",), publish=True, homes=()):
+        await self.store.server.start()
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=20), auto_decompress=False
+        )
+        for zone in DOMAINS:
+            for service, events in (("portal", 0), ("llm", 6)):
+                for number in (1, 2):
+                    name = f"{service}-{zone}-{number}"
+                    replica = await Replica(name, events).start()
+                    self.replicas[name] = replica
+                    entry = replica.entry(service, zone, born=number)
+                    self.store.put(f"servers/{name}", entry)
+        if publish:
+            self.store.put("op/config", config(homes=homes))
+        for zone in daemons:
+            await self.start_daemon(zone)
+        if publish:
+            await self.wait(lambda: all(self.is_ready(zone) for zone in daemons))
+
+    async def start_daemon(self, zone):
+        sockets = {name: bind_address("127.0.0.1:0") for name in LISTENERS}
+        addresses = {name: bound_address(sock) for name, sock in sockets.items()}
+        seeds = [d.address("peers") for d in self.daemons.values()]
+        settings = Settings(
+            vm=f"vm-{zone}",
+            region=DOMAINS[zone],
+            failure_domain=zone,
+            site=zone,
+            caller_address=addresses["callers"],
+            peer_address=addresses["peers"],
+            operator_address=addresses["operators"],
+            seed_peers=tuple(seeds),
+            store=StoreAccess(
+                address=self.store.server.address,
+                domains=DOMAINS,
+                readiness_address=addresses["readiness"],
+                directory_address=addresses["directory"],
+                retry_slack=56.0,
+            ),
+        )
+        self.daemons[zone] = make_daemon(settings, sockets, make_platform(settings))
+        await self.daemons[zone].start()
+
+    def state(self, zone="hall-e"):
+        return self.daemons[zone].driver.node.state
+
+    def is_ready(self, zone):
+        state = self.state(zone)
+        usable = sum(row.identified for row in state.replicas.rows.values())
+        return state.ready and usable == 4
+
+    async def wait(self, test, limit_s=8.0):
+        async with asyncio.timeout(limit_s):
+            while not test():
+                await asyncio.sleep(0.01)
+
+    def daemons_fault(self):
+        """Return whether a daemon has noticed that the store is lost."""
+        mirrors = (d.driver.provider.mirror for d in self.daemons.values())
+        return any(mirror.failure is not None for mirror in mirrors)
+
+    def url(self, listener, path, zone="hall-e"):
+        return f"http://{self.daemons[zone].address(listener)}{path}"
+
+    def call(self, path, key="a1", zone="hall-e", method="POST", **values):
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": key,
+            "X-Deadline-Ms": "5000",
+            **values.pop("headers", {}),
+        }
+        url = self.url("callers", path, zone)
+        return self.session.request(method, url, headers=headers, **values)
+
+    async def ask(self, path, key="a1", **values):
+        """Return status, headers and body of a request."""
+        async with self.call(path, key, **values) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+    def runs(self, key):
+        """Return the names of the servers that ran a request."""
+        return [
+            name
+            for name, replica in self.replicas.items()
+            for found, _ in replica.runs
+            if found == key
+        ]
+
+    def plan(self, service, *behaviours, zone="hall-e"):
+        """Let the next request at each server of a service go wrong."""
+        for number in (1, 2):
+            self.replicas[f"{service}-{zone}-{number}"].plan.extend(behaviours)
+
+    async def stop(self):
+        for daemon in self.daemons.values():
+            await daemon.close()
+        for replica in self.replicas.values():
+            replica.stop()
+        await self.session.close()
+        await self.store.server.stop()
+
+
+class SiteCase(unittest.TestCase):
+    """Runs a step of a test against a site of its own."""
+
+    @classmethod
+    def setUpClass(cls):
+        configure_logs("console", "critical")
+
+    def run_with(self, step, **values):
+        async def run():
+            site = Site()
+            try:
+                await site.start(**values)
+                await step(site)
+            finally:
+                await site.stop()
+
+        uvloop.run(run())
--- /dev/null
+++ b/bluebellbeam/platform/tests/standin.py
@@ -0,0 +1,290 @@
+"""A small stand-in of the platform: its store, its operator and its servers."""
+
+import asyncio
+import base64
+import json
+
+from aiohttp import web
+
+from bluebellbeam.standins.http import StandinServer
+
+HOST = "shop.example"
+
+
+class Store:
+    """Items under revisions, with the faults that a test switches on.
+
+    Attributes
+    ----------
+    fault : str
+        Empty, or one of ``busy`` (503), ``many`` (429), ``silent``.
+    trimmed : bool
+        Whether the next watch is told that its history is gone.
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.revision = 1
+        self.trimmed = False
+        self.fault = ""
+        self.page = 3
+        self.calls = []
+        self.changed = asyncio.Event()
+        app = web.Application()
+        app.add_routes(
+            [web.get("/kv-range", self.range), web.get("/kv-watch", self.watch)]
+        )
+        self.server = StandinServer(app)
+
+    def put(self, key, value):
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._change({"key": key, "value": base64.b64encode(raw).decode()})
+
+    def remove(self, key):
+        self._change({"key": key, "removed": True})
+
+    def _change(self, event):
+        self.revision += 1
+        event |= {"revision": self.revision, "created": self.revision, "lease": 0}
+        self.history.append(event)
+        if event.get("removed"):
+            self.items.pop(event["key"], None)
+        else:
+            self.items[event["key"]] = event
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _fail(self):
+        if self.fault == "silent":
+            await asyncio.sleep(30)
+        return web.Response(status=429 if self.fault == "many" else 503)
+
+    async def range(self, request):
+        self.calls.append("range")
+        if self.fault:
+            return await self._fail()
+        prefix, after = request.query["pathPrefix"], request.query.get("after", "")
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        page = [self.items[key] for key in keys[: self.page]]
+        more = len(keys) > self.page
+        body = {"items": page, "hasMore": more, "storeRevision": self.revision}
+        return web.json_response(body)
+
+    async def watch(self, request):
+        self.calls.append("watch")
+        if self.fault:
+            return await self._fail()
+        after = int(request.query["after"])
+        if self.trimmed:
+            self.trimmed = False
+            return web.Response(status=410)
+        wait_s = int(request.query["waitMs"]) / 1000.0
+        if not self._since(after):
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self.changed.wait()
+            except TimeoutError:
+                pass
+        if self.fault:
+            return await self._fail()
+        body = {"events": self._since(after), "storeRevision": self.revision}
+        return web.json_response(body)
+
+    def _since(self, after):
+        return [event for event in self.history if event["revision"] > after]
+
+
+class Replica:
+    """A backend server that answers as the platform's pages say.
+
+    Attributes
+    ----------
+    plan : list of str
+        How the next requests are answered; ``ok`` once it is empty.
+    runs : list of (str, dict)
+        Id and headers of each request that was run.
+    """
+
+    def __init__(self, name, events=0, work_ms=2):
+        self.name = name
+        self.events = events
+        self.work_ms = work_ms
+        self.pause_ms = 0
+        self.plan = []
+        self.runs = []
+        self.bodies = {}
+        self.warm_up_ms = 0
+        self.healthy = True
+        self.gone = 0
+        self.connections = 0
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self
+
+    @property
+    def address(self):
+        host, port = self.server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    def entry(self, service, zone, **values):
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "warmupLeftMs": 0,
+            "sequence": 1,
+            **values,
+        }
+
+    def stop(self):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.gone += 1
+        except asyncio.CancelledError:
+            return
+        writer.close()
+
+    async def _one(self, reader, writer):
+        raw = await reader.readuntil(b"\r\n\r\n")
+        lines = raw.decode("latin-1").split("\r\n")
+        method, target, _ = lines[0].split(" ")
+        pairs = (line.split(": ", 1) for line in lines[1:] if line)
+        headers = {name.lower(): value for name, value in pairs}
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        if target == "/health":
+            return self._health(writer)
+        if headers.get("x-target-instance") != self.name:
+            head = {"X-Instance-Id": self.name}
+            return self._write(writer, 421, head, b"")
+        behaviour = self.plan.pop(0) if self.plan else "ok"
+        if behaviour == "full":
+            return self._write(writer, 503, {"X-Not-Executed": "1"}, b"")
+        key = headers["x-attempt-id"]
+        self.runs.append((key, headers))
+        self.bodies[key] = (method, target, body)
+        return await self._answer(reader, writer, headers, behaviour)
+
+    def _health(self, writer):
+        head = {"X-Instance-Id": self.name, "X-Warmup-Ms": str(self.warm_up_ms)}
+        return self._write(writer, 200 if self.healthy else 503, head, b"")
+
+    def _write(self, writer, status, headers, body, length=None):
+        head = [f"HTTP/1.1 {status} X"]
+        head += [f"{name}: {value}" for name, value in headers.items()]
+        head.append(f"Content-Length: {len(body) if length is None else length}")
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode() + body)
+        return True
+
+    async def _answer(self, reader, writer, headers, behaviour):
+        key = headers["x-attempt-id"]
+        head = {
+            "X-Attempt-Id": "0000" if behaviour == "foreign" else key,
+            "X-Response-Stamp": f"stamp-{key}",
+            "X-Server-Load": "1,0,8",
+            "Keep-Alive": "timeout=5",
+        }
+        if behaviour == "hang":
+            await reader.read(1)
+            raise ConnectionResetError
+        await asyncio.sleep(self.work_ms / 1000.0)
+        if behaviour == "reset":
+            writer.transport.abort()
+            return False
+        if behaviour == "garbage":
+            writer.write(b"\x00\x07 these bytes are no answer\r\n\r\n")
+            return False
+        if self.events:
+            return await self._stream(writer, headers, head, behaviour)
+        body = f"body of {key}".encode()
+        if behaviour == "error":
+            return self._write(writer, 500, head, b"failed")
+        if behaviour == "truncate":
+            self._write(writer, 200, head, body[:4], len(body))
+            return False
+        self._write(writer, 200, head, body)
+        if behaviour == "extra":
+            self._write(writer, 200, head, body)
+        return True
+
+    async def _stream(self, writer, headers, head, behaviour):
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        lines += [f"{name}: {value}" for name, value in head.items()]
+        lines.append("Transfer-Encoding: chunked")
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        first = int(headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if behaviour == "truncate" and number == first + 2:
+                writer.write(b"%x\r\n%b" % (len(event), event[:9]))
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.pause_ms / 1000.0)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+def config(version=1, routes=(), timeout_ms=3000, homes=()):
+    """Return a configuration with a route of each kind."""
+    kinds = {
+        "safe": {"kind": "safe", "service": "portal", "maxAttempts": 2},
+        "unsafe": {"kind": "unsafe", "service": "portal", "maxAttempts": 1},
+        "chat": {
+            "kind": "streaming",
+            "service": "llm",
+            "maxAttempts": 2,
+            "resumable": True,
+            "sticky": True,
+            "homeRegions": list(homes),
+        },
+        "audit": {
+            "kind": "streaming",
+            "service": "llm",
+            "maxAttempts": 1,
+            "resumable": False,
+            "sticky": True,
+        },
+    }
+    made = [
+        {
+            "name": f"r-{name}",
+            "host": HOST,
+            "pathPrefix": f"/{name}/",
+            "timeoutMs": timeout_ms,
+            "targetLatencyMs": 1000,
+            "priority": 1,
+            **fields,
+        }
+        for name, fields in kinds.items()
+    ]
+    services = [
+        {"name": name, "healthPath": "/health", "maxConnections": 100, "warmupPerS": 2}
+        for name in ("portal", "llm")
+    ]
+    services[1]["engine"] = {"slots": 8, "kvCapacity": 1000}
+    limits = {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 65536,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    }
+    return {
+        "version": version,
+        "routes": [*made, *routes],
+        "services": services,
+        "limits": limits,
+    }
--- /dev/null
+++ b/bluebellbeam/platform/tests/test_requests.py
@@ -0,0 +1,251 @@
+import asyncio
+
+import aiohttp
+
+from bluebellbeam.platform.tests.loopback import SiteCase
+
+
+async def raw_exchange(site, raw):
+    """Send bytes on a connection of its own; return all that comes back."""
+    host, _, port = site.daemons["hall-e"].address("callers").rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(raw)
+    try:
+        async with asyncio.timeout(3):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+class TestCalmMinute(SiteCase):
+    REQUESTS = 1800
+    AT_ONCE = 12
+
+    def test_every_request_of_every_kind_gets_its_own_whole_answer(self):
+        kinds = {"safe": "GET", "unsafe": "POST", "chat": "POST", "audit": "POST"}
+        events = "".join(f"id: {i}\ndata: piece {i}\n\n" for i in range(1, 7))
+
+        async def one(site, number):
+            name, method = list(kinds.items())[number % 4]
+            key = f"k{number}"
+            zone = "hall-e" if number % 8 < 4 else "hall-w"
+            values = {"data": b"x" * (number % 700)} if method == "POST" else {}
+            status, headers, body = await site.ask(
+                f"/{name}/{number}?q=1", key, zone=zone, method=method, **values
+            )
+            self.assertEqual((status, headers["X-Attempt-Id"]), (200, key))
+            self.assertEqual(headers["X-Response-Stamp"], f"stamp-{key}")
+            expected = events if name in ("chat", "audit") else f"body of {key}"
+            self.assertEqual(body.decode(), expected)
+            self.assertEqual(len(site.runs(key)), 1)
+
+        async def step(site):
+            numbers = iter(range(self.REQUESTS))
+
+            async def worker():
+                for number in numbers:
+                    await one(site, number)
+
+            await asyncio.gather(*(worker() for _ in range(self.AT_ONCE)))
+            method, target, body = site.replicas[site.runs("k5")[0]].bodies["k5"]
+            self.assertEqual((method, target), ("POST", "/unsafe/5?q=1"))
+            self.assertEqual(body, b"x" * 5)
+
+        self.run_with(step, daemons=("hall-e", "hall-w"))
+
+
+class TestAnswers(SiteCase):
+    def test_broken_stream_that_may_be_resumed_goes_on_with_the_next_event(self):
+        async def step(site):
+            site.plan("llm", "truncate")
+            for replica in site.replicas.values():
+                replica.pause_ms = 20
+            task = asyncio.create_task(site.ask("/chat/1", "c1"))
+            await site.wait(lambda: site.runs("c1"))
+            for replica in site.replicas.values():
+                replica.plan.clear()
+            status, headers, body = await task
+            ids = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+            self.assertEqual(ids, [b"id: %d" % i for i in range(1, 7)])
+            self.assertEqual(status, 200)
+            self.assertEqual(len(site.runs("c1")), 2)
+
+        self.run_with(step)
+
+    def test_broken_stream_that_may_not_is_not_ended_as_whole(self):
+        async def step(site):
+            site.plan("llm", "truncate")
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                await site.ask("/audit/1", "c1")
+            self.assertEqual(len(site.runs("c1")), 1)
+
+        self.run_with(step)
+
+    def test_lost_answer_of_an_unsafe_request_is_never_called_not_run(self):
+        async def step(site):
+            for behaviour in ("reset", "garbage", "truncate", "foreign"):
+                site.plan("portal", behaviour)
+                key = f"u-{behaviour}"
+                status, _, _ = await site.ask("/unsafe/1", key)
+                self.assertEqual((behaviour, status), (behaviour, 502))
+                self.assertEqual(len(site.runs(key)), 1)
+                for replica in site.replicas.values():
+                    replica.plan.clear()
+                await site.wait(lambda: site.is_ready("hall-e"))
+
+        self.run_with(step)
+
+    def test_lost_answer_of_a_safe_request_is_asked_for_again(self):
+        async def step(site):
+            for i, behaviour in enumerate(("reset", "garbage", "truncate", "error")):
+                site.replicas["portal-hall-e-1"].plan = [behaviour]
+                key = f"s{i}"
+                status, _, body = await site.ask("/safe/1", key, method="GET")
+                self.assertEqual((status, body), (200, f"body of {key}".encode()))
+                await site.wait(lambda: site.is_ready("hall-e"))
+
+        self.run_with(step)
+
+    def test_failure_of_a_server_is_passed_on_unchanged_when_no_try_is_left(self):
+        async def step(site):
+            site.plan("portal", "error", "error")
+            for path, method in (("/safe/1", "GET"), ("/unsafe/1", "POST")):
+                status, headers, body = await site.ask(path, path, method=method)
+                self.assertEqual((status, body), (500, b"failed"))
+                self.assertEqual(headers["X-Response-Stamp"], f"stamp-{path}")
+
+        self.run_with(step)
+
+    def test_second_answer_reaches_nobody(self):
+        async def step(site):
+            site.plan("portal", *["extra"] * 10)
+            for i in range(20):
+                status, headers, body = await site.ask("/unsafe/1", f"e{i}")
+                self.assertEqual((status, body), (200, f"body of e{i}".encode()))
+
+        self.run_with(step)
+
+    def test_full_server_is_a_refusal_with_a_time_to_come_back(self):
+        async def step(site):
+            site.plan("portal", "full", "full")
+            status, headers, _ = await site.ask("/unsafe/1", "f1")
+            self.assertEqual(status, 503)
+            self.assertGreater(float(headers["Retry-After"]), 0)
+            self.assertEqual(headers["X-Attempt-Id"], "f1")
+            self.assertEqual(site.runs("f1"), [])
+
+        self.run_with(step)
+
+    def test_route_timeout_is_answered_when_it_runs_out(self):
+        async def step(site):
+            site.plan("portal", "hang", "hang")
+            started = asyncio.get_running_loop().time()
+            status, _, _ = await site.ask("/unsafe/1", "t1")
+            took = asyncio.get_running_loop().time() - started
+            self.assertEqual(status, 504)
+            self.assertTrue(2.9 < took < 3.4, took)
+
+        self.run_with(step)
+
+
+class TestCallersRequests(SiteCase):
+    def test_what_the_server_sees_is_the_callers_own(self):
+        async def step(site):
+            headers = {
+                "X-Model": "m",
+                "X-Token-Count": "1460,80",
+                "X-Prompt-Prefix": "5c:800,91:410,e4:250",
+                "X-Hold": "forged",
+                "X-Request-Priority": "0",
+                "X-Target-Instance": "forged",
+                "Connection": "X-Dropped",
+            }
+            await site.ask("/audit/1", "h1", headers=headers)
+            _, seen = site.replicas[site.runs("h1")[0]].runs[-1]
+            self.assertEqual(seen["x-prompt-prefix"], headers["X-Prompt-Prefix"])
+            self.assertEqual(seen["x-token-count"], "1460,80")
+            self.assertEqual(seen["x-target-instance"], site.runs("h1")[0])
+            self.assertEqual(seen["x-request-priority"], "2")
+            self.assertNotIn("x-hold", seen)
+            self.assertLessEqual(int(seen["x-deadline-ms"]), 3000)
+            state = site.state()
+            self.assertEqual(state.counters.answered, 1)
+
+        self.run_with(step)
+
+    def test_request_without_an_id_or_route_is_refused(self):
+        async def step(site):
+            status, _, _ = await site.ask("/unsafe/1", "")
+            self.assertEqual(status, 400)
+            status, headers, _ = await site.ask("/nothing/1", "n1")
+            self.assertEqual((status, headers["X-Attempt-Id"]), (404, "n1"))
+
+        self.run_with(step)
+
+    def test_hidden_second_request_runs_nothing(self):
+        inner = b"POST /unsafe/2 HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: in\r\n\r\n"
+        heads = (
+            b"Content-Length : %d\r\n" % len(inner),
+            b"Content-Length: %d\r\nContent-Length: 0\r\n" % len(inner),
+            b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+            b"X-A: b\r\n Content-Length: 3\r\n",
+        )
+
+        async def step(site):
+            for head in heads:
+                raw = b"POST /unsafe/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                raw += b"X-Attempt-Id: out\r\n" + head + b"\r\n" + inner
+                answer = await raw_exchange(site, raw)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer[:80])
+                self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+            self.assertEqual(site.runs("in"), [])
+
+        self.run_with(step)
+
+    def test_body_over_the_limit_is_refused(self):
+        async def step(site):
+            status, _, _ = await site.ask("/unsafe/1", "b1", data=b"x" * 70_000)
+            self.assertEqual(status, 413)
+            self.assertEqual(site.runs("b1"), [])
+
+        self.run_with(step)
+
+    def test_caller_that_leaves_ends_the_work_for_it(self):
+        async def step(site):
+            site.plan("portal", "hang", "hang")
+            task = asyncio.create_task(site.ask("/safe/1", "g1", method="GET"))
+            await site.wait(lambda: site.runs("g1"))
+            task.cancel()
+            gone = site.replicas[site.runs("g1")[0]]
+            await site.wait(lambda: gone.gone, 0.5)
+            self.assertEqual(site.state().requests, {})
+
+        self.run_with(step)
+
+
+class TestRegions(SiteCase):
+    def test_bound_request_is_served_by_one_forward(self):
+        async def step(site):
+            await site.wait(lambda: len(site.state("hall-w").members.rows) == 1)
+            await site.wait(lambda: len(site.state("hall-e").members.rows) == 1)
+            status, headers, body = await site.ask(
+                "/chat/1", "w1", zone="hall-w", data=b"hello"
+            )
+            self.assertEqual((status, body.count(b"id: ")), (200, 6))
+            self.assertEqual(headers["X-Response-Stamp"], "stamp-w1")
+            self.assertFalse([name for name in headers if "bluebellbeam" in name])
+            self.assertIn("hall-e", site.runs("w1")[0])
+            self.assertEqual(site.state("hall-w").counters.forwarded, 1)
+
+        self.run_with(step, daemons=("hall-e", "hall-w"), homes=("east",))
+
+    def test_refusal_of_the_peer_stays_truthful(self):
+        async def step(site):
+            await site.wait(lambda: len(site.state("hall-w").members.rows) == 1)
+            site.plan("llm", *["full"] * 6)
+            status, headers, _ = await site.ask("/chat/1", "w2", zone="hall-w")
+            self.assertEqual(status, 503)
+            self.assertIn("Retry-After", headers)
+            self.assertEqual(site.runs("w2"), [])
+
+        self.run_with(step, daemons=("hall-e", "hall-w"), homes=("east",))
