--- /dev/null
+++ b/bluebellbeam/node/load_word.py
@@ -0,0 +1,74 @@
+"""Word among the daemons of a region of what each has at the servers they share.
+
+A server tells its load on the head of an answer, which for a stream comes when
+its first event does: under load, seconds after the state that it shows. What
+daemons tell each other is younger, and it tells the prompt tokens that wait.
+"""
+
+from bluebellbeam.node.command import SendPeer
+from bluebellbeam.node.message import ServerLoads
+from bluebellbeam.routing import note_others
+
+__all__ = ["hear_server_loads", "tick_load_word"]
+
+WORD_MS = 200
+"""Interval of the word: below the time to a first event on a busy server."""
+
+FANOUT = 4
+"""Members told in one interval, so that the cost does not grow with the region."""
+
+FRESH_MS = 2000
+"""Age at which what a member has told no longer counts."""
+
+MAX_SERVERS = 64
+"""Servers named in one message, so that its size is bounded."""
+
+
+def tick_load_word(state, now_ms):
+    """Tell a few members of the region what this daemon has at its servers."""
+    if now_ms < state.next_word_ms:
+        return
+    state.next_word_ms = now_ms + WORD_MS
+    names = [name for name in state.region_members() if name != state.identity.vm]
+    loads = _own_loads(state)
+    if not names or (not loads and not state.told_any):
+        return
+    state.told_any = bool(loads)
+    message = ServerLoads(loads)
+    for offset in range(min(FANOUT, len(names))):
+        name = names[(state.word_turn + offset) % len(names)]
+        row = state.members.rows.get(name)
+        if row is not None and row.status == "alive":
+            state.emit(SendPeer(name, row.peer_address, (message,)))
+    state.word_turn += FANOUT
+
+
+def _own_loads(state):
+    loads = {}
+    for row in state.replicas.rows.values():
+        if row.listed and (row.inflight or row.inflight_tokens):
+            loads[row.name] = (row.inflight, row.inflight_tokens)
+            if len(loads) == MAX_SERVERS:
+                break
+    return loads
+
+
+def hear_server_loads(state, sender, message, now_ms):
+    """Take in what a member of the region has at the servers."""
+    state.told_loads[sender] = (now_ms, message.servers)
+    fresh = [
+        servers
+        for name, (told_ms, servers) in list(state.told_loads.items())
+        if now_ms - told_ms <= FRESH_MS and name in state.members.rows
+    ]
+    others = max(1, len(state.region_members()) - 1)
+    # In a large region only some members are heard of: they stand for all.
+    factor = max(1.0, others / len(fresh)) if fresh else 1.0
+    for row in state.replicas.rows.values():
+        if row.listed:
+            running = sum(item.get(row.name, _NONE)[0] for item in fresh)
+            tokens = sum(item.get(row.name, _NONE)[1] for item in fresh)
+            note_others(state.replicas, row, running * factor, tokens * factor, now_ms)
+
+
+_NONE = (0, 0)
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -19,6 +19,7 @@
     "Ping",
     "Pong",
     "ProbeFor",
+    "ServerLoads",
     "decode_envelope",
     "encode_envelope",
 ]
@@ -97,6 +98,18 @@
     wants_all: bool = False
 
 
+class ServerLoads(Struct, frozen=True, array_like=True, tag="sl"):
+    """Tell what the sender has at the servers of the region.
+
+    Parameters
+    ----------
+    servers : dict of str to (int, int)
+        Requests in flight and prompt tokens that wait, by server.
+    """
+
+    servers: dict[str, tuple[int, int]]
+
+
 class LeaseWanted(Struct, frozen=True, array_like=True, tag="lw"):
     """Ask a lender for slots.
 
@@ -146,6 +159,7 @@
     | Introduce
     | LeaseWanted
     | LeaseAnswer
+    | ServerLoads
     | Delta
     | Snapshot
 )
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -34,6 +34,7 @@
     hear_lease_wanted,
     tick_leases,
 )
+from bluebellbeam.node.load_word import hear_server_loads, tick_load_word
 from bluebellbeam.node.loads import (
     note_confirmed,
     note_load,
@@ -104,6 +105,7 @@
         if state.config is not None:
             tick_loads(state, now_ms)
             tick_leases(state, now_ms)
+            tick_load_word(state, now_ms)
             pump_all(state, now_ms)
         tick_readiness(state, now_ms)
         tick_leaving(state, now_ms)
@@ -223,6 +225,8 @@
             hear_target_alive(state, message, now_ms)
         case msg.Introduce():
             hear_introduce(state, sender, message, now_ms)
+        case msg.ServerLoads():
+            hear_server_loads(state, sender, message, now_ms)
         case msg.FeedPull():
             hear_pull(state, sender, message)
         case Delta():
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -10,7 +10,13 @@
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.outcome import make_error
 from bluebellbeam.node.waiting import local_wait_ms
-from bluebellbeam.routing import choose_service, match_route
+from bluebellbeam.routing import (
+    cached_tokens,
+    choose_service,
+    estimate_local,
+    match_route,
+    prompt_speed,
+)
 
 __all__ = [
     "choose_peer",
@@ -19,6 +25,10 @@
     "routed_start_ms",
 ]
 
+LATE_FACTOR = 1.5
+"""A prompt is taken in while its first event is expected within so many times
+its objective: estimates are rough, and a late answer is worth something."""
+
 OUTPUT_COST_FACTOR = 10.0
 """Cost of an output token relative to one of the prompt, for fair sharing."""
 
@@ -84,12 +94,36 @@
     """
     waits = []
     if state.region in request.allowed and is_known_locally(state, request):
-        waits.append(local_wait_ms(state, request.pool, request) or 0.0)
+        waits.append(_stay_ms(state, request, now_ms))
     if not request.origin and _peers(state, request):
         waits.append(_away_ms(state, request, now_ms))
     return min(waits) if waits else None
 
 
+def _stay_ms(state, request, now_ms):
+    """Return the expected time until the request is under way here.
+
+    For a prompt that is until its first event, on the server that would give
+    it soonest.
+    """
+    wait_ms = local_wait_ms(state, request.pool, request) or 0.0
+    speed = prompt_speed(state.base, request)
+    if not speed:
+        return wait_ms
+    region = state.base.regions[state.region]
+    first = [
+        estimate_local(row, request, speed, region, cached, now_ms).first_token_ms
+        for row in state.replicas.pool(request.pool)
+        if row.failure_domain not in state.evacuated
+        for cached in (
+            cached_tokens(state.prefixes, row.name, request, state.block_tokens),
+        )
+    ]
+    if not first:
+        return wait_ms
+    return max(wait_ms, min(first) / LATE_FACTOR)
+
+
 def _away_ms(state, request, now_ms):
     offers = _offers(state, request, now_ms)
     delays = state.base.regions[state.region].one_way_delay_ms
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -152,6 +152,9 @@
     rates : RateTable
     lender, borrower : LenderTable, BorrowerTable
     ledger : Ledger
+    told_loads : dict of str to (int, dict)
+        When each member of the region last told what it has at the servers,
+        and what.
     retries, hedges : Budget
     route_retries : dict of str to Budget
         Budgets of routed requests by pool.
@@ -181,6 +184,10 @@
         "evacuated",
         "lapsed_ms",
         "source_heard_ms",
+        "next_word_ms",
+        "word_turn",
+        "told_any",
+        "told_loads",
         "ring",
         "replicas",
         "prefixes",
@@ -237,6 +244,10 @@
         self.evacuated = frozenset()
         self.lapsed_ms = {}
         self.source_heard_ms = None
+        self.next_word_ms = 0
+        self.word_turn = 0
+        self.told_any = False
+        self.told_loads = {}
         self.ring = make_probe_ring()
         self.replicas = make_replica_table()
         self.prefixes = make_prefix_index()
--- a/bluebellbeam/routing/estimate.py
+++ b/bluebellbeam/routing/estimate.py
@@ -114,7 +114,7 @@
     reported less what it has computed since.
     """
     if row.reported_ms is None or not row.waiting_tokens:
-        return row.inflight_tokens
+        return row.inflight_tokens + row.others_tokens
     since_s = (now_ms - row.reported_ms) / 1000.0
     reported = row.waiting_tokens - since_s * prefill_tokens_per_s
     return max(row.inflight_tokens, reported)
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -15,6 +15,7 @@
     "note_answer",
     "note_finished",
     "note_miss",
+    "note_others",
     "note_started",
     "note_warm_up",
     "prune_left",
@@ -31,6 +32,10 @@
 GUARDED_CONFIRM_MS = 60_000
 """Time after its last answer at which a guarded server is asked before use."""
 
+TOLD_MS = 1500
+"""Time for which what other daemons told of a server goes before what the
+server itself tells on its answers."""
+
 MAX_LEFT = 10_000
 """Leaving marks that are kept."""
 
@@ -50,6 +55,10 @@
         As last reported, by the server or on an answer.
     others : float
         Estimated requests of other daemons there.
+    others_tokens : float
+        Prompt tokens of other daemons' requests that wait there, as told.
+    told_ms : int or None
+        When other daemons last told what they have there.
     inflight : int
         Own requests there now.
     inflight_tokens : int
@@ -104,6 +113,8 @@
         "waiting",
         "waiting_tokens",
         "others",
+        "others_tokens",
+        "told_ms",
         "inflight",
         "inflight_tokens",
         "loaded",
@@ -143,6 +154,8 @@
         self.waiting = 0
         self.waiting_tokens = 0
         self.others = 0.0
+        self.others_tokens = 0.0
+        self.told_ms = None
         self.inflight = 0
         self.inflight_tokens = 0
         self.loaded = frozenset()
@@ -342,10 +355,32 @@
     row.running = load.running
     row.waiting = load.waiting
     row.waiting_tokens = load.waiting_tokens
+    if row.told_ms is not None and now_ms - row.told_ms <= TOLD_MS:
+        return
+    row.others_tokens = 0.0
     sample = max(0, load.running + load.waiting - row.inflight)
     row.others += (sample - row.others) * 0.5
 
 
+def note_others(table, row, running, tokens, now_ms):
+    """Record what the other daemons together have at the server of `row`.
+
+    Parameters
+    ----------
+    table : ReplicaTable
+    row : Replica
+    running : float
+        Requests in flight.
+    tokens : float
+        Prompt tokens that wait.
+    now_ms : int
+    """
+    row.others = running
+    row.others_tokens = tokens
+    row.told_ms = now_ms
+    reindex(table, row)
+
+
 def note_answer(row, now_ms):
     """Record that the server itself has answered."""
     row.confirmed_ms = now_ms
