Let prompts leave their region for a clear gain

Offers now tell the wait behind prompts; a request expected beyond 0.6 of its objective leaves for a daemon that is expected to need at most 0.7 of the time.

--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -10,7 +10,7 @@
 from bluebellbeam.node.loads import ask_unconfirmed
 from bluebellbeam.node.outcome import make_error
 from bluebellbeam.node.request import Attempt
-from bluebellbeam.node.routed import choose_peer
+from bluebellbeam.node.routed import choose_better_peer, choose_peer
 from bluebellbeam.node.waiting import demand_share, local_wait_ms, pool_rows
 from bluebellbeam.operations import mark_sent, record_answer, release_operation
 from bluebellbeam.recovery import earn
@@ -134,8 +134,12 @@
 def _start_routed(state, queue, request, local, now_ms):
     """Start a routed request here or forward it; see :func:`_try_start`."""
     if local:
-        return _start_at_server(state, queue, request, local, now_ms), False
-    member = choose_peer(state, request, now_ms)
+        stay_ms = local[0].estimate.first_token_ms
+        member = choose_better_peer(state, request, stay_ms, now_ms)
+        if member is None:
+            return _start_at_server(state, queue, request, local, now_ms), False
+    else:
+        member = choose_peer(state, request, now_ms)
     if member is not None:
         pop_request(queue, request)
         attempt = _new_attempt(state, request, now_ms)
--- a/bluebellbeam/node/lending.py
+++ b/bluebellbeam/node/lending.py
@@ -18,6 +18,7 @@
 from bluebellbeam.node.waiting import (
     is_interactive_waiting,
     local_wait_ms,
+    prompt_wait_ms,
     waiting_weights,
 )
 from bluebellbeam.routing import cached_blocks, estimate_remote, score_estimate
@@ -97,12 +98,17 @@
             continue
         spare = spare_slots(state, pool)
         if spare >= LEAST_SPARE:
-            offers[pool] = (round(spare, 1), round(local_wait_ms(state, pool), 0))
+            offers[pool] = (round(spare, 1), round(_wait_ms(state, pool, now_ms), 0))
         if len(offers) == OFFERED_POOLS:
             break
     return offers
 
 
+def _wait_ms(state, pool, now_ms):
+    prompts_ms = prompt_wait_ms(state, pool, now_ms)
+    return max(local_wait_ms(state, pool), prompts_ms)
+
+
 def hear_lease_wanted(state, sender, wanted, now_ms):
     """Answer a daemon of another region that wants slots."""
     lease = None
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -19,6 +19,8 @@
 )
 
 __all__ = [
+    "away_first_ms",
+    "choose_better_peer",
     "choose_peer",
     "is_known_locally",
     "resolve_route",
@@ -29,6 +31,13 @@
 """A prompt is taken in while its first event is expected within so many times
 its objective: estimates are rough, and a late answer is worth something."""
 
+LEAVE_SHARE = 0.6
+"""Share of its objective that a request may be expected to take at home before
+another region is looked at."""
+
+LEAVE_GAIN = 0.7
+"""Time in another region, relative to staying, that is worth leaving for."""
+
 OUTPUT_COST_FACTOR = 10.0
 """Cost of an output token relative to one of the prompt, for fair sharing."""
 
@@ -126,12 +135,40 @@
 
 def _away_ms(state, request, now_ms):
     offers = _offers(state, request, now_ms)
-    delays = state.base.regions[state.region].one_way_delay_ms
     if not offers:
         return 0.0 if state.region not in request.allowed else float(request.ends_ms)
-    return min(
-        offer.wait_ms + 2 * delays.get(offer.region, 0.0) for offer in offers.values()
-    )
+    return min(away_first_ms(state, request, offer) for offer in offers.values())
+
+
+def away_first_ms(state, request, offer):
+    """Return the expected time to the first event at the daemon that offers."""
+    delays = state.base.regions[state.region].one_way_delay_ms
+    speed = prompt_speed(state.base, request)
+    prefill_ms = 0.0
+    if speed:
+        name = f"peer:{offer.lender}"
+        held = cached_tokens(state.prefixes, name, request, state.block_tokens)
+        prefill_ms = 1000.0 * max(0, request.prompt_tokens - held) / speed
+    return offer.wait_ms + prefill_ms + 2 * delays.get(offer.region, 0.0)
+
+
+def choose_better_peer(state, request, stay_ms, now_ms):
+    """Return a daemon of another region that serves sooner than staying, or None.
+
+    Work leaves only when it would otherwise be in danger of missing its
+    objective, and for a clear gain, so that regions do not swing back and forth
+    on offers that are seconds old.
+    """
+    if request.origin or stay_ms <= LEAVE_SHARE * request.route.objective_ms:
+        return None
+    member = choose_peer(state, request, now_ms)
+    if member is None:
+        return None
+    offer = _offers(state, request, now_ms).get(member.name)
+    if offer is None:
+        return None
+    away_ms = away_first_ms(state, request, offer)
+    return member if away_ms <= LEAVE_GAIN * stay_ms else None
 
 
 def _offers(state, request, now_ms):
--- a/bluebellbeam/node/tests/test_routed.py
+++ b/bluebellbeam/node/tests/test_routed.py
@@ -3,7 +3,7 @@
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import entries_near
 from bluebellbeam.node import event as ev
-from bluebellbeam.node.message import Envelope, Ping
+from bluebellbeam.node.message import Envelope, Ping, ServerLoads
 from bluebellbeam.node.outcome import make_error
 from bluebellbeam.node.sync import _watches
 from bluebellbeam.node.tests.routed import (
@@ -13,6 +13,7 @@
     server,
     starts,
 )
+from bluebellbeam.provider.records import BriefLoad
 
 
 class TestArrival(unittest.TestCase):
@@ -311,6 +312,117 @@
         self.assertEqual([item.peer for item in found], ["vm-w"])
 
 
+class TestServerLoads(unittest.TestCase):
+    """Load: a region's daemons together have more than its servers hold."""
+
+    def make(self, slots=8):
+        harness = Harness()
+        harness.peer("vm-2", region="east")
+        harness.list_servers(server("e1", "llm", slots=slots))
+        return harness
+
+    def tell(self, harness, running, tokens, sender="vm-2"):
+        message = ServerLoads({"e1": (running, tokens)})
+        return harness.handle(ev.PeerHeard(Envelope(sender, 5, (message,))))
+
+    def count(self, harness):
+        sent = 0
+        for i in range(30):
+            sent += len(starts(harness.request("/c/x", request_id=f"l{i}")))
+        return sent
+
+    def test_what_others_have_there_takes_room(self):
+        self.assertEqual(self.count(self.make()), 10)
+        harness = self.make()
+        self.tell(harness, 7, 0)
+        self.assertEqual(self.count(harness), 3)
+
+    def test_younger_word_goes_before_the_load_on_an_answer(self):
+        harness = self.make()
+        attempt = starts(harness.request("/c/x"))[0]
+        self.tell(harness, 6, 0)
+        told = BriefLoad(0, 0, 0)
+        harness.handle(ev.AttemptFinished(attempt.attempt_id, load=told))
+        self.assertEqual(harness.state.replicas.rows["e1"].others, 6)
+
+    def test_prompts_of_others_ahead_make_a_late_request_refused_at_once(self):
+        harness = self.make(slots=64)
+        late = {"prompt_tokens": 4000, "blocks": (1, 2), "block_ends": (3000, 4000)}
+        self.assertEqual(len(starts(harness.request("/c/x", **late))), 1)
+        self.tell(harness, 3, 60_000)
+        error = errors(harness.request("/c/x", "r2", **late))[0]
+        self.assertEqual(
+            (error.code, error.outcome), ("deadline_unreachable", "not_run")
+        )
+        self.assertGreaterEqual(error.retry_after_ms, 1000)
+
+    def test_members_are_told_of_own_requests_and_once_of_none(self):
+        harness = self.make()
+        attempt = starts(harness.request("/c/x"))[0]
+
+        def told():
+            harness.commands.clear()
+            harness.tick(400)
+            sent = [c for c in harness.commands if isinstance(c, cmd.SendPeer)]
+            messages = [m for c in sent for m in c.messages]
+            return [m.servers for m in messages if isinstance(m, ServerLoads)]
+
+        self.assertIn({"e1": (1, 0)}, told())
+        harness.handle(ev.AttemptFinished(attempt.attempt_id))
+        self.assertIn({}, told())
+        self.assertEqual(told(), [])
+
+    def test_members_heard_of_stand_for_those_that_are_not(self):
+        harness = self.make(slots=64)
+        for i in range(3, 6):
+            harness.peer(f"vm-{i}", region="east")
+        self.tell(harness, 5, 100)
+        row = harness.state.replicas.rows["e1"]
+        self.assertEqual((row.others, row.others_tokens), (20, 400))
+
+
+class TestLeavingTheRegion(unittest.TestCase):
+    """Load: one region at its peak while another has room."""
+
+    def make(self, away_wait_ms, backlog):
+        chat = {
+            "name": "long",
+            "host": "a.example",
+            "path_prefix": "/l/",
+            "services": [{"service": "llm"}],
+            "workspace": "all",
+            "kind": "stream",
+            "timeout_ms": 5000,
+            "objective_ms": 800,
+        }
+        harness = Harness(base=make_base(routes=[chat]))
+        harness.peer("vm-w")
+        harness.peer("vm-2", region="east")
+        harness.list_servers(server("e1", "llm", slots=64))
+        message = ServerLoads({"e1": (1, backlog)})
+        harness.handle(ev.PeerHeard(Envelope("vm-2", 5, (message,))))
+        ping = Ping({}, offers={"s/llm": (20.0, away_wait_ms)})
+        harness.handle(ev.PeerHeard(Envelope("vm-w", 5, (ping,))))
+        return harness
+
+    def target(self, harness, path="/l/x"):
+        prompt = {"prompt_tokens": 4000, "blocks": (1, 2), "block_ends": (3000, 4000)}
+        found = starts(harness.request(path, **prompt))[0]
+        return found.peer or found.server
+
+    def test_request_in_danger_of_being_late_leaves_for_a_clear_gain(self):
+        self.assertEqual(self.target(self.make(0.0, 30_000)), "vm-w")
+
+    def test_request_that_is_on_time_stays(self):
+        self.assertEqual(self.target(self.make(0.0, 8_000)), "e1")
+
+    def test_region_that_is_as_busy_is_not_swung_to(self):
+        self.assertEqual(self.target(self.make(500.0, 30_000)), "e1")
+
+    def test_bound_request_stays_however_late(self):
+        self.assertEqual(self.target(self.make(0.0, 15_000), "/c/x"), "e1")
+
+
 class TestEntries(unittest.TestCase):
     def near(self, harness, region):
         return entries_near(harness.state, "a.example", region, harness.now_ms)
--- a/bluebellbeam/node/waiting.py
+++ b/bluebellbeam/node/waiting.py
@@ -1,11 +1,13 @@
 """Expected waits of a pool, from its queue and its slots."""
 
 from bluebellbeam.admission import cost_ahead
+from bluebellbeam.routing.estimate import slot_wait_ms, tokens_ahead
 
 __all__ = [
     "is_interactive_waiting",
     "demand_share",
     "local_wait_ms",
+    "prompt_wait_ms",
     "pool_rows",
     "pool_slots",
     "waiting_weights",
@@ -79,6 +81,24 @@
     return found
 
 
+def prompt_wait_ms(state, pool, now_ms):
+    """Return the least time that prompts before a new one take at a server.
+
+    0 for a pool whose servers compute no prompts.
+    """
+    service = state.base.services.get(pool[2:])
+    speed = service.prefill_tokens_per_s if service is not None else 0.0
+    if not speed:
+        return 0.0
+    waits = [
+        1000.0 * tokens_ahead(row, speed, now_ms) / speed * row.slowness
+        + slot_wait_ms(row)
+        for row in state.replicas.pool(pool)
+        if row.failure_domain not in state.evacuated
+    ]
+    return min(waits, default=0.0)
+
+
 def waiting_weights(queue):
     """Return the weights of workspaces with waiting interactive, batch work."""
     if queue is None or queue.size == 0:
