--- a/bluebellbeam/daemon/peers.py
+++ b/bluebellbeam/daemon/peers.py
@@ -110,9 +110,8 @@
     exchange = RoutedExchange(
         entity, request.body, head, found.target, driver.clock.now_ms()
     )
-    return await answer_routed(
-        driver, request, exchange, peer_headers(found.request_id)
-    )
+    headers_for = peer_headers(driver, entity, found.request_id)
+    return await answer_routed(driver, request, exchange, headers_for)
 
 
 def make_forwarded(found, vm, request_id, now_ms):
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -11,11 +11,12 @@
 from bluebellbeam.daemon.routed_attempt import (
     CODE_HEADER,
     META_HEADER,
+    OFFER_HEADER,
     OUTCOME_HEADER,
     RETRY_HEADER,
 )
 from bluebellbeam.daemon.wire import encode_error
-from bluebellbeam.node import Request, make_error
+from bluebellbeam.node import Request, current_offer, make_error
 
 __all__ = [
     "answer_routed",
@@ -195,7 +196,8 @@
     """
     if exchange.refused is not None and error.outcome != "not_run":
         kept = exchange.refused
-        return _whole_response(kept.status, kept.headers, kept.payload, [])
+        own = headers_for(None)
+        return _whole_response(kept.status, kept.headers, kept.payload, own)
     request_id = exchange.request.attempt_key
     return refuse_routed(driver, error, request_id, headers_for(error))
 
@@ -270,17 +272,24 @@
     return []
 
 
-def peer_headers(request_id):
+def peer_headers(driver, entity, request_id):
     """Return the function that gives a forwarding peer's answer its headers.
 
     Parameters
     ----------
+    driver : Driver
+    entity : Request
+        The request here.
     request_id : str
-        Id of the request at the peer.
+        Its id at the peer.
     """
 
     def headers_for(error):
         pairs = [(META_HEADER, request_id)]
+        if entity.pool and driver.node.state.config is not None:
+            now_ms = driver.clock.now_ms()
+            spare, wait_ms = current_offer(driver.node.state, entity.pool, now_ms)
+            pairs.append((OFFER_HEADER, f"{spare} {wait_ms}"))
         if error is not None:
             pairs.append((OUTCOME_HEADER, error.outcome))
             pairs.append((CODE_HEADER, error.code))
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -20,6 +20,7 @@
 __all__ = [
     "CODE_HEADER",
     "META_HEADER",
+    "OFFER_HEADER",
     "OUTCOME_HEADER",
     "ROUTED_PATH",
     "RETRY_HEADER",
@@ -32,6 +33,7 @@
 OUTCOME_HEADER = "x-bluebellbeam-outcome"
 CODE_HEADER = "x-bluebellbeam-code"
 RETRY_HEADER = "x-bluebellbeam-retry-after-ms"
+OFFER_HEADER = "x-bluebellbeam-offer"
 _OWN_PREFIX = "x-bluebellbeam-"
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -131,6 +133,7 @@
         channel.send(method, raw, exchange.payload)
         await channel.read_head()
         answer = _read_answer(driver, command, channel)
+        _hear_offer(driver, command, channel)
         _check_owner(command, answer)
         if answer.not_run:
             await _refused(driver, command, channel, answer, progress)
@@ -216,6 +219,20 @@
     )
 
 
+def _hear_offer(driver, command, channel):
+    """Take in the room that a peer tells with its answer."""
+    if not command.peer:
+        return
+    told = dict(reversed(channel.headers)).get(OFFER_HEADER, "")
+    spare, _, wait_ms = told.partition(" ")
+    try:
+        offer = (float(spare), float(wait_ms))
+    except ValueError:
+        # A peer that has no room to tell of sends no such header.
+        return
+    driver.handle(ev.OfferHeard(command.peer, command.request.pool, *offer))
+
+
 def _check_owner(command, answer):
     """Refuse an answer that belongs to another request.
 
--- a/bluebellbeam/node/__init__.py
+++ b/bluebellbeam/node/__init__.py
@@ -3,6 +3,7 @@
 from bluebellbeam.node.arrivals import entry_addresses
 from bluebellbeam.node.dump import TABLES, dump_state, explain_request
 from bluebellbeam.node.entries import entries_near
+from bluebellbeam.node.lending import current_offer
 from bluebellbeam.node.node import Node, make_node
 from bluebellbeam.node.outcome import ERRORS, CallerError, make_error
 from bluebellbeam.node.request import Attempt, Request
@@ -18,6 +19,7 @@
     "NodeState",
     "Request",
     "backends_feed",
+    "current_offer",
     "dump_state",
     "entries_near",
     "entry_addresses",
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -110,7 +110,7 @@
     request = attempt.request
     error = event.error
     not_run = error.outcome == "not_run"
-    request.sends += 1
+    request.sends += _counts_as_send(attempt, error)
     end_attempt(state, attempt, now_ms, completed=False)
     state.counters.refused += 1
     if attempt.peer:
@@ -130,6 +130,18 @@
     pump(state, request.pool, now_ms)
 
 
+def _counts_as_send(attempt, error):
+    """Return whether a refusal used up one of the servers of a request.
+
+    A peer that refuses for want of room has sent it to none.
+    """
+    return not attempt.peer or error.code in SERVER_REFUSALS
+
+
+SERVER_REFUSALS = frozenset({"server_changed", "upstream_failed"})
+"""Refusals that a peer passes on from a backend server."""
+
+
 def _note_refusal(state, row, event, now_ms):
     if event.error.code == "server_changed":
         note_miss(state.replicas, row)
--- a/bluebellbeam/node/event.py
+++ b/bluebellbeam/node/event.py
@@ -17,6 +17,7 @@
     "FeedUnavailable",
     "LoadMissed",
     "LoadReported",
+    "OfferHeard",
     "OrderAnswered",
     "PeerHeard",
     "PeerUnreachable",
@@ -116,6 +117,23 @@
     reason: str
 
 
+class OfferHeard(Struct, frozen=True):
+    """A daemon of another region has told its room with a forwarded answer.
+
+    Parameters
+    ----------
+    vm, pool : str
+    spare : float
+        Free slots.
+    wait_ms : float
+    """
+
+    vm: str
+    pool: str
+    spare: float
+    wait_ms: float
+
+
 class SourceHeard(Struct, frozen=True):
     """The publisher of the feeds has answered, with or without news."""
 
--- a/bluebellbeam/node/lending.py
+++ b/bluebellbeam/node/lending.py
@@ -28,6 +28,7 @@
 __all__ = [
     "borrow_for",
     "capacity_offers",
+    "current_offer",
     "hear_lease_answer",
     "hear_lease_wanted",
     "is_local",
@@ -98,15 +99,18 @@
             continue
         spare = spare_slots(state, pool)
         if spare >= LEAST_SPARE:
-            offers[pool] = (round(spare, 1), round(_wait_ms(state, pool, now_ms), 0))
+            offers[pool] = current_offer(state, pool, now_ms)
         if len(offers) == OFFERED_POOLS:
             break
     return offers
 
 
-def _wait_ms(state, pool, now_ms):
-    prompts_ms = prompt_wait_ms(state, pool, now_ms)
-    return max(local_wait_ms(state, pool), prompts_ms)
+def current_offer(state, pool, now_ms):
+    """Return ``(spare slots, wait in ms)`` of one pool as they are now."""
+    if state.config is None or state.leaving:
+        return 0.0, 0.0
+    wait_ms = max(local_wait_ms(state, pool), prompt_wait_ms(state, pool, now_ms))
+    return round(spare_slots(state, pool), 1), round(wait_ms, 0)
 
 
 def hear_lease_wanted(state, sender, wanted, now_ms):
@@ -126,20 +130,13 @@
         lease.slots if lease is not None else 0,
         state.policy.lease_ms if lease is not None else 0,
         REFUSED_MS if lease is None else 0,
-        _offer_now(state, wanted.pool),
+        current_offer(state, wanted.pool, now_ms),
     )
     row = state.members.rows.get(sender)
     if row is not None:
         state.emit(SendPeer(sender, row.peer_address, (answer,)))
 
 
-def _offer_now(state, pool):
-    if state.config is None or state.leaving:
-        return 0.0, 0.0
-    wait_ms = local_wait_ms(state, pool)
-    return round(spare_slots(state, pool), 1), round(wait_ms, 0)
-
-
 def _lendable(state, wanted):
     workspace = state.base.workspaces[wanted.workspace]
     if workspace.home_region == state.region:
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -52,6 +52,7 @@
     tick_leaving,
     tick_readiness,
 )
+from bluebellbeam.node.routed import note_forward_offer
 from bluebellbeam.node.state import make_node_state
 from bluebellbeam.node.sync import (
     compare_versions,
@@ -180,6 +181,8 @@
             note_order_answer(state, event, now_ms)
         case ev.FeedRead(snapshot):
             _with_config_check(state, now_ms, note_feed_read, snapshot)
+        case ev.OfferHeard():
+            note_forward_offer(state, event, now_ms)
         case ev.SourceHeard():
             state.source_heard_ms = now_ms
         case ev.FeedUnavailable(key):
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -6,7 +6,7 @@
 daemon there, without a lease.
 """
 
-from bluebellbeam.borrowing import fresh_offers
+from bluebellbeam.borrowing import note_offer, open_offers
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.outcome import make_error
 from bluebellbeam.node.waiting import local_wait_ms
@@ -23,6 +23,7 @@
     "choose_better_peer",
     "choose_peer",
     "is_known_locally",
+    "note_forward_offer",
     "resolve_route",
     "routed_start_ms",
 ]
@@ -172,11 +173,20 @@
 
 
 def _offers(state, request, now_ms):
+    """Return the offers of daemons that have not just refused, by daemon."""
     allowed = request.allowed - {state.region}
-    found = fresh_offers(state.borrower, request.pool, allowed, now_ms)
+    found = open_offers(state.borrower, request.pool, allowed, now_ms)
     return {offer.lender: offer for offer in found}
 
 
+def note_forward_offer(state, event, now_ms):
+    """Take in what room a peer has told with the answer to a forward."""
+    row = state.members.rows.get(event.vm)
+    if row is not None:
+        offer = (event.vm, row.region, event.pool, event.spare, event.wait_ms)
+        note_offer(state.borrower, *offer, now_ms)
+
+
 def _peers(state, request):
     """Return the daemons of other allowed regions that take a forward."""
     return [
--- a/bluebellbeam/platform/tests/test_requests.py
+++ b/bluebellbeam/platform/tests/test_requests.py
@@ -239,6 +239,23 @@
 
         self.run_with(step, daemons=("hall-e", "hall-w"), homes=("east",))
 
+    def test_failure_of_a_server_there_is_passed_on_unchanged(self):
+        async def step(site):
+            await site.wait(lambda: len(site.state("hall-w").members.rows) == 1)
+            site.store.put("op/evacuate/hall-w", {})
+            await site.wait(lambda: site.state("hall-w").evacuated, 2.0)
+            offers = site.state("hall-w").borrower.offers
+            await site.wait(lambda: ("vm-hall-e", "s/portal") in offers, 5.0)
+            site.plan("portal", "error", "error", "error")
+            status, headers, body = await site.ask(
+                "/safe/1", "p1", zone="hall-w", method="GET"
+            )
+            self.assertEqual((status, body), (500, b"failed"))
+            self.assertEqual(headers["X-Response-Stamp"], "stamp-p1")
+            self.assertEqual(len(site.runs("p1")), 2)
+
+        self.run_with(step, daemons=("hall-e", "hall-w"))
+
     def test_refusal_of_the_peer_stays_truthful(self):
         async def step(site):
             await site.wait(lambda: len(site.state("hall-w").members.rows) == 1)
