--- a/bluebellbeam/cli/reference.py
+++ b/bluebellbeam/cli/reference.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bluebellbeam.config import model, settings
+from bluebellbeam.config import model, route, settings
 from bluebellbeam.node.outcome import ERRORS
 
 __all__ = ["configuration_reference", "error_reference"]
@@ -18,12 +18,16 @@
     ("Call of a service", model.Call),
     ("Workspace", model.Workspace),
     ("Deadlines", model.Deadlines),
+    ("Route", route.Route),
+    ("Service of a route", route.WeightedService),
+    ("Limits of callers", route.CallerLimits),
     ("Objective", model.Objective),
     ("Policy", model.Policy),
     ("Overlay", model.Overlay),
     ("Workspace in an overlay", model.WorkspaceOverlay),
     ("Process settings", settings.Settings),
     ("Platform addresses", settings.PlatformAddresses),
+    ("Store access", settings.StoreAccess),
 )
 
 
@@ -67,7 +71,9 @@
 def _type(kind):
     if isinstance(kind, type) and not getattr(kind, "__args__", ()):
         return kind.__name__
-    text = str(kind).replace("bluebellbeam.config.model.", "")
+    text = str(kind)
+    for module in ("model", "route", "settings"):
+        text = text.replace(f"bluebellbeam.config.{module}.", "")
     return text.replace("typing.", "").replace("|", "or")
 
 
