--- a/bluebellbeam/config/__init__.py
+++ b/bluebellbeam/config/__init__.py
@@ -1,7 +1,6 @@
 """Configuration: data classes, checks, overlays, published bundles, settings."""
 
 from bluebellbeam.config.bundle import (
-    Manifest,
     PartCache,
     bundle_digest,
     canonical_json,
@@ -50,7 +49,6 @@
     "Effective",
     "FailureDomain",
     "Fault",
-    "Manifest",
     "Model",
     "Objective",
     "Overlay",
--- a/bluebellbeam/config/bundle.py
+++ b/bluebellbeam/config/bundle.py
@@ -8,7 +8,6 @@
 import hashlib
 
 import msgspec
-from msgspec import Struct
 from returns.result import Failure, Success
 
 from bluebellbeam.config.check import check_deployment, check_workspaces
@@ -17,7 +16,6 @@
 from bluebellbeam.config.model import Base, Workspace
 
 __all__ = [
-    "Manifest",
     "PartCache",
     "bundle_digest",
     "effective_from_parts",
@@ -33,13 +31,6 @@
 _OVERLAY_PREFIX = "overlay/"
 
 
-class Manifest(Struct, frozen=True):
-    """A revision and the hash of each of its parts."""
-
-    revision: int
-    parts: dict[str, str]
-
-
 def hash_part(raw):
     """Return the hash under which the bytes of a part are stored."""
     return hashlib.sha256(raw).hexdigest()[:32]
--- a/bluebellbeam/exception.py
+++ b/bluebellbeam/exception.py
@@ -6,7 +6,6 @@
 
 __all__ = [
     "BluebellbeamError",
-    "ConfigurationError",
     "PeerError",
     "PlatformError",
     "ScenarioError",
@@ -18,10 +17,6 @@
     """Base class of every exception raised by the package."""
 
 
-class ConfigurationError(BluebellbeamError):
-    """Raised when settings or a configuration cannot be used."""
-
-
 class PlatformError(BluebellbeamError):
     """Raised when a service of the platform cannot be read."""
 
