--- a/bluebellbeam/__init__.py
+++ b/bluebellbeam/__init__.py
@@ -2,7 +2,6 @@
 
 from bluebellbeam.exception import (
     BluebellbeamError,
-    ConfigurationError,
     PeerError,
     PlatformError,
     ScenarioError,
@@ -11,7 +10,6 @@
 
 __all__ = [
     "BluebellbeamError",
-    "ConfigurationError",
     "PeerError",
     "PlatformError",
     "ScenarioError",
