--- a/bluebellbeam/cli/tests/test_commands.py
+++ b/bluebellbeam/cli/tests/test_commands.py
@@ -104,9 +104,9 @@
                 "--log-format",
                 "json",
             ],
-            stderr=subprocess.PIPE,
+            stdout=subprocess.PIPE,
         )
-        self.addCleanup(process.stderr.close)
+        self.addCleanup(process.stdout.close)
         try:
             children = self._watch_children(process.pid)
         finally:
@@ -114,7 +114,7 @@
             code = process.wait(timeout=20)
         self.assertEqual(children, set())
         self.assertEqual(code, 0)
-        lines = process.stderr.read().decode().splitlines()
+        lines = process.stdout.read().decode().splitlines()
         events = [json.loads(line)["event"] for line in lines]
         self.assertIn("node: leave with 0 requests in flight", events)
 
--- /dev/null
+++ b/bluebellbeam/daemon/tests/test_reload.py
@@ -0,0 +1,54 @@
+import unittest
+
+from msgspec import structs
+
+from bluebellbeam.config import Settings, StoreAccess
+from bluebellbeam.daemon.reload import apply_settings
+from bluebellbeam.daemon.server import make_daemon
+from bluebellbeam.platform import make_platform
+
+
+class TestReload(unittest.TestCase):
+    def setUp(self):
+        store = StoreAccess(
+            address="10.0.0.1:1",
+            domains={"d": "r"},
+            readiness_address="127.0.0.1:0",
+            directory_address="127.0.0.1:0",
+        )
+        self.settings = Settings(
+            vm="vm-1",
+            region="r",
+            failure_domain="d",
+            site="d",
+            caller_address="127.0.0.1:0",
+            peer_address="127.0.0.1:0",
+            operator_address="127.0.0.1:0",
+            seed_peers=("10.0.0.2:1",),
+            store=store,
+        )
+        provider = make_platform(self.settings)
+        self.daemon = make_daemon(self.settings, provider=provider)
+        for sock in self.daemon.sockets.values():
+            self.addCleanup(sock.close)
+
+    def test_seed_peers_and_store_take_effect(self):
+        store = structs.replace(self.settings.store, address="10.0.0.9:1")
+        changed = structs.replace(
+            self.settings, seed_peers=("10.0.0.3:1",), store=store
+        )
+        names = apply_settings(self.daemon.driver, changed)
+        self.assertEqual(sorted(names), ["seed_peers", "store"])
+        identity = self.daemon.driver.node.state.identity
+        self.assertEqual(identity.seed_peers, ("10.0.0.3:1",))
+        self.assertEqual(self.daemon.driver.provider.access.address, "10.0.0.9:1")
+
+    def test_what_needs_a_restart_stays_and_is_told(self):
+        changed = structs.replace(self.settings, caller_address="127.0.0.1:99")
+        self.assertEqual(
+            apply_settings(self.daemon.driver, changed), ["caller_address"]
+        )
+        self.assertEqual(self.daemon.driver.settings.caller_address, "127.0.0.1:0")
+
+    def test_unchanged_file_changes_nothing(self):
+        self.assertEqual(apply_settings(self.daemon.driver, self.settings), [])
