--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -14,6 +14,7 @@
     OFFER_HEADER,
     OUTCOME_HEADER,
     RETRY_HEADER,
+    SENDS_HEADER,
 )
 from bluebellbeam.daemon.wire import encode_error
 from bluebellbeam.node import Request, current_offer, make_error
@@ -272,6 +273,11 @@
     return []
 
 
+def _sends(entity):
+    """Return to how many servers a forwarded request has been sent here."""
+    return entity.sends - entity.sends_before + len(entity.running)
+
+
 def peer_headers(driver, entity, request_id):
     """Return the function that gives a forwarding peer's answer its headers.
 
@@ -285,7 +291,7 @@
     """
 
     def headers_for(error):
-        pairs = [(META_HEADER, request_id)]
+        pairs = [(META_HEADER, request_id), (SENDS_HEADER, str(_sends(entity)))]
         if entity.pool and driver.node.state.config is not None:
             now_ms = driver.clock.now_ms()
             spare, wait_ms = current_offer(driver.node.state, entity.pool, now_ms)
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -24,6 +24,7 @@
     "OUTCOME_HEADER",
     "ROUTED_PATH",
     "RETRY_HEADER",
+    "SENDS_HEADER",
     "RoutedForward",
     "run_routed_attempt",
 ]
@@ -34,6 +35,7 @@
 CODE_HEADER = "x-bluebellbeam-code"
 RETRY_HEADER = "x-bluebellbeam-retry-after-ms"
 OFFER_HEADER = "x-bluebellbeam-offer"
+SENDS_HEADER = "x-bluebellbeam-sends"
 _OWN_PREFIX = "x-bluebellbeam-"
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -84,9 +86,10 @@
 class _Progress:
     """How far an attempt has come."""
 
-    __slots__ = ("sent", "started", "settled")
+    __slots__ = ("sends", "sent", "started", "settled")
 
-    def __init__(self):
+    def __init__(self, sends):
+        self.sends = sends
         self.sent = False
         self.started = False
         self.settled = False
@@ -103,7 +106,7 @@
     exchange = driver.exchanges.get(command.request.request_id)
     if exchange is None:
         return
-    progress = _Progress()
+    progress = _Progress(None if command.peer else 1)
     reason, lost = "failed", False
     try:
         await _run(driver, command, exchange, progress)
@@ -118,7 +121,12 @@
         return
     driver.handle(
         ev.AttemptFailed(
-            command.attempt_id, progress.sent, exchange.emitted, reason, lost
+            command.attempt_id,
+            progress.sent,
+            exchange.emitted,
+            reason,
+            lost,
+            progress.sends,
         )
     )
 
@@ -133,7 +141,8 @@
         channel.send(method, raw, exchange.payload)
         await channel.read_head()
         answer = _read_answer(driver, command, channel)
-        _hear_offer(driver, command, channel)
+        if command.peer:
+            progress.sends = _hear_peer(driver, command, channel)
         _check_owner(command, answer)
         if answer.not_run:
             await _refused(driver, command, channel, answer, progress)
@@ -219,11 +228,15 @@
     )
 
 
-def _hear_offer(driver, command, channel):
-    """Take in the room that a peer tells with its answer."""
-    if not command.peer:
-        return
-    told = dict(reversed(channel.headers)).get(OFFER_HEADER, "")
+def _hear_peer(driver, command, channel):
+    """Take in what a peer tells with its answer; return the servers it used."""
+    first = dict(reversed(channel.headers))
+    _hear_offer(driver, command, first.get(OFFER_HEADER, ""))
+    told = first.get(SENDS_HEADER, "")
+    return int(told) if told.isdecimal() else None
+
+
+def _hear_offer(driver, command, told):
     spare, _, wait_ms = told.partition(" ")
     try:
         offer = (float(spare), float(wait_ms))
@@ -263,7 +276,9 @@
         retry_after_ms=int(retry) if retry.isdecimal() else 0,
     )
     progress.settled = True
-    driver.handle(ev.AttemptRefused(command.attempt_id, error, answer.load))
+    driver.handle(
+        ev.AttemptRefused(command.attempt_id, error, answer.load, progress.sends)
+    )
 
 
 async def _relay_whole(driver, command, exchange, channel, answer, progress):
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -110,7 +110,7 @@
     request = attempt.request
     error = event.error
     not_run = error.outcome == "not_run"
-    request.sends += _counts_as_send(attempt, error)
+    _count_sends(request, event.sends)
     end_attempt(state, attempt, now_ms, completed=False)
     state.counters.refused += 1
     if attempt.peer:
@@ -130,16 +130,15 @@
     pump(state, request.pool, now_ms)
 
 
-def _counts_as_send(attempt, error):
-    """Return whether a refusal used up one of the servers of a request.
+def _count_sends(request, sends):
+    """Count the servers to which the request may have been sent.
 
-    A peer that refuses for want of room has sent it to none.
+    A peer that has not told may have used up all that the route allows.
     """
-    return not attempt.peer or error.code in SERVER_REFUSALS
-
-
-SERVER_REFUSALS = frozenset({"server_changed", "upstream_failed"})
-"""Refusals that a peer passes on from a backend server."""
+    if sends is None:
+        request.sends = max(request.sends, request.max_attempts)
+    else:
+        request.sends += sends
 
 
 def _note_refusal(state, row, event, now_ms):
@@ -162,7 +161,8 @@
     request = attempt.request
     end_attempt(state, attempt, now_ms, completed=False)
     request.touched = request.touched or event.sent
-    request.sends += event.sent
+    if event.sent:
+        _count_sends(request, event.sends)
     request.emitted_tokens = max(request.emitted_tokens, event.emitted_tokens)
     row = state.replicas.rows.get(attempt.server)
     if row is not None:
--- a/bluebellbeam/node/event.py
+++ b/bluebellbeam/node/event.py
@@ -81,6 +81,8 @@
     reason : str
     lost_connection : bool
         Whether the connection was refused, reset or closed without an answer.
+    sends : int or None
+        Servers that it may have been sent to; None where a peer has not told.
     """
 
     attempt_id: int
@@ -88,6 +90,7 @@
     emitted_tokens: int = 0
     reason: str = "failed"
     lost_connection: bool = False
+    sends: int | None = 1
 
 
 class AttemptRefused(Struct, frozen=True):
@@ -97,11 +100,14 @@
     ----------
     error : CallerError
         With the outcome that the far side has said.
+    sends : int or None
+        Servers that it was sent to; None where a peer has not told.
     """
 
     attempt_id: int
     error: CallerError
     load: BriefLoad | None = None
+    sends: int | None = 1
 
 
 class FeedRead(Struct, frozen=True):
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -39,7 +39,9 @@
     max_attempts : int
         Servers to which it may be sent; 0 for the policy's number.
     sends : int
-        Servers to which it may have been sent.
+        Servers to which it may have been sent, by attempts that have ended.
+    sends_before : int
+        Those of them before it came to this daemon.
     priority : {"interactive", "batch", "guest"}
     cost : float
         Token cost for fair sharing.
@@ -87,6 +89,7 @@
         "ends_ms",
         "max_attempts",
         "sends",
+        "sends_before",
         "expected_ms",
         "priority",
         "cost",
@@ -129,6 +132,7 @@
         self.ends_ms = values.pop("ends_ms", 0)
         self.max_attempts = 0
         self.sends = values.pop("sends", 0)
+        self.sends_before = self.sends
         self.expected_ms = values.pop("expected_ms", 0.0)
         self.priority = values.pop("priority", "interactive")
         self.cost = values.pop("cost", 1.0)
--- a/bluebellbeam/node/tests/test_routed.py
+++ b/bluebellbeam/node/tests/test_routed.py
@@ -283,6 +283,17 @@
         self.assertEqual((found.peer, found.server), ("vm-e", ""))
         self.assertEqual(found.request.allowed, frozenset({"east"}))
 
+    def test_servers_that_a_peer_used_count_among_the_attempts(self):
+        for told, again in ((0, 1), (1, 1), (2, 0), (None, 0)):
+            harness = Harness()
+            harness.peer("vm-w")
+            ping = Ping({}, offers={"s/portal": (4.0, 0.0)})
+            harness.handle(ev.PeerHeard(Envelope("vm-w", 5, (ping,))))
+            attempt = starts(harness.request())[0]
+            harness.list_servers(server("s1"))
+            failed = ev.AttemptFailed(attempt.attempt_id, True, sends=told)
+            self.assertEqual(len(starts(harness.handle(failed))), again, told)
+
     def test_forwarded_request_is_not_forwarded_again(self):
         harness = Harness(region="west")
         harness.peer("vm-e", region="east")
