--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -117,6 +117,7 @@
     lines += ["## Rounds: p99 of first tokens of our policy, ms", ""]
     lines += ["The first file holds one session for each case, later ones three.", ""]
     lines += [*round_lines(files), ""]
+    lines += [(RESULTS / "platform.md").read_text().rstrip(), ""]
     lines += ["## Cost of a decision and of a request", ""]
     lines += ["Timed by `python -m benchmarks.decision --write`, in one run:", ""]
     lines += ["```", FIGURES.read_text().rstrip(), "```", ""]
