--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -281,7 +281,9 @@
     left_ms = request.waits_until_ms - now_ms
     if wait_ms <= left_ms:
         return None
-    return make_error("deadline_unreachable", retry_after_ms=int(wait_ms - left_ms))
+    over_ms = wait_ms - left_ms
+    retry_ms = state.come_back_ms(request, over_ms, now_ms)
+    return make_error("deadline_unreachable", retry_after_ms=retry_ms)
 
 
 def _expected_start_ms(state, request, now_ms):
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -211,7 +211,9 @@
         _requeue(state, request)
         return
     outcome = "unknown" if request.touched else "not_run"
-    retry_ms = REFUSED_RETRY_MS if outcome == "not_run" else 0
+    retry_ms = 0
+    if outcome == "not_run":
+        retry_ms = max(REFUSED_RETRY_MS, state.come_back_ms(request, 0.0, now_ms))
     error = make_error(code, outcome=outcome, retry_after_ms=retry_ms)
     fail_request(state, request, error, now_ms)
 
@@ -306,7 +308,7 @@
     if now_ms < request.waits_until_ms:
         return
     remove_request(state.queue(request.pool), request)
-    fail_request(state, request, expired_error(request), now_ms)
+    fail_request(state, request, expired_error(state, request, now_ms), now_ms)
 
 
 def _tick_waiting(state, request, now_ms):
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -69,7 +69,7 @@
     for request in next_requests(queue, now_ms):
         if now_ms >= request.waits_until_ms:
             pop_request(queue, request)
-            fail_request(state, request, expired_error(request), now_ms)
+            fail_request(state, request, expired_error(state, request, now_ms), now_ms)
             return True
         full = request.priority in blocked
         if (
@@ -89,10 +89,12 @@
     return False
 
 
-def expired_error(request):
-    """Return the error of a request whose deadline passed while it waited."""
-    started = request.started or request.emitted_tokens
-    return make_error("upstream_truncated" if started else "deadline_passed")
+def expired_error(state, request, now_ms):
+    """Return the error of a request whose time passed while it waited."""
+    if request.started or request.emitted_tokens:
+        return make_error("upstream_truncated")
+    retry_ms = state.come_back_ms(request, 0.0, now_ms)
+    return make_error("deadline_passed", retry_after_ms=retry_ms)
 
 
 def _used_quotas(state, pool, now_ms):
--- a/bluebellbeam/node/pause.py
+++ b/bluebellbeam/node/pause.py
@@ -43,7 +43,7 @@
     for request in list(state.requests.values()):
         if request.state == "queued" and now_ms >= request.deadline_ms:
             remove_request(state.queue(request.pool), request)
-            fail_request(state, request, expired_error(request), now_ms)
+            fail_request(state, request, expired_error(state, request, now_ms), now_ms)
 
 
 def _begin_reread(state, now_ms):
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -16,6 +16,7 @@
     usable_members,
 )
 from bluebellbeam.node.command import Log
+from bluebellbeam.node.retry_after import make_refusal_table, refuse_for_room
 from bluebellbeam.operations import make_ledger
 from bluebellbeam.recovery import make_budget, set_burst
 from bluebellbeam.routing import make_prefix_index, make_replica_table
@@ -152,6 +153,8 @@
     rates : RateTable
     lender, borrower : LenderTable, BorrowerTable
     ledger : Ledger
+    refusals : RefusalTable
+        Which pools refuse for want of room, and since when.
     told_loads : dict of str to (int, dict)
         When each member of the region last told what it has at the servers,
         and what.
@@ -188,6 +191,7 @@
         "word_turn",
         "told_any",
         "told_loads",
+        "refusals",
         "ring",
         "replicas",
         "prefixes",
@@ -248,6 +252,7 @@
         self.word_turn = 0
         self.told_any = False
         self.told_loads = {}
+        self.refusals = make_refusal_table()
         self.ring = make_probe_ring()
         self.replicas = make_replica_table()
         self.prefixes = make_prefix_index()
@@ -366,6 +371,20 @@
         heard_ms = self.source_heard_ms
         return bool(limit_ms and heard_ms is not None and now_ms - heard_ms > limit_ms)
 
+    def come_back_ms(self, request, wait_ms, now_ms):
+        """Return when a request refused for want of room is to come back.
+
+        Parameters
+        ----------
+        request : Request
+        wait_ms : float
+            Time by which the expected wait exceeds what it accepts.
+        now_ms : int
+        """
+        if request.route is None:
+            return int(wait_ms)
+        return refuse_for_room(self.refusals, request.pool, wait_ms, now_ms, self.rng)
+
     def retry_budget(self, request):
         """Return the budget from which a repeat of `request` is paid."""
         if request.route is None:
--- a/bluebellbeam/node/sync.py
+++ b/bluebellbeam/node/sync.py
@@ -46,6 +46,9 @@
 RETRY_MS = 2_000
 """Pause after a failed read."""
 
+FIRST_RETRY_MS = 500
+"""The same for a daemon that has no version of a feed yet and serves nobody."""
+
 PUSH_FANOUT = 2
 """Members that are told at once of a new version."""
 
@@ -67,7 +70,8 @@
         return True
     failed_ms = state.feed_failed_ms.get(key)
     if failed_ms is not None and failed_ms >= asked_ms:
-        return now_ms - failed_ms >= RETRY_MS
+        pause_ms = RETRY_MS if state.feeds[key].version else FIRST_RETRY_MS
+        return now_ms - failed_ms >= pause_ms
     answered_ms = state.feed_answered_ms.get(key)
     if answered_ms is not None and answered_ms >= asked_ms:
         return True
--- a/bluebellbeam/utils/clock.py
+++ b/bluebellbeam/utils/clock.py
@@ -35,8 +35,13 @@
 
 
 def monotonic_clock():
-    """Return a clock that never goes back, with an arbitrary origin."""
-    return Clock(lambda: time.monotonic_ns() // _NS_PER_MS)
+    """Return a clock that never goes back, with an arbitrary origin.
+
+    It counts the time for which the VM was suspended, where the system tells it:
+    what was believed before has aged all the same.
+    """
+    source = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+    return Clock(lambda: time.clock_gettime_ns(source) // _NS_PER_MS)
 
 
 def wall_clock():
--- /dev/null
+++ b/bluebellbeam/utils/tests/test_clock.py
@@ -0,0 +1,24 @@
+import time
+import unittest
+from unittest import mock
+
+from bluebellbeam.utils.clock import monotonic_clock
+
+
+class TestMonotonicClock(unittest.TestCase):
+    def test_suspension_is_counted(self):
+        asked = []
+
+        def read(source):
+            asked.append(source)
+            return 5_000_000
+
+        with mock.patch("time.clock_gettime_ns", read):
+            self.assertEqual(monotonic_clock().now_ms(), 5)
+        self.assertEqual(asked, [time.CLOCK_BOOTTIME])
+
+    def test_time_of_day_does_not_move_it(self):
+        clock = monotonic_clock()
+        before_ms = clock.now_ms()
+        with mock.patch("time.time_ns", lambda: 0):
+            self.assertLess(clock.now_ms() - before_ms, 1000)
