--- a/bluebellbeam/routing/affinity.py
+++ b/bluebellbeam/routing/affinity.py
@@ -16,9 +16,9 @@
 
 __all__ = ["lean_ms", "shared_block"]
 
-LEAN_SHARE = 0.5
-"""Share of the time to compute the shared part that the lean is worth; the
-part may have been evicted from the server meanwhile."""
+LEAN_FACTOR = 2.0
+"""Worth of the lean, relative to the time to compute the shared part: computing
+it again also holds up the requests behind it."""
 
 
 def shared_block(request):
@@ -62,4 +62,4 @@
         view.replicas.pool_changes,
         lambda: rendezvous_order(f"prompt:{block}", names)[0],
     )
-    return first, LEAN_SHARE * 1000.0 * tokens / speed_per_s
+    return first, LEAN_FACTOR * 1000.0 * tokens / speed_per_s
