--- a/bluebellbeam/node/sync.py
+++ b/bluebellbeam/node/sync.py
@@ -58,7 +58,7 @@
     for key, feed in state.feeds.items():
         if not _may_ask(state, key, now_ms):
             continue
-        if feed.version == 0 or _watches(state, key):
+        if feed.version == 0 or _watches(state, key) or state.is_list_stale(now_ms):
             state.feed_asked_ms[key] = now_ms
             wait = feed.version > 0
             state.emit(ReadFeed(key, feed.version, wait))
--- a/bluebellbeam/node/tests/test_routed.py
+++ b/bluebellbeam/node/tests/test_routed.py
@@ -533,6 +533,20 @@
         harness.peer("vm-2", region="east", incarnation=6)
         self.assertFalse(harness.state.members.rows["vm-2"].leaving)
 
+    def test_everybody_reads_once_nobody_has_heard_for_long(self):
+        base = make_base(watchers_per_domain=1, stale_list_ms=3000)
+        harness = Harness(base=base)
+        for i in range(5):
+            harness.peer(f"vm-{i + 2}", region="east")
+        harness.handle(ev.SourceHeard())
+        harness.commands.clear()
+        harness.tick(2500)
+        reads = [c for c in harness.commands if isinstance(c, cmd.ReadFeed)]
+        self.assertEqual(reads, [])
+        harness.tick(1000)
+        reads = [c.key for c in harness.commands if isinstance(c, cmd.ReadFeed)]
+        self.assertEqual(set(reads), {"config", "backends/east"})
+
     def test_policy_decides_at_once_who_watches(self):
         harness = Harness(base=make_base(watchers_per_domain=1))
         for i in range(5):
--- a/bluebellbeam/platform/records.py
+++ b/bluebellbeam/platform/records.py
@@ -291,15 +291,19 @@
     }
 
 
+WATCHERS = 3
+"""Daemons of a failure domain that follow the store: one may be cut off from it
+and one be gone."""
+
 LEAVE_MARGIN_MS = 500
 """A leaving daemon ends this long before the platform would kill it."""
 
 
 def _policy(store):
     return {
-        # All daemons watch: today's fleets are small, and a cut-off daemon
-        # hears from its peers.
-        "watchers_per_domain": 64,
+        # The others of a domain hear from these, and all read themselves once
+        # nobody has heard from the store for a time.
+        "watchers_per_domain": WATCHERS,
         "probe_interval_ms": 500,
         "stale_list_ms": 3000,
         "suspect_timeout_ms": 1500,
--- a/bluebellbeam/platform/store.py
+++ b/bluebellbeam/platform/store.py
@@ -44,6 +44,10 @@
 RETRY_MS = 250
 """Pause after a failed call, spread by chance."""
 
+LINGER_S = 3.0
+"""Time for which the mirror is kept up without a reader: a daemon that watches
+reads again within one tick, another has read once at its start."""
+
 MAX_PAGES = 1000
 """Pages of one range; more mean that the store repeats itself."""
 
@@ -63,6 +67,10 @@
         Revision of the store that the items show; 0 before the first range.
     versions : dict of str to int
         Version of each feed: the revision of its last change.
+    synced : bool
+        Whether the items have been read since the mirror was last started.
+    readers : int
+        Reads that wait. Without one for `LINGER_S` the mirror stops.
     calls : int
     heard : callable
         Called with each answer of the store.
@@ -77,6 +85,9 @@
         "versions",
         "calls",
         "failure",
+        "synced",
+        "readers",
+        "wanted_s",
         "changed",
         "task",
         "unreadable",
@@ -94,6 +105,9 @@
         self.versions = {}
         self.calls = 0
         self.failure = None
+        self.synced = False
+        self.readers = 0
+        self.wanted_s = 0.0
         self.changed = asyncio.Event()
         self.task = None
         self.unreadable = set()
@@ -117,17 +131,31 @@
         PlatformError
             If the store does not answer, or does not publish the feed yet.
         """
+        self._start()
+        self.readers += 1
+        try:
+            await self._wait_newer(key, after_version, wait)
+        finally:
+            self.readers -= 1
+            self.wanted_s = asyncio.get_running_loop().time()
+        if self.failure is not None:
+            raise PlatformError(str(self.failure))
+        return self._snapshot(key)
+
+    def _start(self):
+        """Begin to follow the store, unless that is done already."""
         if self.task is None:
+            self.synced = False
+            self.failure = None
             self.task = asyncio.get_running_loop().create_task(self._follow())
-        if not self.revision and self.failure is None:
+
+    async def _wait_newer(self, key, after_version, wait):
+        while not self.synced and self.failure is None:
             await self._wait_change()
         while wait and self.failure is None:
             if self.versions.get(key, 0) > after_version:
-                break
+                return
             await self._wait_change()
-        if self.failure is not None:
-            raise PlatformError(str(self.failure))
-        return self._snapshot(key)
 
     def close(self):
         """Stop following the store."""
@@ -141,10 +169,20 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def _is_wanted(self):
+        idle_s = asyncio.get_running_loop().time() - self.wanted_s
+        return self.readers > 0 or idle_s < LINGER_S
+
     async def _follow(self):
-        """Keep the mirror up to date for good."""
+        """Keep the mirror up to date while somebody reads it."""
+        try:
+            await self._follow_wanted()
+        finally:
+            self.task = None
+
+    async def _follow_wanted(self):
         fresh = False
-        while True:
+        while self._is_wanted():
             try:
                 if not fresh:
                     await self._load(exact=self.failure is not None)
@@ -181,6 +219,7 @@
         if self.failure is not None:
             self.log.info("platform: store regained", revision=self.revision)
         self.failure = None
+        self.synced = True
         self._wake()
 
     async def _load(self, exact):
--- a/bluebellbeam/platform/tests/test_site.py
+++ b/bluebellbeam/platform/tests/test_site.py
@@ -1,8 +1,10 @@
 import asyncio
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import bluebellbeam
+from bluebellbeam.platform.store import make_store_mirror
 from bluebellbeam.platform.tests.loopback import SiteCase
 from bluebellbeam.platform.tests.standin import HOST, config
 
@@ -87,6 +89,23 @@
 
         self.run_with(step)
 
+    def test_store_is_not_asked_for_a_daemon_that_does_not_watch(self):
+        async def step(site):
+            access = site.daemons["hall-e"].driver.settings.store
+            mirror = make_store_mirror(site.session, access, "west", lambda: None)
+            with mock.patch("bluebellbeam.platform.store.LINGER_S", 0.0):
+                first = await mirror.read("config", 0, wait=False)
+                await site.wait(lambda: mirror.task is None, 5.0)
+            calls = mirror.calls
+            await asyncio.sleep(0.2)
+            self.assertEqual(mirror.calls, calls)
+            site.store.put("op/config", config(2))
+            again = await mirror.read("config", first.version, wait=True)
+            self.assertGreater(again.version, first.version)
+            mirror.close()
+
+        self.run_with(step)
+
     def test_lost_store_changes_nothing_and_its_return_is_noticed(self):
         async def step(site):
             site.store.fault = "busy"
