Let the same daemons of a failure domain follow every feed of the store

Cause: each feed chose its own watchers, so half of a large domain followed the store, and a read that waits kept a mirror up for a daemon that no longer watched.

--- a/bluebellbeam/node/sync.py
+++ b/bluebellbeam/node/sync.py
@@ -88,7 +88,9 @@
     rows = usable_members(state.members, own.region, own.failure_domain)
     names = {row.name for row in rows if row.status == "alive"}
     names.add(own.vm)
-    return is_watcher(own.vm, key, names, state.policy.watchers_per_domain)
+    # Behind a store one poll serves every feed, so the same daemons watch all.
+    what = key if own.lists_entries else "store"
+    return is_watcher(own.vm, what, names, state.policy.watchers_per_domain)
 
 
 def note_feed_read(state, snapshot, now_ms):
--- a/bluebellbeam/platform/store.py
+++ b/bluebellbeam/platform/store.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 
 import aiohttp
@@ -44,6 +45,10 @@
 RETRY_MS = 250
 """Pause after a failed call, spread by chance."""
 
+MOST_WAIT_S = 3.0
+"""Time after which a read that waits returns what there is, so that a daemon
+that no longer watches stops."""
+
 LINGER_S = 3.0
 """Time for which the mirror is kept up without a reader: a daemon that watches
 reads again within one tick, another has read once at its start."""
@@ -124,7 +129,8 @@
             ``config``, or ``backends/`` and the own region.
         after_version : int
         wait : bool
-            Whether to wait for a version after `after_version`.
+            Whether to wait for a version after `after_version`, for up to
+            `MOST_WAIT_S`.
 
         Raises
         ------
@@ -152,10 +158,14 @@
     async def _wait_newer(self, key, after_version, wait):
         while not self.synced and self.failure is None:
             await self._wait_change()
-        while wait and self.failure is None:
-            if self.versions.get(key, 0) > after_version:
-                return
-            await self._wait_change()
+        if not wait:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MOST_WAIT_S):
+                while self.failure is None:
+                    if self.versions.get(key, 0) > after_version:
+                        return
+                    await self._wait_change()
 
     def close(self):
         """Stop following the store."""
