--- a/bluebellbeam/node/tests/test_routed.py
+++ b/bluebellbeam/node/tests/test_routed.py
@@ -1,5 +1,6 @@
 import unittest
 
+from bluebellbeam.config import split_documents
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import entries_near
 from bluebellbeam.node import event as ev
@@ -14,6 +15,7 @@
     starts,
 )
 from bluebellbeam.provider.records import BriefLoad
+from bluebellbeam.utils.hashing import rendezvous_order
 
 
 class TestArrival(unittest.TestCase):
@@ -533,11 +535,21 @@
         harness.peer("vm-2", region="east", incarnation=6)
         self.assertFalse(harness.state.members.rows["vm-2"].leaving)
 
+    def watching(self, **policy):
+        """Return a daemon of six in a domain that does not watch with one watcher."""
+        names = [f"vm-{i}" for i in range(6)]
+        first = rendezvous_order("watch:store", names)[0]
+        own = next(name for name in names if name != first)
+        harness = Harness(vm=own, base=make_base(watchers_per_domain=1, **policy))
+        for name in names:
+            if name != own:
+                harness.peer(name, region="east")
+        return harness
+
     def test_everybody_reads_once_nobody_has_heard_for_long(self):
-        base = make_base(watchers_per_domain=1, stale_list_ms=3000)
-        harness = Harness(base=base)
-        for i in range(5):
-            harness.peer(f"vm-{i + 2}", region="east")
+        harness = self.watching(stale_list_ms=3000)
+        for key in ("config", "backends/east"):
+            harness.handle(ev.FeedUnavailable(key, "asked before it knew the others"))
         harness.handle(ev.SourceHeard())
         harness.commands.clear()
         harness.tick(2500)
@@ -548,14 +560,9 @@
         self.assertEqual(set(reads), {"config", "backends/east"})
 
     def test_policy_decides_at_once_who_watches(self):
-        harness = Harness(base=make_base(watchers_per_domain=1))
-        for i in range(5):
-            harness.peer(f"vm-{i + 2}", region="east")
-        names = ("backends/east", "config")
-        before = [_watches(harness.state, key) for key in names]
-        self.assertFalse(all(before))
-        wider = make_base(watchers_per_domain=9)
-        from bluebellbeam.config import split_documents
-
-        harness.publish("config", split_documents(wider, {}))
-        self.assertTrue(all(_watches(harness.state, key) for key in names))
+        harness = self.watching()
+        self.assertFalse(_watches(harness.state, "config"))
+        parts = split_documents(make_base(watchers_per_domain=9), {})
+        harness.publish("config", parts)
+        self.assertTrue(_watches(harness.state, "config"))
+        self.assertTrue(_watches(harness.state, "backends/east"))
