--- a/bluebellbeam/node/load_word.py
+++ b/bluebellbeam/node/load_word.py
@@ -17,6 +17,10 @@
 FANOUT = 4
 """Members told in one interval, so that the cost does not grow with the region."""
 
+MOST_MEMBERS = 16
+"""Members of a region above which nothing is told: a server is then shared by
+few of them, and what it tells on its answers has to do."""
+
 FRESH_MS = 2000
 """Age at which what a member has told no longer counts."""
 
@@ -31,7 +35,9 @@
     state.next_word_ms = now_ms + WORD_MS
     names = [name for name in state.region_members() if name != state.identity.vm]
     loads = _own_loads(state)
-    if not names or (not loads and not state.told_any):
+    if not names or len(names) >= MOST_MEMBERS:
+        return
+    if not loads and not state.told_any:
         return
     state.told_any = bool(loads)
     message = ServerLoads(loads)
--- a/bluebellbeam/node/tests/test_routed.py
+++ b/bluebellbeam/node/tests/test_routed.py
@@ -385,6 +385,17 @@
         self.assertIn({}, told())
         self.assertEqual(told(), [])
 
+    def test_large_region_is_spared_the_word(self):
+        harness = self.make(slots=64)
+        for i in range(3, 30):
+            harness.peer(f"vm-{i}", region="east")
+        harness.request("/c/x")
+        harness.commands.clear()
+        harness.tick(400)
+        sent = [c for c in harness.commands if isinstance(c, cmd.SendPeer)]
+        messages = [m for c in sent for m in c.messages]
+        self.assertFalse([m for m in messages if isinstance(m, ServerLoads)])
+
     def test_members_heard_of_stand_for_those_that_are_not(self):
         harness = self.make(slots=64)
         for i in range(3, 6):
