--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -75,7 +75,9 @@
     cold_until_ms : int or None
         Until when it bears few requests; None before its first answer.
     cold_sent_ms : int
-        When it was last sent a request while cold.
+        When it was last sent a request.
+    unseen_sends : int
+        Requests sent to it since its last health check.
     reported_ms : int or None
     confirmed_ms : int or None
         Last answer of any kind that came from this name and incarnation.
@@ -108,6 +110,7 @@
         "listed",
         "cold_until_ms",
         "cold_sent_ms",
+        "unseen_sends",
         "slots",
         "running",
         "waiting",
@@ -149,6 +152,7 @@
         self.listed = record.slots > 0 and record.guarded
         self.cold_until_ms = 0
         self.cold_sent_ms = 0
+        self.unseen_sends = 0
         self.slots = max(1, record.slots)
         self.running = 0
         self.waiting = 0
@@ -409,6 +413,7 @@
         reindex(table, row)
         return False
     note_answer(row, now_ms)
+    row.unseen_sends = 0
     if not row.identified and (row.listed or row.reported_ms is not None):
         row.identified = True
         reindex(table, row)
--- a/bluebellbeam/routing/warmup.py
+++ b/bluebellbeam/routing/warmup.py
@@ -14,6 +14,13 @@
 """A new process sends nothing to cold servers until what a former process of
 its VM may have sent has left the one-second window of the bound."""
 
+UNSEEN_SENDS = 4
+"""Requests that all daemons together send to a server between two of its health
+checks while its list is stale: below what a cold one bears in a second."""
+
+UNSEEN_PACE_MS = 300
+"""Time after which one more is sent to a server too busy for a health check."""
+
 PACE_SHARE = 0.8
 """Share of the rate that a server bears which its owner uses."""
 
@@ -55,9 +62,13 @@
     service = view.base.services.get(row.service)
     if service is None or service.warm_up_per_s <= 0:
         return True
-    return now_ms - row.cold_sent_ms >= view.policy.stale_check_ms
+    daemons = max(1, len(view.region_members()))
+    if row.unseen_sends < max(1, UNSEEN_SENDS // daemons):
+        return True
+    return now_ms - row.cold_sent_ms >= UNSEEN_PACE_MS
 
 
 def note_cold_send(row, now_ms):
     """Record that a request is sent to `row`, which may be cold."""
     row.cold_sent_ms = now_ms
+    row.unseen_sends += 1
