--- a/bluebellbeam/daemon/codec.py
+++ b/bluebellbeam/daemon/codec.py
@@ -19,6 +19,7 @@
     "SendHead",
     "chain_blocks",
     "make_own_codec",
+    "read_parts",
 ]
 
 HOP_HEADERS = frozenset(
@@ -165,7 +166,7 @@
     return RequestHead(
         request_id=first.get("x-request-id", ""),
         left_ms=int(left) if left.isdecimal() else None,
-        parts=tuple(_read_parts(first.get("x-prompt-parts", ""))),
+        parts=tuple(read_parts(first.get("x-prompt-parts", ""))),
         prompt_tokens=_count(tokens, 0),
         max_output_tokens=_count(tokens, 1),
         resume_after=first.get("last-event-id", ""),
@@ -178,7 +179,8 @@
     return int(text) if text.isdecimal() else 0
 
 
-def _read_parts(text):
+def read_parts(text):
+    """Yield the ``(name, tokens)`` pairs of ``NAME:TOKENS`` items."""
     for item in text.split(","):
         name, _, tokens = item.strip().partition(":")
         if name and tokens.isdecimal():
--- a/bluebellbeam/membership/table.py
+++ b/bluebellbeam/membership/table.py
@@ -139,18 +139,7 @@
     seen = set()
     for record in records:
         seen.add(record.name)
-        row = table.rows.get(record.name)
-        if row is None:
-            row = Member(
-                record.name,
-                record.region,
-                record.failure_domain,
-                record.peer_address,
-                record.caller_address,
-            )
-            row.heard_ms = now_ms
-            table.rows[record.name] = row
-            table.generation += 1
+        row = table.rows.get(record.name) or _add_member(table, record, now_ms)
         row.listed = True
         row.peer_address = record.peer_address
         row.caller_address = record.caller_address
@@ -178,15 +167,7 @@
     if row is not None and record.incarnation < row.incarnation:
         return False
     if row is None:
-        row = Member(
-            record.name,
-            record.region,
-            record.failure_domain,
-            record.peer_address,
-            record.caller_address,
-        )
-        row.heard_ms = now_ms
-        table.rows[record.name] = row
+        row = _add_member(table, record, now_ms)
     elif _is_same_process(row, record):
         return False
     row.peer_address = record.peer_address
@@ -279,6 +260,20 @@
     return True
 
 
+def _add_member(table, record, now_ms):
+    row = Member(
+        record.name,
+        record.region,
+        record.failure_domain,
+        record.peer_address,
+        record.caller_address,
+    )
+    row.heard_ms = now_ms
+    table.rows[record.name] = row
+    table.generation += 1
+    return row
+
+
 def _is_same_process(row, record):
     same_address = row.peer_address == record.peer_address
     return record.incarnation == row.incarnation and same_address
--- a/bluebellbeam/node/introduce.py
+++ b/bluebellbeam/node/introduce.py
@@ -26,16 +26,20 @@
 
 
 def _own_record(state):
-    own = state.identity
+    return _entry_record(state.identity, state.identity.vm, state.leaving)
+
+
+def _entry_record(place, name, leaving):
+    """Return the record of an entry VM from its identity or its member row."""
     return VmRecord(
-        name=own.vm,
-        incarnation=own.incarnation,
+        name=name,
+        incarnation=place.incarnation,
         role="entry",
-        region=own.region,
-        failure_domain=own.failure_domain,
-        state="leaving" if state.leaving else "live",
-        peer_address=own.peer_address,
-        caller_address=own.caller_address,
+        region=place.region,
+        failure_domain=place.failure_domain,
+        state="leaving" if leaving else "live",
+        peer_address=place.peer_address,
+        caller_address=place.caller_address,
     )
 
 
@@ -70,20 +74,7 @@
     records = [_own_record(state)]
     for row in state.members.rows.values():
         if row.name != sender and row.status != "dead":
-            records.append(_member_record(row))
+            records.append(_entry_record(row, row.name, row.leaving))
     row = state.members.rows.get(sender)
     address = row.peer_address if row is not None else ""
     state.emit(SendPeer(sender, address, (Introduce(tuple(records)),)))
-
-
-def _member_record(row):
-    return VmRecord(
-        name=row.name,
-        incarnation=row.incarnation,
-        role="entry",
-        region=row.region,
-        failure_domain=row.failure_domain,
-        state="leaving" if row.leaving else "live",
-        peer_address=row.peer_address,
-        caller_address=row.caller_address,
-    )
--- a/bluebellbeam/node/tests/test_routed.py
+++ b/bluebellbeam/node/tests/test_routed.py
@@ -476,6 +476,18 @@
         found = entries_near(harness.state, "a.example", "north", harness.now_ms)
         self.assertEqual(found, ["vm-e:2"])
 
+    def test_leaving_daemons_go_before_those_of_a_wrong_region(self):
+        harness = Harness(region="west", vm="vm-w")
+        harness.peer("vm-e", region="east", state="leaving")
+        self.assertEqual(self.near(harness, "east"), ["vm-e:2"])
+        harness.peer("vm-e2", region="east")
+        self.assertEqual(self.near(harness, "east"), ["vm-e2:2"])
+
+    def test_region_that_serves_every_route_goes_before_leaving_daemons(self):
+        harness = Harness()
+        harness.peer("vm-w", region="west", state="leaving")
+        self.assertEqual(self.near(harness, "west"), ["vm-1:2"])
+
     def test_daemon_that_has_just_started_does_not_name_itself_to_others(self):
         harness = Harness()
         harness.state.started_ms = harness.now_ms
--- a/bluebellbeam/platform/headers.py
+++ b/bluebellbeam/platform/headers.py
@@ -5,6 +5,7 @@
     AnswerHead,
     Codec,
     RequestHead,
+    read_parts,
 )
 from bluebellbeam.provider.records import BriefLoad
 
@@ -56,7 +57,7 @@
     return RequestHead(
         request_id=first.get(REQUEST_ID, ""),
         left_ms=int(left) if left.isdecimal() else None,
-        parts=tuple(_read_parts(first.get(PARTS, ""))),
+        parts=tuple(read_parts(first.get(PARTS, ""))),
         prompt_tokens=_number(prompt),
         max_output_tokens=_number(output),
         resume_after=first.get(RESUME_AFTER, ""),
@@ -69,13 +70,6 @@
     return int(text) if text.isdecimal() else 0
 
 
-def _read_parts(text):
-    for item in text.split(","):
-        name, _, tokens = item.strip().partition(":")
-        if name and tokens.isdecimal():
-            yield name, int(tokens)
-
-
 def _write_request(head, send):
     pairs = list(head.passed)
     pairs.append((SERVER, send.server))
