--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -6,14 +6,13 @@
     cost_ahead,
     local_rate,
     push_request,
-    remove_request,
     take_tokens,
 )
 from bluebellbeam.borrowing import find_granted, fresh_offers
 from bluebellbeam.config.effective import resolve_model
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.command import AnswerError, AnswerRecorded
-from bluebellbeam.node.dispatch import fail_request, pump
+from bluebellbeam.node.dispatch import pump
 from bluebellbeam.node.lending import (
     borrow_for,
     is_local,
@@ -23,7 +22,11 @@
     workspace_spread,
 )
 from bluebellbeam.node.outcome import make_error
-from bluebellbeam.node.routed import resolve_route, routed_start_ms
+from bluebellbeam.node.routed import (
+    check_leaving,
+    resolve_route,
+    routed_start_ms,
+)
 from bluebellbeam.node.sync import ask_for_config
 from bluebellbeam.node.waiting import local_wait_ms
 from bluebellbeam.operations import (
@@ -38,11 +41,10 @@
     issue_operation,
     may_have_run,
 )
-from bluebellbeam.routing import choose_service, match_route
 from bluebellbeam.routing.entry import rank_entries
 from bluebellbeam.routing.policies import is_baseline
 
-__all__ = ["entry_addresses", "narrow_requests", "receive_request"]
+__all__ = ["entry_addresses", "receive_request"]
 
 
 def receive_request(state, request, now_ms):
@@ -117,30 +119,12 @@
         return make_error("leaving", entries=entry_addresses(state, request.workspace))
     serving = state.ready or state.leaving
     if serving and state.config is not None and state.leaving:
-        return _check_leaving(state, request, now_ms)
+        return check_leaving(state, request, now_ms)
     if not serving or state.config is None:
         return make_error("not_ready")
     return None
 
 
-def _check_leaving(state, request, now_ms):
-    """Serve on while a leaving daemon is still named, but nothing that is long.
-
-    Callers that have not heard of the leave come for a while; a stream that
-    they begin late would be cut by the end of the process.
-    """
-    if now_ms - state.leaving_ms < state.policy.leave_linger_ms:
-        return None
-    route = match_route(state.config.routes, request.host, request.path)
-    if route is None or route.kind != "stream":
-        return None
-    return make_error("leaving", retry_after_ms=LEAVING_RETRY_MS)
-
-
-LEAVING_RETRY_MS = 100
-"""A caller refused by a leaving daemon is served by another one at once."""
-
-
 def entry_addresses(state, workspace_name, include_self=False):
     """Return caller addresses of entry VMs for a workspace, best first."""
     own = state.identity
@@ -352,52 +336,3 @@
             return make_error("too_many_operations")
         case Invalid():
             return make_error("operation_invalid")
-
-
-def narrow_requests(state, now_ms):
-    """Apply a new configuration to the requests that wait."""
-    for request in list(state.requests.values()):
-        if request.state != "queued":
-            continue
-        if request.route is not None:
-            _narrow_routed(state, request, now_ms)
-            continue
-        workspace = state.base.workspaces.get(request.workspace)
-        if workspace is None:
-            _drop_queued(state, request, make_error("not_permitted"), now_ms)
-            continue
-        request.allowed = request.allowed & frozenset(workspace.allowed_regions)
-        if not request.allowed:
-            error = make_error("region_not_permitted")
-            _drop_queued(state, request, error, now_ms)
-
-
-def _narrow_routed(state, request, now_ms):
-    """Apply a new configuration to a routed request that waits.
-
-    It keeps its place only where its route still leads to the same service.
-    """
-    route = match_route(state.config.routes, request.host, request.path)
-    if route is None:
-        _drop_queued(state, request, make_error("not_found"), now_ms)
-        return
-    request.route = route
-    workspace = state.base.workspaces[route.workspace]
-    request.allowed = request.allowed & frozenset(workspace.allowed_regions)
-    if route.home_regions:
-        request.allowed = request.allowed & frozenset(route.home_regions)
-    if not request.allowed:
-        _drop_queued(state, request, make_error("region_not_permitted"), now_ms)
-        return
-    service = choose_service(route, request.attempt_key)
-    if service != request.service and not request.started:
-        remove_request(state.queue(request.pool), request)
-        request.service = service
-        request.pool = f"s/{service}"
-        weight = workspace.weight
-        push_request(state.queue(request.pool), request, weight)
-
-
-def _drop_queued(state, request, error, now_ms):
-    remove_request(state.queue(request.pool), request)
-    fail_request(state, request, error, now_ms)
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -14,6 +14,7 @@
 from bluebellbeam.node.lending import REFUSED_MS
 from bluebellbeam.node.loads import take_brief_load
 from bluebellbeam.node.outcome import make_error
+from bluebellbeam.node.retries import REFUSED_RETRY_MS, count_sends, may_try_again
 from bluebellbeam.operations import mark_not_run, record_answer
 from bluebellbeam.recovery import note_failure, note_speed, note_success, spend
 from bluebellbeam.routing import note_answer, note_miss, reindex
@@ -110,7 +111,7 @@
     request = attempt.request
     error = event.error
     not_run = error.outcome == "not_run"
-    _count_sends(request, event.sends)
+    count_sends(request, event.sends)
     end_attempt(state, attempt, now_ms, completed=False)
     state.counters.refused += 1
     if attempt.peer:
@@ -130,17 +131,6 @@
     pump(state, request.pool, now_ms)
 
 
-def _count_sends(request, sends):
-    """Count the servers to which the request may have been sent.
-
-    A peer that has not told may have used up all that the route allows.
-    """
-    if sends is None:
-        request.sends = max(request.sends, request.max_attempts)
-    else:
-        request.sends += sends
-
-
 def _note_refusal(state, row, event, now_ms):
     if event.error.code == "server_changed":
         note_miss(state.replicas, row)
@@ -162,7 +152,7 @@
     end_attempt(state, attempt, now_ms, completed=False)
     request.touched = request.touched or event.sent
     if event.sent:
-        _count_sends(request, event.sends)
+        count_sends(request, event.sends)
     request.emitted_tokens = max(request.emitted_tokens, event.emitted_tokens)
     row = state.replicas.rows.get(attempt.server)
     if row is not None:
@@ -205,7 +195,7 @@
         not_run=not_run,
         took_ms=now_ms - attempt.started_ms,
     )
-    if _may_try_again(state, request, not_run, now_ms):
+    if may_try_again(state, request, not_run, now_ms):
         if not request.idempotent and not request.origin and not request.route:
             mark_not_run(state.ledger, request.operation_id)
         _requeue(state, request)
@@ -218,63 +208,6 @@
     fail_request(state, request, error, now_ms)
 
 
-REFUSED_RETRY_MS = 500
-"""A server that had no room is likely to have some after one more answer."""
-
-
-def _may_try_again(state, request, not_run, now_ms):
-    if not request.idempotent and not not_run:
-        return False
-    if not _has_attempts_left(state, request):
-        return False
-    if not request.started and now_ms >= request.waits_until_ms:
-        return False
-    if not _is_first_send(request) and not spend(state.retry_budget(request)):
-        return False
-    state.counters.retries += 1
-    if request.started:
-        state.counters.resumes += 1
-        _extend_for_resume(request, now_ms)
-    return True
-
-
-def _is_first_send(request):
-    """Return whether a routed request has reached no server yet."""
-    return request.route is not None and request.sends == 0
-
-
-def _has_attempts_left(state, request):
-    """Return whether the request may be sent once more.
-
-    A routed request counts the servers to which it may have been sent; one
-    that could not be reached does not count there, but among all attempts.
-    """
-    if request.route is None:
-        return request.attempts < state.policy.max_attempts
-    if request.attempts >= MAX_ROUTED_TRIES:
-        return False
-    return request.sends < request.max_attempts
-
-
-def _extend_for_resume(request, now_ms):
-    if request.route is None:
-        request.deadline_ms = max(request.deadline_ms, now_ms + RESUME_MS)
-        return
-    request.queue_ends_ms = min(request.ends_ms, now_ms + ROUTED_RESUME_MS)
-
-
-MAX_ROUTED_TRIES = 6
-"""Tries of one routed request, those that reached no server included."""
-
-ROUTED_RESUME_MS = 1500
-"""Time that a routed stream may wait for another server; callers leave a
-stream that pauses for two seconds."""
-
-
-RESUME_MS = 5000
-"""Time that a broken stream may wait for another engine."""
-
-
 def _requeue(state, request):
     request.state = "queued"
     weight = state.base.workspaces[request.workspace].weight
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -5,12 +5,12 @@
 from bluebellbeam.admission import PRIORITIES, next_requests, pop_request
 from bluebellbeam.borrowing import find_held, note_running
 from bluebellbeam.membership import usable_members
+from bluebellbeam.node.away import choose_better_peer, choose_peer
 from bluebellbeam.node.command import AnswerError, CancelAttempt, StartAttempt
 from bluebellbeam.node.lending import is_local, remote_score
 from bluebellbeam.node.loads import ask_unconfirmed
 from bluebellbeam.node.outcome import make_error
 from bluebellbeam.node.request import Attempt
-from bluebellbeam.node.routed import choose_better_peer, choose_peer
 from bluebellbeam.node.waiting import demand_share, local_wait_ms, pool_rows
 from bluebellbeam.operations import mark_sent, record_answer, release_operation
 from bluebellbeam.recovery import earn
--- /dev/null
+++ b/bluebellbeam/node/narrowing.py
@@ -0,0 +1,57 @@
+"""Narrowing system: a new configuration meets the requests that wait."""
+
+from bluebellbeam.admission import push_request, remove_request
+from bluebellbeam.node.dispatch import fail_request
+from bluebellbeam.node.outcome import make_error
+from bluebellbeam.routing import choose_service, match_route
+
+__all__ = ["narrow_requests"]
+
+
+def narrow_requests(state, now_ms):
+    """Apply a new configuration to the requests that wait."""
+    for request in list(state.requests.values()):
+        if request.state != "queued":
+            continue
+        if request.route is not None:
+            _narrow_routed(state, request, now_ms)
+            continue
+        workspace = state.base.workspaces.get(request.workspace)
+        if workspace is None:
+            _drop_queued(state, request, make_error("not_permitted"), now_ms)
+            continue
+        request.allowed = request.allowed & frozenset(workspace.allowed_regions)
+        if not request.allowed:
+            error = make_error("region_not_permitted")
+            _drop_queued(state, request, error, now_ms)
+
+
+def _narrow_routed(state, request, now_ms):
+    """Apply a new configuration to a routed request that waits.
+
+    It keeps its place only where its route still leads to the same service.
+    """
+    route = match_route(state.config.routes, request.host, request.path)
+    if route is None:
+        _drop_queued(state, request, make_error("not_found"), now_ms)
+        return
+    request.route = route
+    workspace = state.base.workspaces[route.workspace]
+    request.allowed = request.allowed & frozenset(workspace.allowed_regions)
+    if route.home_regions:
+        request.allowed = request.allowed & frozenset(route.home_regions)
+    if not request.allowed:
+        _drop_queued(state, request, make_error("region_not_permitted"), now_ms)
+        return
+    service = choose_service(route, request.attempt_key)
+    if service != request.service and not request.started:
+        remove_request(state.queue(request.pool), request)
+        request.service = service
+        request.pool = f"s/{service}"
+        weight = workspace.weight
+        push_request(state.queue(request.pool), request, weight)
+
+
+def _drop_queued(state, request, error, now_ms):
+    remove_request(state.queue(request.pool), request)
+    fail_request(state, request, error, now_ms)
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -8,7 +8,7 @@
 from bluebellbeam.feeds import Delta, Snapshot
 from bluebellbeam.node import event as ev
 from bluebellbeam.node import message as msg
-from bluebellbeam.node.arrivals import narrow_requests, receive_request
+from bluebellbeam.node.arrivals import receive_request
 from bluebellbeam.node.attempts import (
     attempt_failed,
     attempt_finished,
@@ -17,6 +17,7 @@
     caller_left,
     tick_requests,
 )
+from bluebellbeam.node.away import note_forward_offer
 from bluebellbeam.node.command import Log
 from bluebellbeam.node.dispatch import pump_all, pump_server
 from bluebellbeam.node.gossip import (
@@ -41,6 +42,7 @@
     note_load_missed,
     tick_loads,
 )
+from bluebellbeam.node.narrowing import narrow_requests
 from bluebellbeam.node.ordering import (
     note_fresh_load,
     note_order_answer,
@@ -52,7 +54,6 @@
     tick_leaving,
     tick_readiness,
 )
-from bluebellbeam.node.routed import note_forward_offer
 from bluebellbeam.node.state import make_node_state
 from bluebellbeam.node.sync import (
     compare_versions,
