--- a/bluebellbeam/daemon/callers.py
+++ b/bluebellbeam/daemon/callers.py
@@ -8,6 +8,7 @@
 from bluebellbeam.daemon.exchange import Chunk, End, Failed
 from bluebellbeam.daemon.listener import configure, error_response
 from bluebellbeam.daemon.relay import collect_service, relay_stream
+from bluebellbeam.daemon.routed import METHODS, serve_routed
 from bluebellbeam.daemon.upstream import PASSED_HEADERS
 from bluebellbeam.daemon.wire import (
     BYTES_PER_TOKEN,
@@ -17,6 +18,7 @@
 from bluebellbeam.exception import PlatformError
 from bluebellbeam.node import CallerError, Request, entry_addresses, make_error
 from bluebellbeam.node.state import BLOCK_TOKENS
+from bluebellbeam.routing import match_route
 from bluebellbeam.utils.hashing import hash_text, prefix_blocks
 
 __all__ = ["make_caller_app"]
@@ -53,6 +55,16 @@
     async def entry(request):
         return await _with_workspace(driver, request, _entry)
 
+    async def routed(request, path=""):
+        if not _has_route(driver, request):
+            return error_response(make_error("not_found"), "")
+
+        async def serve(driver, request, workspace, request_id):
+            return await serve_routed(driver, request, workspace)
+
+        return await _with_workspace(driver, request, serve)
+
+    app.add_route(routed, "/<path:path>", METHODS, name="routed")
     app.add_route(complete, "/v1/chat/completions", ["POST"], name="chat")
     app.add_route(complete, "/v1/completions", ["POST"], name="completions")
     app.add_route(models, "/v1/models", ["GET"], name="models")
@@ -62,6 +74,12 @@
     return app
 
 
+def _has_route(driver, request):
+    config = driver.node.state.config
+    host = request.headers.get("host", "")
+    return config is not None and bool(match_route(config.routes, host, request.path))
+
+
 def _new_request_id(driver):
     return f"{driver.settings.vm}-{secrets.token_hex(8)}"
 
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -20,6 +20,7 @@
 from bluebellbeam.node import Request, current_offer, make_error
 
 __all__ = [
+    "METHODS",
     "answer_routed",
     "apply_limits",
     "make_forwarded_routed",
@@ -64,13 +65,16 @@
 """Bound of the listener itself; the configuration's is checked per request."""
 
 
-async def serve_routed(driver, request):
+async def serve_routed(driver, request, workspace=""):
     """Serve a caller's request by its route.
 
     Parameters
     ----------
     driver : Driver
     request : sanic.Request
+    workspace : str
+        Workspace of the caller; only its routes serve it. Empty where callers
+        name none.
     """
     head = driver.codec.read_request(_pairs(request))
     request_id = head.request_id
@@ -85,7 +89,7 @@
     error = _check_limits(driver, request)
     if error is not None:
         return refuse_routed(driver, error, request_id)
-    entity = _make_request(driver, request, head, host)
+    entity = _make_request(driver, request, head, host, workspace)
     target = request.raw_url.decode("latin-1")
     exchange = RoutedExchange(entity, request.body, head, target, driver.clock.now_ms())
     return await answer_routed(driver, request, exchange, _no_headers)
@@ -117,12 +121,12 @@
     return None
 
 
-def _make_request(driver, request, head, host):
+def _make_request(driver, request, head, host, workspace):
     blocks, ends = chain_blocks(head.parts)
     now_ms = driver.clock.now_ms()
     return Request(
         driver.new_routed_id(head.request_id),
-        "",
+        workspace,
         host=host,
         method=request.method,
         path=_plain_path(request.raw_url),
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -266,7 +266,7 @@
     if wait_ms <= left_ms:
         return None
     over_ms = wait_ms - left_ms
-    retry_ms = state.come_back_ms(request, over_ms, now_ms)
+    retry_ms = state.retry_after_ms(request, over_ms, now_ms)
     return make_error("deadline_unreachable", retry_after_ms=retry_ms)
 
 
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -203,7 +203,7 @@
     outcome = "unknown" if request.touched else "not_run"
     retry_ms = 0
     if outcome == "not_run":
-        retry_ms = max(REFUSED_RETRY_MS, state.come_back_ms(request, 0.0, now_ms))
+        retry_ms = max(REFUSED_RETRY_MS, state.retry_after_ms(request, 0.0, now_ms))
     error = make_error(code, outcome=outcome, retry_after_ms=retry_ms)
     fail_request(state, request, error, now_ms)
 
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -93,7 +93,7 @@
     """Return the error of a request whose time passed while it waited."""
     if request.started or request.emitted_tokens:
         return make_error("upstream_truncated")
-    retry_ms = state.come_back_ms(request, 0.0, now_ms)
+    retry_ms = state.retry_after_ms(request, 0.0, now_ms)
     return make_error("deadline_passed", retry_after_ms=retry_ms)
 
 
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -35,7 +35,6 @@
     hear_lease_wanted,
     tick_leases,
 )
-from bluebellbeam.node.load_word import hear_server_loads, tick_load_word
 from bluebellbeam.node.loads import (
     note_confirmed,
     note_load,
@@ -54,6 +53,7 @@
     tick_leaving,
     tick_readiness,
 )
+from bluebellbeam.node.server_loads import hear_server_loads, tick_server_loads
 from bluebellbeam.node.state import make_node_state
 from bluebellbeam.node.sync import (
     compare_versions,
@@ -107,7 +107,7 @@
         if state.config is not None:
             tick_loads(state, now_ms)
             tick_leases(state, now_ms)
-            tick_load_word(state, now_ms)
+            tick_server_loads(state, now_ms)
             pump_all(state, now_ms)
         tick_readiness(state, now_ms)
         tick_leaving(state, now_ms)
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -35,6 +35,8 @@
     route = match_route(state.config.routes, request.host, request.path)
     if route is None:
         return make_error("not_found")
+    if request.workspace not in ("", route.workspace):
+        return make_error("not_permitted")
     workspace = state.base.workspaces[route.workspace]
     allowed = frozenset(workspace.allowed_regions)
     if route.home_regions:
--- a/bluebellbeam/node/load_word.py
+++ b/bluebellbeam/node/server_loads.py
@@ -1,4 +1,4 @@
-"""Word among the daemons of a region of what each has at the servers they share.
+"""Load exchange: daemons of a region tell what each has at the servers they share.
 
 A server tells its load on the head of an answer, which for a stream comes when
 its first event does: under load, seconds after the state that it shows. What
@@ -9,10 +9,10 @@
 from bluebellbeam.node.message import ServerLoads
 from bluebellbeam.routing import note_others
 
-__all__ = ["hear_server_loads", "tick_load_word"]
+__all__ = ["hear_server_loads", "tick_server_loads"]
 
-WORD_MS = 200
-"""Interval of the word: below the time to a first event on a busy server."""
+EXCHANGE_MS = 200
+"""Interval of the exchange: below the time to a first event on a busy server."""
 
 FANOUT = 4
 """Members told in one interval, so that the cost does not grow with the region."""
@@ -28,11 +28,11 @@
 """Servers named in one message, so that its size is bounded."""
 
 
-def tick_load_word(state, now_ms):
+def tick_server_loads(state, now_ms):
     """Tell a few members of the region what this daemon has at its servers."""
-    if now_ms < state.next_word_ms:
+    if now_ms < state.next_exchange_ms:
         return
-    state.next_word_ms = now_ms + WORD_MS
+    state.next_exchange_ms = now_ms + EXCHANGE_MS
     names = [name for name in state.region_members() if name != state.identity.vm]
     loads = _own_loads(state)
     if not names or len(names) >= MOST_MEMBERS:
@@ -42,11 +42,11 @@
     state.told_any = bool(loads)
     message = ServerLoads(loads)
     for offset in range(min(FANOUT, len(names))):
-        name = names[(state.word_turn + offset) % len(names)]
+        name = names[(state.exchange_turn + offset) % len(names)]
         row = state.members.rows.get(name)
         if row is not None and row.status == "alive":
             state.emit(SendPeer(name, row.peer_address, (message,)))
-    state.word_turn += FANOUT
+    state.exchange_turn += FANOUT
 
 
 def _own_loads(state):
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -16,7 +16,7 @@
     usable_members,
 )
 from bluebellbeam.node.command import Log
-from bluebellbeam.node.retry_after import make_refusal_table, refuse_for_room
+from bluebellbeam.node.retry_after import make_refusal_table, note_refusal
 from bluebellbeam.operations import make_ledger
 from bluebellbeam.recovery import make_budget, set_burst
 from bluebellbeam.routing import make_prefix_index, make_replica_table
@@ -187,8 +187,8 @@
         "evacuated",
         "lapsed_ms",
         "source_heard_ms",
-        "next_word_ms",
-        "word_turn",
+        "next_exchange_ms",
+        "exchange_turn",
         "told_any",
         "told_loads",
         "refusals",
@@ -248,8 +248,8 @@
         self.evacuated = frozenset()
         self.lapsed_ms = {}
         self.source_heard_ms = None
-        self.next_word_ms = 0
-        self.word_turn = 0
+        self.next_exchange_ms = 0
+        self.exchange_turn = 0
         self.told_any = False
         self.told_loads = {}
         self.refusals = make_refusal_table()
@@ -371,7 +371,7 @@
         heard_ms = self.source_heard_ms
         return bool(limit_ms and heard_ms is not None and now_ms - heard_ms > limit_ms)
 
-    def come_back_ms(self, request, wait_ms, now_ms):
+    def retry_after_ms(self, request, wait_ms, now_ms):
         """Return when a request refused for want of room is to come back.
 
         Parameters
@@ -383,7 +383,7 @@
         """
         if request.route is None:
             return int(wait_ms)
-        return refuse_for_room(self.refusals, request.pool, wait_ms, now_ms, self.rng)
+        return note_refusal(self.refusals, request.pool, wait_ms, now_ms, self.rng)
 
     def retry_budget(self, request):
         """Return the budget from which a repeat of `request` is paid."""
--- a/bluebellbeam/node/tests/test_routed.py
+++ b/bluebellbeam/node/tests/test_routed.py
@@ -1,8 +1,8 @@
 import unittest
 
 from bluebellbeam.config import split_documents
+from bluebellbeam.node import Request, entries_near
 from bluebellbeam.node import command as cmd
-from bluebellbeam.node import entries_near
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.message import Envelope, Ping, ServerLoads
 from bluebellbeam.node.outcome import make_error
@@ -30,6 +30,11 @@
         asked = [c for c in self.harness.commands if isinstance(c, cmd.ReadLoad)]
         self.assertEqual(asked, [])
 
+    def test_route_of_another_workspace_is_not_permitted(self):
+        entity = Request("w", "others", host="a.example", path="/p/x", attempt_key="w")
+        commands = self.harness.handle(ev.RequestArrived(entity))
+        self.assertEqual(errors(commands)[0].code, "not_permitted")
+
     def test_path_without_a_route_is_not_found(self):
         self.assertEqual(errors(self.harness.request("/none/"))[0].code, "not_found")
 
@@ -362,7 +367,7 @@
         self.tell(harness, 7, 0)
         self.assertEqual(self.count(harness), 3)
 
-    def test_younger_word_goes_before_the_load_on_an_answer(self):
+    def test_younger_exchange_goes_before_the_load_on_an_answer(self):
         harness = self.make()
         attempt = starts(harness.request("/c/x"))[0]
         self.tell(harness, 6, 0)
@@ -397,7 +402,7 @@
         self.assertIn({}, told())
         self.assertEqual(told(), [])
 
-    def test_large_region_is_spared_the_word(self):
+    def test_large_region_exchanges_no_loads(self):
         harness = self.make(slots=64)
         for i in range(3, 30):
             harness.peer(f"vm-{i}", region="east")
--- a/bluebellbeam/routing/choose.py
+++ b/bluebellbeam/routing/choose.py
@@ -21,7 +21,7 @@
     deepest_holders,
 )
 from bluebellbeam.routing.separate import separation_ms
-from bluebellbeam.routing.warmup import is_cold, may_send_cold, may_send_unseen
+from bluebellbeam.routing.warmup import is_cold, may_send_cold, may_send_unchecked
 
 __all__ = ["Candidate", "choose_replica"]
 
@@ -132,7 +132,7 @@
         return False
     if is_cold(row, now_ms) and not may_send_cold(view, row, now_ms):
         return False
-    if not may_send_unseen(view, row, now_ms):
+    if not may_send_unchecked(view, row, now_ms):
         return False
     if request.priority == "batch":
         room = row.free_slots() >= 1.0 + BATCH_RESERVE * row.slots
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -76,7 +76,7 @@
         Until when it bears few requests; None before its first answer.
     cold_sent_ms : int
         When it was last sent a request.
-    unseen_sends : int
+    unchecked_sends : int
         Requests sent to it since its last health check.
     reported_ms : int or None
     confirmed_ms : int or None
@@ -110,7 +110,7 @@
         "listed",
         "cold_until_ms",
         "cold_sent_ms",
-        "unseen_sends",
+        "unchecked_sends",
         "slots",
         "running",
         "waiting",
@@ -152,7 +152,7 @@
         self.listed = record.slots > 0 and record.guarded
         self.cold_until_ms = 0
         self.cold_sent_ms = 0
-        self.unseen_sends = 0
+        self.unchecked_sends = 0
         self.slots = max(1, record.slots)
         self.running = 0
         self.waiting = 0
@@ -413,7 +413,7 @@
         reindex(table, row)
         return False
     note_answer(row, now_ms)
-    row.unseen_sends = 0
+    row.unchecked_sends = 0
     if not row.identified and (row.listed or row.reported_ms is not None):
         row.identified = True
         reindex(table, row)
--- a/bluebellbeam/routing/warmup.py
+++ b/bluebellbeam/routing/warmup.py
@@ -8,17 +8,17 @@
 
 from bluebellbeam.utils.hashing import rendezvous_order
 
-__all__ = ["is_cold", "may_send_cold", "may_send_unseen", "note_cold_send"]
+__all__ = ["is_cold", "may_send_cold", "may_send_unchecked", "note_cold_send"]
 
 QUIET_START_MS = 1000
 """A new process sends nothing to cold servers until what a former process of
 its VM may have sent has left the one-second window of the bound."""
 
-UNSEEN_SENDS = 4
+UNCHECKED_SENDS = 4
 """Requests that all daemons together send to a server between two of its health
 checks while its list is stale: below what a cold one bears in a second."""
 
-UNSEEN_PACE_MS = 300
+UNCHECKED_PACE_MS = 300
 """Time after which one more is sent to a server too busy for a health check."""
 
 PACE_SHARE = 0.8
@@ -51,7 +51,7 @@
     return owner == view.identity.vm
 
 
-def may_send_unseen(view, row, now_ms):
+def may_send_unchecked(view, row, now_ms):
     """Return whether a server that may have turned cold may be sent a request.
 
     While the list is stale a server tells of it in a health check alone, so
@@ -63,12 +63,12 @@
     if service is None or service.warm_up_per_s <= 0:
         return True
     daemons = max(1, len(view.region_members()))
-    if row.unseen_sends < max(1, UNSEEN_SENDS // daemons):
+    if row.unchecked_sends < max(1, UNCHECKED_SENDS // daemons):
         return True
-    return now_ms - row.cold_sent_ms >= UNSEEN_PACE_MS
+    return now_ms - row.cold_sent_ms >= UNCHECKED_PACE_MS
 
 
 def note_cold_send(row, now_ms):
     """Record that a request is sent to `row`, which may be cold."""
     row.cold_sent_ms = now_ms
-    row.unseen_sends += 1
+    row.unchecked_sends += 1
