Check that an increment over a gap fits only where it begins

Replaces a check that a gap of versions forgets the increments. Behind a store a version is a revision of the whole store, so versions of one feed are never adjacent and increments span them; the new check shows that one fits exactly the version it begins at, that none is offered in between, and that a chain gives the same parts and digest.

--- a/bluebellbeam/feeds/tests/test_feed.py
+++ b/bluebellbeam/feeds/tests/test_feed.py
@@ -81,10 +81,23 @@
         chain = deltas_since(self.feed, 80)
         self.assertEqual([d.from_version for d in chain], list(range(80, 89)))
 
-    def test_gap_forgets_the_increments(self):
+    def test_increment_over_a_gap_fits_only_the_version_it_begins_at(self):
+        behind = make_feed("config")
+        adopt_snapshot(behind, 1, self.first, 0, "service")
         adopt_snapshot(self.feed, 2, self.second, 0, "service")
         adopt_snapshot(self.feed, 9, self.first, 0, "service")
-        self.assertIsNone(deltas_since(self.feed, 1))
+        for version in (3, 5, 8):
+            self.assertIsNone(deltas_since(self.feed, version))
+        chain = deltas_since(self.feed, 1)
+        self.assertEqual(
+            [(d.from_version, d.to_version) for d in chain], [(1, 2), (2, 9)]
+        )
+        self.assertIsNone(prepare_delta(behind, chain[1]))
+        for delta in chain:
+            parts = prepare_delta(behind, delta)
+            adopt_delta(behind, delta, parts, 0, "peer")
+        self.assertEqual((behind.version, behind.parts), (9, self.feed.parts))
+        self.assertEqual(behind.digest, self.feed.digest)
 
 
 class TestWatchers(unittest.TestCase):
