--- a/bluebellbeam/daemon/tests/test_loopback.py
+++ b/bluebellbeam/daemon/tests/test_loopback.py
@@ -18,8 +18,11 @@
         configure_logs("json", "critical")
 
     def run_with(self, step, name="fraserleaf"):
+        self.run_deployment(step, *read_example(name))
+
+    def run_deployment(self, step, base, overlays):
         async def run():
-            deployment = Deployment(*read_example(name))
+            deployment = Deployment(base, overlays)
             await deployment.start()
             timeout = aiohttp.ClientTimeout(total=20)
             try:
@@ -61,6 +64,43 @@
     return "".join(text), whole, error
 
 
+class TestRoutes(LoopbackCase):
+    """Routes on the product's own interface."""
+
+    ROUTE = {
+        "name": "portal",
+        "host": "farm.example",
+        "path_prefix": "/status/",
+        "services": [{"service": "portal"}],
+        "workspace": "field-notes",
+        "kind": "idempotent",
+        "timeout_ms": 3000,
+        "objective_ms": 1000,
+    }
+
+    def ask(self, session, deployment, workspace, path="/status/7", **headers):
+        headers = {"host": "farm.example", "x-request-id": "r-7", **headers}
+        url = caller_url(deployment, path)
+        return session.get(url, headers=key_of(workspace) | headers)
+
+    def test_route_is_served_with_the_key_of_its_workspace(self):
+        base, overlays = read_example("fraserleaf")
+        base["routes"] = [self.ROUTE]
+
+        async def step(deployment, session):
+            async with self.ask(session, deployment, "field-notes") as answer:
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(answer.headers["x-request-id"], "r-7")
+                self.assertEqual((await answer.json())["path"], "/status/7")
+            async with self.ask(session, deployment, "farm-audits") as answer:
+                self.assertEqual(answer.status, 403)
+            path = "/other/7"
+            async with self.ask(session, deployment, "field-notes", path) as answer:
+                self.assertEqual(answer.status, 404)
+
+        self.run_deployment(step, base, overlays)
+
+
 class TestCallers(LoopbackCase):
     def test_stream_equals_plain_answer(self):
         async def step(deployment, session):
--- a/bluebellbeam/standins/http.py
+++ b/bluebellbeam/standins/http.py
@@ -302,7 +302,10 @@
             "served_by": record.name,
             "region": record.region,
         }
-        return _json(value, headers={"x-backend-server": identity})
+        headers = {"x-backend-server": identity}
+        if "x-request-id" in request.headers:
+            headers["x-request-id"] = request.headers["x-request-id"]
+        return _json(value, headers=headers)
 
     async def load(request):
         report = service.report(0)
