--- a/bluebellbeam/scenario/tests/test_faults.py
+++ b/bluebellbeam/scenario/tests/test_faults.py
@@ -68,7 +68,7 @@
         return found
 
     def test_resending_changes_is_seen(self):
-        original = attempts._may_try_again
+        original = attempts.may_try_again
         keep = attempts.mark_not_run
 
         def resend(state, request, not_run, now_ms):
@@ -77,11 +77,11 @@
         def forget(ledger, op_id):
             ledger.rows[op_id].state = "claimed"
 
-        attempts._may_try_again, attempts.mark_not_run = resend, forget
+        attempts.may_try_again, attempts.mark_not_run = resend, forget
         try:
             self.assertIn("at most once", self._broken(range(12)))
         finally:
-            attempts._may_try_again, attempts.mark_not_run = original, keep
+            attempts.may_try_again, attempts.mark_not_run = original, keep
 
     def test_claiming_not_run_is_seen(self):
         original = node.attempt_failed
