Judge a waiting request's regions anew when its route's homes move

Found in reading the change: a request that waited while its route's home moved was answered 403 though the new configuration serves it elsewhere; only what a peer has forwarded is narrowed now. The test failed before (403 instead of a forward).

--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -32,6 +32,12 @@
 
 METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD", "OPTIONS")
 
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Bound of the listener itself; the configuration's is checked per request."""
+
+PROMISING = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request has not run and never will."""
+
 _HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\r\n\x00]*")
 
 
@@ -61,10 +67,6 @@
     app.config.KEEP_ALIVE_TIMEOUT = limits.idle_timeout_ms / 1000.0
 
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
-"""Bound of the listener itself; the configuration's is checked per request."""
-
-
 async def serve_routed(driver, request, workspace=""):
     """Serve a caller's request by its route.
 
@@ -268,10 +270,6 @@
     return 502 if error.status in PROMISING else error.status
 
 
-PROMISING = frozenset({408, 421, 429, 503})
-"""Statuses that promise that a request has not run and never will."""
-
-
 def _no_headers(error):
     """Return no headers beside those of every answer to a caller."""
     return []
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -117,12 +117,9 @@
 def _check_node(state, request, now_ms):
     if state.leaving and not request.host:
         return make_error("leaving", entries=entry_addresses(state, request.workspace))
-    serving = state.ready or state.leaving
-    if serving and state.config is not None and state.leaving:
-        return check_leaving(state, request, now_ms)
-    if not serving or state.config is None:
+    if state.config is None or not (state.ready or state.leaving):
         return make_error("not_ready")
-    return None
+    return check_leaving(state, request, now_ms) if state.leaving else None
 
 
 def entry_addresses(state, workspace_name, include_self=False):
--- a/bluebellbeam/node/loads.py
+++ b/bluebellbeam/node/loads.py
@@ -39,6 +39,9 @@
 DISTURBED_MS = 3000
 """A list is doubted this long after its source last failed."""
 
+ANSWERED_MS = 1500
+"""Age of an answer to a request that still shows that a server runs."""
+
 MAX_ASKED = 4
 """Servers asked at once before a request is sent."""
 
@@ -218,10 +221,6 @@
     return now_ms - row.confirmed_ms <= ANSWERED_MS
 
 
-ANSWERED_MS = 1500
-"""Age of an answer to a request that still shows that a server runs."""
-
-
 def note_load_missed(state, server, now_ms):
     """Count a load question without an answer as a failure."""
     row = state.replicas.rows.get(server)
--- a/bluebellbeam/node/narrowing.py
+++ b/bluebellbeam/node/narrowing.py
@@ -3,6 +3,7 @@
 from bluebellbeam.admission import push_request, remove_request
 from bluebellbeam.node.dispatch import fail_request
 from bluebellbeam.node.outcome import make_error
+from bluebellbeam.node.routed import allowed_regions
 from bluebellbeam.routing import choose_service, match_route
 
 __all__ = ["narrow_requests"]
@@ -36,10 +37,7 @@
         _drop_queued(state, request, make_error("not_found"), now_ms)
         return
     request.route = route
-    workspace = state.base.workspaces[route.workspace]
-    request.allowed = request.allowed & frozenset(workspace.allowed_regions)
-    if route.home_regions:
-        request.allowed = request.allowed & frozenset(route.home_regions)
+    request.allowed = allowed_regions(state, request, route)
     if not request.allowed:
         _drop_queued(state, request, make_error("region_not_permitted"), now_ms)
         return
@@ -48,7 +46,7 @@
         remove_request(state.queue(request.pool), request)
         request.service = service
         request.pool = f"s/{service}"
-        weight = workspace.weight
+        weight = state.base.workspaces[route.workspace].weight
         push_request(state.queue(request.pool), request, weight)
 
 
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -17,7 +17,7 @@
     prompt_speed,
 )
 
-__all__ = ["check_leaving", "resolve_route", "routed_start_ms"]
+__all__ = ["check_leaving", "resolve_route", "allowed_regions", "routed_start_ms"]
 
 LATE_FACTOR = 1.5
 """A prompt is taken in while its first event is expected within so many times
@@ -37,11 +37,7 @@
         return make_error("not_found")
     if request.workspace not in ("", route.workspace):
         return make_error("not_permitted")
-    workspace = state.base.workspaces[route.workspace]
-    allowed = frozenset(workspace.allowed_regions)
-    if route.home_regions:
-        allowed &= frozenset(route.home_regions)
-    request.allowed = request.allowed & allowed if request.origin else allowed
+    request.allowed = allowed_regions(state, request, route)
     if not request.allowed:
         return make_error("region_not_permitted")
     request.workspace = route.workspace
@@ -56,6 +52,17 @@
     return None
 
 
+def allowed_regions(state, request, route):
+    """Return the regions that may serve `request` by `route`.
+
+    What another daemon allowed when it forwarded the request is only narrowed.
+    """
+    allowed = frozenset(state.base.workspaces[route.workspace].allowed_regions)
+    if route.home_regions:
+        allowed &= frozenset(route.home_regions)
+    return request.allowed & allowed if request.origin else allowed
+
+
 def _set_costs(state, request):
     service = state.base.services[request.service]
     request.expected_ms = service.expected_ms
--- a/bluebellbeam/node/tests/test_routed.py
+++ b/bluebellbeam/node/tests/test_routed.py
@@ -342,6 +342,56 @@
         self.assertEqual([item.peer for item in found], ["vm-w"])
 
 
+class TestNarrowing(unittest.TestCase):
+    """A new configuration meets requests that wait for a server."""
+
+    def setUp(self):
+        self.harness = Harness()
+        self.harness.list_servers(server("e1", "llm", slots=1))
+        quick = starts(self.harness.request("/c/x"))[0]
+        self.harness.now_ms += 10
+        self.harness.handle(ev.AttemptFinished(quick.attempt_id))
+        self.harness.request("/c/x", "runs")
+        self.assertEqual(starts(self.harness.request("/c/x", "waits")), [])
+
+    def publish(self, **changes):
+        base = make_base()
+        base["routes"][2] |= changes
+        before = len(self.harness.commands)
+        self.harness.publish("config", split_documents(base, {}))
+        return self.harness.commands[before:]
+
+    def test_waiting_request_of_a_route_that_went_is_not_found(self):
+        commands = self.publish(path_prefix="/gone/")
+        self.assertEqual([e.code for e in errors(commands)], ["not_found"])
+
+    def test_waiting_request_whose_home_moved_is_forwarded_there(self):
+        self.harness.peer("vm-w")
+        commands = self.publish(home_regions=["west"])
+        self.assertEqual(errors(commands), [])
+        found = starts(commands)
+        self.assertEqual([(a.peer, a.server) for a in found], [("vm-w", "")])
+
+    def test_forwarded_request_that_waits_is_only_narrowed(self):
+        allowed = frozenset({"east"})
+        ends_ms = self.harness.now_ms + 9000
+        self.harness.request(
+            "/c/x", "far", origin="vm-9", allowed=allowed, ends_ms=ends_ms
+        )
+        self.publish(home_regions=[])
+        self.assertEqual(self.harness.state.requests["far"].allowed, allowed)
+
+    def test_waiting_request_follows_its_route_to_another_service(self):
+        self.harness.list_servers(
+            server("e1", "llm", slots=1), server("p1", "portal", slots=4)
+        )
+        commands = self.publish(services=[{"service": "portal"}])
+        self.harness.tick()
+        found = starts([*commands, *self.harness.commands])
+        moved = [a.server for a in found if a.request.request_id == "waits"]
+        self.assertIn("p1", moved)
+
+
 class TestServerLoads(unittest.TestCase):
     """Load: a region's daemons together have more than its servers hold."""
 
