--- /dev/null
+++ b/bluebellbeam/node/tests/test_finding.py
@@ -0,0 +1,160 @@
+import unittest
+
+from bluebellbeam.config import split_documents
+from bluebellbeam.node import command as cmd
+from bluebellbeam.node import entries_near
+from bluebellbeam.node import event as ev
+from bluebellbeam.node.message import Envelope
+from bluebellbeam.node.sync import _watches
+from bluebellbeam.node.tests.routed import (
+    Harness,
+    errors,
+    make_base,
+    server,
+    starts,
+)
+from bluebellbeam.utils.hashing import rendezvous_order
+
+
+class TestEntries(unittest.TestCase):
+    def near(self, harness, region):
+        return entries_near(harness.state, "a.example", region, harness.now_ms)
+
+    def test_daemons_of_the_callers_region_are_named(self):
+        harness = Harness()
+        harness.peer("vm-w")
+        harness.peer("vm-2", region="east")
+        self.assertEqual(self.near(harness, "west"), ["vm-w:2"])
+        self.assertEqual(self.near(harness, "east"), ["vm-1:2", "vm-2:2"])
+
+    def test_without_one_there_the_regions_that_serve_most_routes_are_named(self):
+        harness = Harness(region="west", vm="vm-w")
+        harness.peer("vm-e", region="east")
+        found = entries_near(harness.state, "a.example", "north", harness.now_ms)
+        self.assertEqual(found, ["vm-e:2"])
+
+    def test_leaving_daemons_go_before_those_of_a_wrong_region(self):
+        harness = Harness(region="west", vm="vm-w")
+        harness.peer("vm-e", region="east", state="leaving")
+        self.assertEqual(self.near(harness, "east"), ["vm-e:2"])
+        harness.peer("vm-e2", region="east")
+        self.assertEqual(self.near(harness, "east"), ["vm-e2:2"])
+
+    def test_region_that_serves_every_route_goes_before_leaving_daemons(self):
+        harness = Harness()
+        harness.peer("vm-w", region="west", state="leaving")
+        self.assertEqual(self.near(harness, "west"), ["vm-1:2"])
+
+    def test_daemon_that_has_just_started_does_not_name_itself_to_others(self):
+        harness = Harness()
+        harness.state.started_ms = harness.now_ms
+        self.assertEqual(self.near(harness, "west"), [])
+        self.assertEqual(self.near(harness, "east"), ["vm-1:2"])
+
+    def test_leaving_daemon_is_not_named(self):
+        harness = Harness()
+        harness.peer("vm-2", region="east")
+        harness.handle(ev.StopRequested())
+        self.assertEqual(self.near(harness, "east"), ["vm-2:2"])
+
+    def test_silent_daemon_is_dropped_within_the_time_allowed(self):
+        policy = {"probe_interval_ms": 500, "suspect_timeout_ms": 1500}
+        harness = Harness(base=make_base(**policy))
+        harness.peer("vm-2", region="east")
+        harness.tick(7000)
+        self.assertEqual(self.near(harness, "east"), ["vm-1:2"])
+
+
+class TestLeaving(unittest.TestCase):
+    def setUp(self):
+        self.harness = Harness(base=make_base(leave_linger_ms=2500))
+        self.harness.list_servers(server("s1"), server("e1", "llm"))
+        self.harness.handle(ev.StopRequested())
+
+    def test_callers_that_have_not_heard_yet_are_served(self):
+        self.assertEqual(len(starts(self.harness.request("/c/x"))), 1)
+
+    def test_late_streams_are_refused_truthfully_and_short_calls_served(self):
+        self.harness.tick(2450)
+        self.harness.request("/p/x")
+        self.harness.tick(100)
+        self.assertEqual(len(starts(self.harness.request("/p/x", "r2"))), 1)
+        error = errors(self.harness.request("/c/x", "r3"))[0]
+        self.assertEqual((error.status, error.outcome), (503, "not_run"))
+
+    def test_process_ends_when_nothing_is_in_flight(self):
+        attempt = starts(self.harness.request())[0]
+        self.harness.tick(2600)
+        self.assertFalse(self.harness.state.stopped)
+        self.harness.handle(ev.AttemptFinished(attempt.attempt_id))
+        self.harness.tick()
+        self.assertTrue(self.harness.state.stopped)
+
+    def test_process_ends_with_its_grace_whatever_runs(self):
+        policy = {"leave_linger_ms": 500, "leave_grace_ms": 2000}
+        harness = Harness(base=make_base(**policy))
+        harness.list_servers(server("s1"))
+        harness.request()
+        harness.handle(ev.StopRequested())
+        harness.tick(1900)
+        self.assertFalse(harness.state.stopped)
+        harness.tick(200)
+        self.assertTrue(harness.state.stopped)
+
+
+class TestFinding(unittest.TestCase):
+    def test_daemon_that_starts_asks_its_seed_peers(self):
+        harness = Harness()
+        sent = [c for c in harness.commands if isinstance(c, cmd.SendPeer)]
+        self.assertEqual({item.address for item in sent}, {"10.9.0.1:1"})
+
+    def test_daemon_that_knows_nobody_is_told_of_everybody(self):
+        first = Harness()
+        first.peer("vm-2", region="east")
+        second = Harness(vm="vm-3")
+        own = [c for c in second.commands if isinstance(c, cmd.SendPeer)][0]
+        envelope = Envelope("vm-3", 1, own.messages)
+        answers = first.handle(ev.PeerHeard(envelope))
+        told = [m for c in answers if isinstance(c, cmd.SendPeer) for m in c.messages]
+        envelope = Envelope("vm-1", 1, tuple(told))
+        second.handle(ev.PeerHeard(envelope, answer=True))
+        self.assertEqual(set(second.state.members.rows), {"vm-1", "vm-2"})
+
+    def test_restarted_daemon_replaces_its_former_incarnation(self):
+        harness = Harness()
+        harness.peer("vm-2", region="east", incarnation=5, state="leaving")
+        self.assertTrue(harness.state.members.rows["vm-2"].leaving)
+        harness.peer("vm-2", region="east", incarnation=6)
+        self.assertFalse(harness.state.members.rows["vm-2"].leaving)
+
+    def watching(self, **policy):
+        """Return a daemon of six in a domain that does not watch with one watcher."""
+        names = [f"vm-{i}" for i in range(6)]
+        first = rendezvous_order("watch:store", names)[0]
+        own = next(name for name in names if name != first)
+        harness = Harness(vm=own, base=make_base(watchers_per_domain=1, **policy))
+        for name in names:
+            if name != own:
+                harness.peer(name, region="east")
+        return harness
+
+    def test_everybody_reads_once_nobody_has_heard_for_long(self):
+        harness = self.watching(stale_list_ms=3000)
+        for key in ("config", "backends/east"):
+            harness.handle(ev.FeedUnavailable(key, "asked before it knew the others"))
+        harness.handle(ev.SourceHeard())
+        harness.commands.clear()
+        harness.tick(2500)
+        reads = [c for c in harness.commands if isinstance(c, cmd.ReadFeed)]
+        self.assertEqual(reads, [])
+        harness.tick(1000)
+        reads = [c.key for c in harness.commands if isinstance(c, cmd.ReadFeed)]
+        self.assertEqual(set(reads), {"config", "backends/east"})
+
+    def test_policy_decides_at_once_who_watches(self):
+        harness = self.watching()
+        self.assertFalse(_watches(harness.state, "config"))
+        parts = split_documents(make_base(watchers_per_domain=9), {})
+        harness.publish("config", parts)
+        self.assertTrue(_watches(harness.state, "config"))
+        self.assertTrue(_watches(harness.state, "backends/east"))
