Tell latency by kind of route; bound the memory of unreadable entries

From a reading of the issue's list: routed requests all counted as one kind, and another writer could make the set of entries logged once grow for ever. Tests for the metrics and for the check of settings that name a store.

--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -163,7 +163,10 @@
         exchange = self.exchanges.get(request.request_id)
         if exchange is None or self.observe_first is None:
             return
-        kind = "service" if request.service else request.priority
+        if request.route is not None:
+            kind = request.route.kind
+        else:
+            kind = "service" if request.service else request.priority
         took_ms = self.clock.now_ms() - exchange.arrived_ms
         self.observe_first(kind, took_ms / 1000.0)
 
--- a/bluebellbeam/platform/store.py
+++ b/bluebellbeam/platform/store.py
@@ -45,6 +45,10 @@
 RETRY_MS = 250
 """Pause after a failed call, spread by chance."""
 
+MAX_UNREADABLE = 1000
+"""Unreadable entries remembered, so that each is logged once; another writer
+may go on for ever."""
+
 MOST_WAIT_S = 3.0
 """Time after which a read that waits returns what there is, so that a daemon
 that no longer watches stops."""
@@ -359,6 +363,8 @@
         except PlatformError as error:
             mark = (key, item.revision)
             if mark not in self.unreadable:
+                if len(self.unreadable) >= MAX_UNREADABLE:
+                    self.unreadable.clear()
                 self.unreadable.add(mark)
                 self.log.warning(
                     "platform: ignore an entry",
--- a/bluebellbeam/platform/tests/test_reload.py
+++ b/bluebellbeam/platform/tests/test_settings.py
@@ -1,13 +1,52 @@
 import unittest
 
+import msgspec
 from msgspec import structs
+from returns.result import Failure, Success
 
-from bluebellbeam.config import Settings, StoreAccess
+from bluebellbeam.config import Settings, StoreAccess, decode_settings
 from bluebellbeam.daemon.reload import apply_settings
 from bluebellbeam.daemon.server import make_daemon
 from bluebellbeam.platform import make_platform
 
 
+class TestSettings(unittest.TestCase):
+    def faults(self, **changes):
+        store = {
+            "address": "10.0.0.1:1",
+            "domains": {"d": "r"},
+            "readiness_address": "10.0.0.2:1",
+            "directory_address": "10.0.0.2:2",
+        }
+        document = {
+            "vm": "vm-1",
+            "region": "r",
+            "failure_domain": "d",
+            "site": "d",
+            "caller_address": "10.0.0.2:3",
+            "peer_address": "10.0.0.2:4",
+            "operator_address": "10.0.0.2:5",
+            "store": store | changes.pop("store", {}),
+            **changes,
+        }
+        match decode_settings(msgspec.json.encode(document)):
+            case Failure(found):
+                return [fault.path for fault in found]
+            case Success():
+                return []
+
+    def test_store_takes_the_place_of_the_providers_services_and_key(self):
+        self.assertEqual(self.faults(), [])
+
+    def test_each_mistake_is_named_by_its_path(self):
+        self.assertEqual(self.faults(store={"address": "store"}), ["$.store.address"])
+        self.assertEqual(self.faults(failure_domain="x"), ["$.store.domains"])
+        self.assertEqual(self.faults(peer_key="short"), ["$.peer_key"])
+        platform = dict.fromkeys(("configuration", "vm_list"), "10.0.0.1:9")
+        both = self.faults(platform=platform | {"directory": "10.0.0.1:9"})
+        self.assertEqual(both, ["$"])
+
+
 class TestReload(unittest.TestCase):
     def setUp(self):
         store = StoreAccess(
--- a/bluebellbeam/platform/tests/test_site.py
+++ b/bluebellbeam/platform/tests/test_site.py
@@ -159,6 +159,21 @@
         self.run_with(step, daemons=("hall-e", "hall-w"))
 
 
+class TestMetrics(SiteCase):
+    def test_latency_is_told_by_kind_of_route(self):
+        async def step(site):
+            await site.ask("/unsafe/1", "m1")
+            await site.ask("/chat/1", "m2")
+            async with site.session.get(site.url("operators", "/metrics")) as answer:
+                text = await answer.text()
+            name = "bluebellbeam_first_token_seconds_count"
+            self.assertIn(f'{name}{{kind="non_idempotent"}} 1.0', text)
+            self.assertIn(f'{name}{{kind="stream"}} 1.0', text)
+            self.assertIn("bluebellbeam_answered_total 2.0", text)
+
+        self.run_with(step)
+
+
 class TestStop(SiteCase):
     def test_everything_in_flight_ends_before_the_process(self):
         async def step(site):
