Keep long batch prompts off half of a pool; tell the region of them at once

Change: a batch prompt of 1,024 or more uncached tokens waits (at most 6 s) unless half of the pool's servers stay clear with a quarter of their slots free; daemons of a region exchange what they have at every server, not only at listed ones, and tell of a prompt of 200 ms or more at once; expired and hopeless requests are not charged; urgent batch work keeps the order of service.

--- a/bluebellbeam/admission/queue.py
+++ b/bluebellbeam/admission/queue.py
@@ -117,20 +117,24 @@
     if queue.size == 0:
         return
     urgent = [
-        lane.requests[0]
+        lane
         for lane in queue.lanes["batch"].values()
         if lane.requests and lane.requests[0].deadline_ms - now_ms <= BATCH_MARGIN_MS
     ]
-    urgent.sort(key=lambda request: request.deadline_ms)
-    yield from urgent
+    urgent.sort(key=_service_order)
+    yield from [lane.requests[0] for lane in urgent]
     for priority in PRIORITIES:
         lanes = [lane for lane in queue.lanes[priority].values() if lane.requests]
-        lanes.sort(key=lambda lane: (lane.start_tag, lane.workspace))
+        lanes.sort(key=_service_order)
         for lane in lanes:
-            if lane.requests and lane.requests[0] not in urgent:
+            if lane.requests and lane not in urgent:
                 yield lane.requests[0]
 
 
+def _service_order(lane):
+    return (lane.start_tag, lane.workspace)
+
+
 def pop_request(queue, request):
     """Remove `request`, the first of its lane, and charge its workspace."""
     lane = queue.lanes[request.priority][request.workspace]
--- a/bluebellbeam/admission/tests/test_queue.py
+++ b/bluebellbeam/admission/tests/test_queue.py
@@ -69,6 +69,15 @@
         late = next(next_requests(queue, 45_000))
         self.assertEqual(late.request_id, "audit")
 
+    def test_batch_near_its_deadline_keeps_the_order_of_service(self):
+        queue = make_fair_queue()
+        for i in range(6):
+            name = "ab"[i % 2]
+            batch = make_request(f"{name}{i}", name, 10.0, "batch", 9_000 - i)
+            push_request(queue, batch, 1.0 if name == "a" else 2.0)
+        served = [request.workspace for request in serve(queue, 4)]
+        self.assertEqual(served, ["a", "b", "b", "a"])
+
     def test_guests_come_last(self):
         queue = make_fair_queue()
         push_request(queue, make_request("g", "g", priority="guest"), 1.0)
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
-from bluebellbeam.admission import PRIORITIES, next_requests, pop_request
+from bluebellbeam.admission import (
+    PRIORITIES,
+    next_requests,
+    pop_request,
+    remove_request,
+)
 from bluebellbeam.borrowing import find_held, note_running
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.away import choose_better_peer, choose_peer
@@ -11,6 +16,7 @@
 from bluebellbeam.node.loads import ask_unconfirmed
 from bluebellbeam.node.outcome import make_error
 from bluebellbeam.node.request import Attempt
+from bluebellbeam.node.server_loads import tell_long_prompt
 from bluebellbeam.node.waiting import demand_share, local_wait_ms, pool_rows
 from bluebellbeam.operations import mark_sent, record_answer, release_operation
 from bluebellbeam.recovery import earn
@@ -68,7 +74,7 @@
     leased = {lease.workspace for lease in state.borrower.rows.values()}
     for request in next_requests(queue, now_ms):
         if now_ms >= request.waits_until_ms:
-            pop_request(queue, request)
+            remove_request(queue, request)
             fail_request(state, request, expired_error(state, request, now_ms), now_ms)
             return True
         full = request.priority in blocked
@@ -181,7 +187,7 @@
     row = state.replicas.rows[best.server]
     due_ms = request.deadline_ms - now_ms
     if best.estimate.first_token_ms > due_ms and not request.started:
-        pop_request(queue, request)
+        remove_request(queue, request)
         wait_ms = int(best.estimate.first_token_ms)
         error = make_error("deadline_unreachable", retry_after_ms=wait_ms)
         fail_request(state, request, error, now_ms)
@@ -215,6 +221,7 @@
     if request.blocks:
         note_prefix(state.prefixes, row.name, request.blocks)
     _emit_to_server(state, attempt, row)
+    tell_long_prompt(state, request, attempt.tokens, attempt.started_ms)
 
 
 def _emit_to_server(state, attempt, row):
--- a/bluebellbeam/node/server_loads.py
+++ b/bluebellbeam/node/server_loads.py
@@ -8,8 +8,9 @@
 from bluebellbeam.node.command import SendPeer
 from bluebellbeam.node.message import ServerLoads
 from bluebellbeam.routing import note_others
+from bluebellbeam.routing.estimate import prompt_speed
 
-__all__ = ["hear_server_loads", "tick_server_loads"]
+__all__ = ["hear_server_loads", "tell_long_prompt", "tick_server_loads"]
 
 EXCHANGE_MS = 200
 """Interval of the exchange: below the time to a first event on a busy server."""
@@ -32,6 +33,27 @@
     """Tell a few members of the region what this daemon has at its servers."""
     if now_ms < state.next_exchange_ms:
         return
+    _tell_server_loads(state, now_ms)
+
+
+def tell_long_prompt(state, request, tokens, now_ms):
+    """Tell of a prompt at once that the next exchange would tell too late.
+
+    Parameters
+    ----------
+    state : NodeState
+    request : Request
+    tokens : int
+        Prompt tokens that its server has to compute.
+    now_ms : int
+    """
+    speed = prompt_speed(state.base, request)
+    if speed and 1000.0 * tokens / speed >= EXCHANGE_MS:
+        _tell_server_loads(state, now_ms)
+
+
+def _tell_server_loads(state, now_ms):
+    """Tell the members whose turn it is, at once."""
     state.next_exchange_ms = now_ms + EXCHANGE_MS
     names = [name for name in state.region_members() if name != state.identity.vm]
     loads = _own_loads(state)
@@ -52,7 +74,7 @@
 def _own_loads(state):
     loads = {}
     for row in state.replicas.rows.values():
-        if row.listed and (row.inflight or row.inflight_tokens):
+        if row.inflight or row.inflight_tokens:
             loads[row.name] = (row.inflight, row.inflight_tokens)
             if len(loads) == MAX_SERVERS:
                 break
@@ -71,10 +93,9 @@
     # In a large region only some members are heard of: they stand for all.
     factor = max(1.0, others / len(fresh)) if fresh else 1.0
     for row in state.replicas.rows.values():
-        if row.listed:
-            running = sum(item.get(row.name, _NONE)[0] for item in fresh)
-            tokens = sum(item.get(row.name, _NONE)[1] for item in fresh)
-            note_others(state.replicas, row, running * factor, tokens * factor, now_ms)
+        running = sum(item.get(row.name, _NONE)[0] for item in fresh)
+        tokens = sum(item.get(row.name, _NONE)[1] for item in fresh)
+        note_others(state.replicas, row, running * factor, tokens * factor, now_ms)
 
 
 _NONE = (0, 0)
--- /dev/null
+++ b/bluebellbeam/routing/batch.py
@@ -0,0 +1,102 @@
+"""Rules that keep batch prompts out of the way of interactive requests.
+
+A server computes prompts one after the other, so a short interactive prompt
+that meets a long batch prompt waits for all of it. Batch work tolerates some
+delay: it waits for the server that holds its prefix, and long prompts are not
+computed on every server of a pool at once.
+"""
+
+from itertools import islice
+
+from bluebellbeam.routing.estimate import prompt_speed, tokens_ahead
+from bluebellbeam.routing.prefix import cached_blocks, deepest_holders
+
+__all__ = ["batch_waits", "has_batch_room"]
+
+RESERVE = 0.25
+"""Share of a server's slots that batch requests leave free."""
+
+AHEAD_TOKENS = 512
+"""A batch prompt waits while its server has more of our tokens to compute."""
+
+PATIENCE_MS = 6000
+"""Longest wait of a batch prompt for the server that holds its prefix."""
+
+PREFIX_TOKENS = 1024
+"""Cached tokens that are worth this wait."""
+
+LONG_TOKENS = 1024
+"""Uncached tokens from which a batch prompt counts as long."""
+
+MAX_LONG_SHARE = 0.5
+"""Share of a pool's servers that may compute long prompts at one time; one
+server always may."""
+
+
+MOST_ROWS = 12
+"""Least loaded servers of a pool that are looked at, so that a decision costs
+the same in a large pool."""
+
+
+def has_batch_room(row):
+    """Return whether the server of `row` may be sent a batch request.
+
+    Parameters
+    ----------
+    row : Replica
+    """
+    if row.free_slots() < 1.0 + RESERVE * row.slots:
+        return False
+    return row.inflight_tokens <= AHEAD_TOKENS
+
+
+def batch_waits(view, request, best, now_ms):
+    """Return whether a batch request had better stay in its queue for now.
+
+    Parameters
+    ----------
+    view : RoutingView
+    request : Request
+    best : Candidate
+        The server that it would be sent to.
+    now_ms : int
+    """
+    if request.priority != "batch" or now_ms - request.arrival_ms > PATIENCE_MS:
+        return False
+    return _holder_is_busy(view, request, best, now_ms) or _pool_is_busy(
+        view, request, best, now_ms
+    )
+
+
+def _holder_is_busy(view, request, best, now_ms):
+    """Return whether a busy server holds much more of the prompt than `best`."""
+    for name in deepest_holders(view.prefixes, request.blocks, 1):
+        row = view.replicas.rows.get(name)
+        if row is None or request.pool not in row.pools:
+            continue
+        if row.ejected_until_ms > now_ms or name in request.tried:
+            continue
+        held = cached_blocks(view.prefixes, name, request.blocks) * view.block_tokens
+        return held - best.cached_tokens >= PREFIX_TOKENS
+    return False
+
+
+def _pool_is_busy(view, request, best, now_ms):
+    """Return whether a long prompt on `best` would leave too few others clear.
+
+    Clear servers compute no long prompt; at least half of the pool stays so,
+    with some free slots for the interactive requests that then go there.
+    """
+    if best.estimate.uncached_tokens < LONG_TOKENS:
+        return False
+    speed = prompt_speed(view.base, request)
+    rows = list(islice(view.replicas.pool(request.pool), MOST_ROWS))
+    clear = [
+        row
+        for row in rows
+        if row.name != best.server and tokens_ahead(row, speed, now_ms) < LONG_TOKENS
+    ]
+    if len(rows) - len(clear) > max(1.0, MAX_LONG_SHARE * len(rows)):
+        return True
+    free = sum(row.free_slots() for row in clear)
+    return free < RESERVE * sum(row.slots for row in clear)
--- a/bluebellbeam/routing/choose.py
+++ b/bluebellbeam/routing/choose.py
@@ -10,16 +10,13 @@
 from msgspec import Struct
 
 from bluebellbeam.routing.affinity import lean_ms
+from bluebellbeam.routing.batch import batch_waits, has_batch_room
 from bluebellbeam.routing.estimate import (
     estimate_local,
     prompt_speed,
     score_estimate,
 )
-from bluebellbeam.routing.prefix import (
-    cached_blocks,
-    cached_tokens,
-    deepest_holders,
-)
+from bluebellbeam.routing.prefix import cached_tokens, deepest_holders
 from bluebellbeam.routing.separate import separation_ms
 from bluebellbeam.routing.warmup import is_cold, may_send_cold, may_send_unchecked
 
@@ -31,20 +28,6 @@
 PREFIX_HOLDERS = 3
 """Holders of the deepest prefix that are scored."""
 
-
-BATCH_RESERVE = 0.25
-"""Share of a server's slots that batch requests leave free."""
-
-
-BATCH_AHEAD_TOKENS = 512
-"""A batch prompt waits while its server has more of our tokens to compute."""
-
-BATCH_PATIENCE_MS = 6000
-"""Longest wait of a batch prompt for the server that holds its prefix."""
-
-BATCH_PREFIX_TOKENS = 1024
-"""Cached tokens that are worth this wait."""
-
 CROWDING_MS = 100.0
 """Penalty on a full server of a service: tokens come more slowly there."""
 
@@ -98,30 +81,11 @@
             score += worth_ms
         scored.append(Candidate(row.name, score, estimate, cached))
     scored.sort(key=lambda item: (item.score, item.server))
-    if scored and _waits_for_prefix(view, request, scored[0], now_ms):
+    if scored and batch_waits(view, request, scored[0], now_ms):
         return []
     return scored
 
 
-def _waits_for_prefix(view, request, best, now_ms):
-    """Return whether a batch prompt had better wait for a server that holds it.
-
-    Batch work tolerates some delay; computing a long prefix again on another
-    server costs more and holds up others.
-    """
-    if request.priority != "batch" or now_ms - request.arrival_ms > BATCH_PATIENCE_MS:
-        return False
-    for name in deepest_holders(view.prefixes, request.blocks, 1):
-        row = view.replicas.rows.get(name)
-        if row is None or request.pool not in row.pools:
-            continue
-        if row.ejected_until_ms > now_ms or name in request.tried:
-            continue
-        held = cached_blocks(view.prefixes, name, request.blocks) * view.block_tokens
-        return held - best.cached_tokens >= BATCH_PREFIX_TOKENS
-    return False
-
-
 def is_available(view, row, request, now_ms):
     """Return whether `row` may be sent `request` now.
 
@@ -135,8 +99,7 @@
     if not may_send_unchecked(view, row, now_ms):
         return False
     if request.priority == "batch":
-        room = row.free_slots() >= 1.0 + BATCH_RESERVE * row.slots
-        room = room and row.inflight_tokens <= BATCH_AHEAD_TOKENS
+        room = has_batch_room(row)
     else:
         room = row.free_slots(view.slack) >= 1.0
     return (
--- a/bluebellbeam/routing/estimate.py
+++ b/bluebellbeam/routing/estimate.py
@@ -113,11 +113,12 @@
     The larger of own requests without a first token, and what the server
     reported less what it has computed since.
     """
+    known = row.inflight_tokens + row.others_tokens
     if row.reported_ms is None or not row.waiting_tokens:
-        return row.inflight_tokens + row.others_tokens
+        return known
     since_s = (now_ms - row.reported_ms) / 1000.0
     reported = row.waiting_tokens - since_s * prefill_tokens_per_s
-    return max(row.inflight_tokens, reported)
+    return max(known, reported)
 
 
 def slot_wait_ms(row):
