Take streams in while leaving as long as their slowest pace leaves time

Change: a leaving daemon learns the slowest pace of its answers for each output token that was asked for, and takes a stream in if 1.5 times what it may then last is left of the grace. What a stop does has a module of its own.

Streams with a long maximum (944 tokens, up to 10 s) are still refused.

--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -30,6 +30,7 @@
     tick_membership,
 )
 from bluebellbeam.node.introduce import hear_introduce
+from bluebellbeam.node.leaving import begin_leaving, tick_leaving
 from bluebellbeam.node.lending import (
     hear_lease_answer,
     hear_lease_wanted,
@@ -48,11 +49,7 @@
     tick_orders,
 )
 from bluebellbeam.node.pause import detect_pause
-from bluebellbeam.node.readiness import (
-    begin_leaving,
-    tick_leaving,
-    tick_readiness,
-)
+from bluebellbeam.node.readiness import tick_readiness
 from bluebellbeam.node.server_loads import hear_server_loads, tick_server_loads
 from bluebellbeam.node.state import make_node_state
 from bluebellbeam.node.sync import (
--- a/bluebellbeam/node/readiness.py
+++ b/bluebellbeam/node/readiness.py
@@ -1,11 +1,10 @@
-"""Readiness and graceful shutdown of a node."""
+"""Readiness of a node."""
 
 from bluebellbeam.membership import usable_members
-from bluebellbeam.node.command import Exit, Log
-from bluebellbeam.node.gossip import announce_leaving
+from bluebellbeam.node.command import Log
 from bluebellbeam.node.state import required_feeds
 
-__all__ = ["begin_leaving", "tick_leaving", "tick_readiness"]
+__all__ = ["tick_readiness"]
 
 PEER_PATIENCE_MS = 3_000
 """A starting daemon waits this long for an answer of a peer."""
@@ -39,28 +38,3 @@
 
 def _knows_backends(state):
     return any(row.identified for row in state.replicas.rows.values())
-
-
-def begin_leaving(state, now_ms):
-    """Take no new work and tell the peers; requests in flight go on."""
-    if state.leaving:
-        return
-    state.leaving = True
-    state.ready = False
-    state.leaving_ms = now_ms
-    announce_leaving(state, now_ms)
-    state.emit(Log("node", f"leave with {len(state.requests)} requests in flight"))
-
-
-def tick_leaving(state, now_ms):
-    """End the process when nothing is in flight, or its grace is over."""
-    if not state.leaving or state.stopped:
-        return
-    since_ms = now_ms - state.leaving_ms
-    grace_ms = state.policy.leave_grace_ms
-    over = grace_ms and since_ms >= grace_ms
-    if not over and (state.requests or since_ms < state.policy.leave_linger_ms):
-        return
-    state.stopped = True
-    state.emit(Log("node", f"stop with {len(state.requests)} requests in flight"))
-    state.emit(Exit())
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -17,15 +17,12 @@
     prompt_speed,
 )
 
-__all__ = ["check_leaving", "resolve_route", "allowed_regions", "routed_start_ms"]
+__all__ = ["resolve_route", "allowed_regions", "routed_start_ms"]
 
 LATE_FACTOR = 1.5
 """A prompt is taken in while its first event is expected within so many times
 its objective: estimates are rough, and a late answer is worth something."""
 
-LEAVING_RETRY_MS = 100
-"""A caller refused by a leaving daemon is served by another one at once."""
-
 OUTPUT_COST_FACTOR = 10.0
 """Cost of an output token relative to one of the prompt, for fair sharing."""
 
@@ -128,17 +125,3 @@
     if not first:
         return wait_ms
     return max(wait_ms, min(first) / LATE_FACTOR)
-
-
-def check_leaving(state, request, now_ms):
-    """Serve on while a leaving daemon is still named, but nothing that is long.
-
-    Callers that have not heard of the leave come for a while; a stream that
-    they begin late would be cut by the end of the process.
-    """
-    if now_ms - state.leaving_ms < state.policy.leave_linger_ms:
-        return None
-    route = match_route(state.config.routes, request.host, request.path)
-    if route is None or route.kind != "stream":
-        return None
-    return make_error("leaving", retry_after_ms=LEAVING_RETRY_MS)
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -223,6 +223,7 @@
         "order_given_ms",
         "subset_key",
         "pool_service_ms",
+        "pool_pace_ms",
         "next_slow_ms",
         "placement",
         "placement_key",
@@ -287,6 +288,7 @@
         self.order_given_ms = {}
         self.subset_key = None
         self.pool_service_ms = {}
+        self.pool_pace_ms = {}
         self.next_slow_ms = 0
         self.placement = {}
         self.placement_key = None
--- a/bluebellbeam/node/tests/test_finding.py
+++ b/bluebellbeam/node/tests/test_finding.py
@@ -82,6 +82,23 @@
         error = errors(self.harness.request("/c/x", "r3"))[0]
         self.assertEqual((error.status, error.outcome), (503, "not_run"))
 
+    def test_stream_is_served_while_the_slowest_pace_leaves_it_time(self):
+        policy = {"leave_linger_ms": 500, "leave_grace_ms": 7500}
+        harness = Harness(base=make_base(**policy))
+        harness.list_servers(server("e1", "llm"))
+        attempt = starts(harness.request("/c/x", "r0", max_output_tokens=100))[0]
+        harness.tick(1000)
+        harness.handle(ev.AttemptFinished(attempt.attempt_id))
+        harness.handle(ev.StopRequested())
+        harness.tick(1500)
+        # 10 ms a token: 399 tokens fit into six seconds with half to spare.
+        fits = harness.request("/c/x", "r1", max_output_tokens=390)
+        self.assertEqual(len(starts(fits)), 1)
+        for name, tokens in (("r2", 410), ("r3", 0)):
+            commands = harness.request("/c/x", name, max_output_tokens=tokens)
+            self.assertEqual(starts(commands), [])
+            self.assertEqual(errors(commands)[0].code, "leaving")
+
     def test_process_ends_when_nothing_is_in_flight(self):
         attempt = starts(self.harness.request())[0]
         self.harness.tick(2600)
