Take late streams in by the time of the stop alone again

A daemon that had been stopped 4.1 s before took a stream in because 1.5 times the slowest time of late answers would have fitted into its grace; the engine needed 0.9 s for the first event and the stream was cut 3.4 s later. How long a stream takes isn't known beforehand.

Change: the learned pace goes; the time for which late callers are served is 2,900 ms, since a stream that was sent within 3 s of the stop may be cut.

--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -12,7 +12,6 @@
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.away import choose_better_peer, choose_peer
 from bluebellbeam.node.command import AnswerError, CancelAttempt, StartAttempt
-from bluebellbeam.node.leaving import note_duration
 from bluebellbeam.node.lending import is_local, remote_score
 from bluebellbeam.node.loads import ask_unconfirmed
 from bluebellbeam.node.outcome import make_error
@@ -394,8 +393,6 @@
     request = attempt.request
     if attempt in request.running:
         request.running.remove(attempt)
-    if completed:
-        note_duration(state, request, now_ms - attempt.started_ms)
     if attempt.peer:
         note_running(state.borrower, request.pool, request.workspace, -1)
         lease = state.borrower.rows.get(attempt.lease_id)
--- a/bluebellbeam/platform/records.py
+++ b/bluebellbeam/platform/records.py
@@ -295,6 +295,9 @@
 """Daemons of a failure domain that follow the store: one may be cut off from it
 and one be gone."""
 
+LEAVE_LINGER_MS = 2900
+"""The rules let a stop cut streams that were sent within 3 s of it."""
+
 LEAVE_MARGIN_MS = 500
 """A leaving daemon ends this long before the platform would kill it."""
 
@@ -309,7 +312,7 @@
         "suspect_timeout_ms": 1500,
         "retry_share": store.retry_share,
         "retry_slack": store.retry_slack,
-        "leave_linger_ms": 2500,
+        "leave_linger_ms": LEAVE_LINGER_MS,
         "leave_grace_ms": int(store.grace_s * 1000) - LEAVE_MARGIN_MS,
     }
 
