Let daemons contradict their own death, and greet whom they hear of

The log: a peer suspected it 5 ms after its start, for a probe that its former process had not answered, another declared it dead 1.7 s later, and it never contradicted: where no list shows the daemons, a process has no row of itself, and the contradiction was kept in that row. So the directory left it out each time that the rumor came round.

Change: a probe names the process it asks; the count of contradictions belongs to the process; a daemon that starts introduces itself at once to whom it hears of, where it waited for a probe of at most one member each half second.

--- a/bluebellbeam/membership/__init__.py
+++ b/bluebellbeam/membership/__init__.py
@@ -8,6 +8,7 @@
     expire_suspicions,
     make_probe_ring,
     next_targets,
+    start_probe,
     suspect,
     take_rumors,
 )
@@ -40,6 +41,7 @@
     "next_targets",
     "note_heard",
     "spread_rumor",
+    "start_probe",
     "suspect",
     "take_rumors",
     "update_listed",
--- a/bluebellbeam/membership/probe.py
+++ b/bluebellbeam/membership/probe.py
@@ -17,6 +17,7 @@
     "expire_suspicions",
     "make_probe_ring",
     "next_targets",
+    "start_probe",
     "suspect",
     "take_rumors",
 ]
@@ -37,15 +38,18 @@
     Attributes
     ----------
     target : str
+    incarnation : int
+        Process that is asked; no answer says nothing of its successor.
     sent_ms : int
     indirect : bool
         Whether other members have been asked to probe as well.
     """
 
-    __slots__ = ("target", "sent_ms", "indirect")
+    __slots__ = ("target", "incarnation", "sent_ms", "indirect")
 
-    def __init__(self, target, sent_ms):
+    def __init__(self, target, incarnation, sent_ms):
         self.target = target
+        self.incarnation = incarnation
         self.sent_ms = sent_ms
         self.indirect = False
 
@@ -87,15 +91,27 @@
     return targets
 
 
-def expire_probes(ring, now_ms, timeout_ms):
+def start_probe(ring, table, name, now_ms):
+    """Note that member `name` is probed now, unless an answer is awaited."""
+    row = table.rows[name]
+    probe = ring.pending.get(name)
+    if probe is None or probe.incarnation != row.incarnation:
+        ring.pending[name] = Probe(name, row.incarnation, now_ms)
+
+
+def expire_probes(ring, table, now_ms, timeout_ms):
     """Return ``(unanswered, failed)`` probes.
 
     Unanswered probes are to be tried indirectly; failed ones have had no
-    answer by either way and are dropped.
+    answer by either way and are dropped, as are those of former processes.
     """
     unanswered = []
     failed = []
     for target, probe in list(ring.pending.items()):
+        row = table.rows.get(target)
+        if row is None or row.incarnation != probe.incarnation:
+            del ring.pending[target]
+            continue
         age_ms = now_ms - probe.sent_ms
         if age_ms >= 2 * timeout_ms:
             del ring.pending[target]
--- a/bluebellbeam/node/gossip.py
+++ b/bluebellbeam/node/gossip.py
@@ -3,7 +3,6 @@
 from bluebellbeam.borrowing import drop_lender, note_offers
 from bluebellbeam.membership import (
     INDIRECT_PROBES,
-    Probe,
     Rumor,
     apply_rumor,
     expire_probes,
@@ -11,6 +10,7 @@
     next_targets,
     note_heard,
     spread_rumor,
+    start_probe,
     suspect,
     take_rumors,
     usable_members,
@@ -42,7 +42,9 @@
     """Probe members and move the suspicions on."""
     policy = state.policy
     ring = state.ring
-    unanswered, failed = expire_probes(ring, now_ms, policy.probe_interval_ms)
+    unanswered, failed = expire_probes(
+        ring, state.members, now_ms, policy.probe_interval_ms
+    )
     for target in unanswered:
         _probe_indirectly(state, target)
     for target in failed:
@@ -62,7 +64,7 @@
     own = state.identity
     targets = next_targets(state.ring, state.members, own.vm, own.region, state.rng)
     for name in targets:
-        state.ring.pending.setdefault(name, Probe(name, now_ms))
+        start_probe(state.ring, state.members, name, now_ms)
         ping = make_ping(state, name, now_ms)
         send_to(state, name, (*take_introductions(state), ping))
     if not targets or not state.peers_heard:
@@ -223,12 +225,12 @@
     contradicts = rumor.status in ("suspect", "dead")
     if not contradicts or rumor.incarnation != own.incarnation:
         return
-    row = state.members.rows.get(own.vm)
-    if row is None or rumor.refutation < row.refutation:
+    if rumor.refutation < state.refutation:
         return
-    row.refutation = rumor.refutation + 1
-    alive = Rumor("m", own.vm, own.incarnation, row.refutation, "alive")
+    state.refutation = rumor.refutation + 1
+    alive = Rumor("m", own.vm, own.incarnation, state.refutation, "alive")
     spread_rumor(state.members, alive)
+    state.emit(Log("membership", f"contradict: {rumor.status} is not true"))
 
 
 def _probe_indirectly(state, target):
--- a/bluebellbeam/node/introduce.py
+++ b/bluebellbeam/node/introduce.py
@@ -18,6 +18,14 @@
 """Introductions that ride on one probe, so that its size is bounded."""
 
 
+GREET_MS = 5_000
+"""Time after its start for which a daemon introduces itself to whom it hears of;
+then probes have reached a small region."""
+
+MOST_GREETED = 16
+"""Members greeted for one message; in a large fleet the others hear by probes."""
+
+
 def own_introduction(state):
     """Return the message that introduces this daemon, or nothing."""
     if state.identity.lists_entries:
@@ -59,17 +67,31 @@
 
 def hear_introduce(state, sender, message, now_ms):
     """Take in entry VMs that a peer tells of; answer one that knows nobody."""
+    news = []
     for record in message.records:
         if record.name == state.identity.vm:
             continue
         if introduce_member(state.members, record, now_ms):
+            news.append(record)
             state.introductions[record.name] = [record, 0]
             fields = {"source": sender, "incarnation": record.incarnation}
             state.emit(Log("membership", f"hear of {record.name}", fields=fields))
+    if now_ms - state.started_ms <= GREET_MS:
+        _greet(state, [record for record in news if record.name != sender])
     if message.wants_all:
         _answer_all(state, sender)
 
 
+def _greet(state, records):
+    """Introduce this daemon to members that it has just heard of.
+
+    They take callers and forwards to it at once, and not when a probe comes by.
+    """
+    message = Introduce((_own_record(state),))
+    for record in records[:MOST_GREETED]:
+        state.emit(SendPeer(record.name, record.peer_address, (message,)))
+
+
 def _answer_all(state, sender):
     records = [_own_record(state)]
     for row in state.members.rows.values():
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -217,13 +217,13 @@
         "stopped",
         "last_tick_ms",
         "started_ms",
+        "refutation",
         "peers_heard",
         "peer_replies",
         "order_reads",
         "order_given_ms",
         "subset_key",
         "pool_service_ms",
-        "pool_pace_ms",
         "next_slow_ms",
         "placement",
         "placement_key",
@@ -282,13 +282,13 @@
         self.stopped = False
         self.last_tick_ms = None
         self.started_ms = 0
+        self.refutation = 0
         self.peers_heard = set()
         self.peer_replies = 0
         self.order_reads = {}
         self.order_given_ms = {}
         self.subset_key = None
         self.pool_service_ms = {}
-        self.pool_pace_ms = {}
         self.next_slow_ms = 0
         self.placement = {}
         self.placement_key = None
