--- /dev/null
+++ b/benchmarks/days.py
@@ -0,0 +1,130 @@
+"""Write docs/DAYS.md: days played on the users' bench, by what disturbed them.
+
+``python -m benchmarks.days --commit ID --commit ID`` counts the plays of these
+commits that journal/ holds.
+"""
+
+import json
+from collections import Counter
+from pathlib import Path
+
+import click
+from msgspec import Struct
+
+__all__ = ["DayCounts", "count_days", "main", "table_lines"]
+
+ROOT = Path(__file__).parent.parent
+SEALED = "not told (recorded days)"
+"""Disturbance of days whose contents the bench keeps to itself."""
+
+NOT_ITEMIZED = "not itemized (the journal keeps 64 days of a hunt)"
+
+
+class DayCounts(Struct):
+    """Days played at one site.
+
+    Parameters
+    ----------
+    played : int
+    broken : int
+        Days on which a rule was broken.
+    by_kind : Counter
+        Days by disturbance; a day counts for each of its disturbances.
+    rules : Counter
+        Days by disturbance and broken rule.
+    """
+
+    played: int
+    broken: int
+    by_kind: Counter
+    rules: Counter
+
+
+def count_days(entries):
+    """Return the :class:`DayCounts` of each site.
+
+    Parameters
+    ----------
+    entries : iterable of dict
+        Journal entries.
+
+    Returns
+    -------
+    dict of str to DayCounts
+    """
+    found = {}
+    for entry in entries:
+        counts = found.setdefault(entry["site"], DayCounts(0, 0, Counter(), Counter()))
+        for day in entry["days"]:
+            _count_day(counts, day)
+        counts.played += entry["days_left_out"]
+        counts.by_kind[NOT_ITEMIZED] += entry["days_left_out"]
+    return found
+
+
+def _count_day(counts, day):
+    counts.played += 1
+    counts.broken += bool(day["rules"])
+    for kind in set(day["troubles"] or [SEALED]):
+        counts.by_kind[kind] += 1
+        for rule in day["rules"]:
+            counts.rules[kind, rule] += 1
+
+
+def table_lines(counts):
+    """Return the days by disturbance as a Markdown table.
+
+    Parameters
+    ----------
+    counts : dict of str to DayCounts
+    """
+    sites = sorted(counts)
+    lines = ["| disturbance | " + " | ".join(sites) + " | rules broken |"]
+    lines.append("|---|" + "---:|" * len(sites) + "---|")
+    kinds = sorted({kind for item in counts.values() for kind in item.by_kind})
+    for kind in kinds:
+        cells = [str(counts[site].by_kind[kind]) for site in sites]
+        broken = sum((counts[site].rules for site in sites), Counter())
+        rules = [f"{r} {n}" for (k, r), n in sorted(broken.items()) if k == kind]
+        lines.append(f"| {kind} | {' | '.join(cells)} | {', '.join(rules) or 'none'} |")
+    total = [f"{counts[s].played} ({counts[s].broken} broken)" for s in sites]
+    lines.append(f"| all days | {' | '.join(total)} | |")
+    return lines
+
+
+def _read_entries(commits):
+    for path in sorted((ROOT / "journal").glob("*.json")):
+        entry = json.loads(path.read_text())
+        if _counts(entry, commits):
+            yield entry
+
+
+def _counts(entry, commits):
+    whole = entry["cmd"] in ("hunt", "score", "incident") and not entry["dirty"]
+    return whole and any(entry["head"].startswith(commit) for commit in commits)
+
+
+@click.command()
+@click.option("--commit", "commits", multiple=True, required=True)
+def main(commits):
+    """Count the days that were played on COMMITS, and write docs/DAYS.md."""
+    counts = count_days(_read_entries(commits))
+    lines = [
+        "# Days played",
+        "",
+        "Plays of the users' bench (hunt, score, incident) on the commits "
+        + ", ".join(commits)
+        + ",",
+        "from journal/, by disturbance; a day counts for each that it had. A rule that",
+        "is not named was broken on none of them.",
+        "",
+        *table_lines(counts),
+        "",
+    ]
+    (ROOT / "docs" / "DAYS.md").write_text("\n".join(lines))
+    for site, item in sorted(counts.items()):
+        click.echo(f"{site}: {item.played} days, {item.broken} with a rule broken")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bluebellbeam/cli/log_summary.py
@@ -0,0 +1,108 @@
+"""Summary of the daemons' log lines: what happened when, and to one request."""
+
+import datetime
+from collections import Counter, defaultdict
+
+import msgspec
+
+__all__ = ["read_lines", "request_lines", "summary_lines"]
+
+CHANGES = ("node:", "daemon:", "config:", "membership:", "platform:", "routing:")
+"""Topics of lines that tell of a change of state or belief."""
+
+MOST_CHANGES = 12
+"""Changes listed for one step of time; more are counted."""
+
+_FIELDS = ("reason", "outcome", "server", "peer", "target", "expected_ms", "waited_ms")
+_AFTER = ("took_ms", "first_ms", "age_ms", "retry_after_ms", "cached_tokens")
+
+
+def read_lines(lines):
+    """Yield the time in ms and the fields of each line that is a log line.
+
+    Parameters
+    ----------
+    lines : iterable of str
+        Whatever stands before the first brace of a line is left out.
+
+    Yields
+    ------
+    tuple of (float, dict)
+    """
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = msgspec.json.decode(line[start:])
+            stamp = datetime.datetime.fromisoformat(fields["timestamp"])
+        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+            continue
+        yield stamp.timestamp() * 1000.0, fields
+
+
+def summary_lines(entries, step_ms):
+    """Return what happened in each step of time, as lines of text.
+
+    Parameters
+    ----------
+    entries : iterable of (float, dict)
+        As :func:`read_lines` yields them, in any order.
+    step_ms : int
+
+    Returns
+    -------
+    list of str
+    """
+    steps = defaultdict(list)
+    for at_ms, fields in entries:
+        steps[int(at_ms // step_ms)].append((at_ms, fields))
+    first = min(steps, default=0)
+    found = []
+    for step in sorted(steps):
+        found.append(f"{(step - first) * step_ms / 1000:8.1f} s")
+        found += _step_lines(sorted(steps[step], key=lambda item: item[0]))
+    return found
+
+
+def _step_lines(entries):
+    requests = Counter()
+    changes = Counter()
+    for _, fields in entries:
+        event = fields.get("event", "")
+        if event.startswith("request:"):
+            requests[_request_text(event, fields)] += 1
+        elif event.startswith(CHANGES):
+            changes[f"{fields.get('vm', '?')} {event}"] += 1
+    lines = [f"    {count:5} {text}" for text, count in requests.most_common()]
+    lines += [f"          {text}" for text in list(changes)[:MOST_CHANGES]]
+    if len(changes) > MOST_CHANGES:
+        lines.append(f"          and {len(changes) - MOST_CHANGES} changes more")
+    return lines
+
+
+def _request_text(event, fields):
+    reason = fields.get("reason", "")
+    return f"{event} ({reason})" if reason else event
+
+
+def request_lines(entries, request_id):
+    """Return the lines of one request, in order of time.
+
+    Parameters
+    ----------
+    entries : iterable of (float, dict)
+    request_id : str
+    """
+    own = [item for item in entries if item[1].get("request_id") == request_id]
+    own.sort(key=lambda item: item[0])
+    return [
+        f"{at_ms - own[0][0]:8.0f} ms  {fields.get('vm', '?')}  "
+        f"{fields.get('event', '')}  {_field_text(fields)}".rstrip()
+        for at_ms, fields in own
+    ]
+
+
+def _field_text(fields):
+    names = [name for name in (*_FIELDS, *_AFTER) if fields.get(name) not in (None, "")]
+    return " ".join(f"{name}={fields[name]}" for name in names)
--- a/bluebellbeam/cli/main.py
+++ b/bluebellbeam/cli/main.py
@@ -237,6 +237,28 @@
     click.echo(client.run_client(step))
 
 
+@main.command("read-logs")
+@click.argument("log_files", type=click.File(), nargs=-1, required=True)
+@click.option(
+    "--step-s", type=click.FloatRange(min=0.1), default=2.0, show_default=True
+)
+@click.option("--request", "request_id", help="Only the lines of this request.")
+def read_logs(log_files, step_s, request_id):
+    """Tell what the daemons' LOG_FILES say happened, step by step in time.
+
+    Example: bluebellbeam read-logs vm-1.log vm-2.log --request 5bf2c9a01
+    """
+    from bluebellbeam.cli.log_summary import read_lines, request_lines, summary_lines
+
+    entries = [item for lines in log_files for item in read_lines(lines)]
+    if request_id:
+        found = request_lines(entries, request_id)
+    else:
+        found = summary_lines(entries, int(step_s * 1000))
+    for line in found:
+        click.echo(line)
+
+
 @main.command()
 @click.option("--user", type=click.Choice(["fraserleaf", "fellesdepot"]))
 def demo(user):
