--- a/benchmarks/days.py
+++ b/benchmarks/days.py
@@ -100,8 +100,9 @@
 
 
 def _counts(entry, commits):
-    whole = entry["cmd"] in ("hunt", "score", "incident") and not entry["dirty"]
-    return whole and any(entry["head"].startswith(commit) for commit in commits)
+    whole = entry["ok"] and entry["cmd"] in ("hunt", "score", "incident")
+    clean = whole and not entry["dirty"]
+    return clean and any(entry["head"].startswith(commit) for commit in commits)
 
 
 @click.command()
