--- a/bluebellbeam/daemon/upstream.py
+++ b/bluebellbeam/daemon/upstream.py
@@ -18,7 +18,7 @@
 from bluebellbeam.daemon.wire import ForwardRequest, ForwardResponse, decode_error
 from bluebellbeam.exception import UpstreamError
 from bluebellbeam.node import event as ev
-from bluebellbeam.node.errors import make_error
+from bluebellbeam.node.errors import ERRORS, make_error
 from bluebellbeam.operations import MAX_RECORDED_RESPONSE_BYTES
 from bluebellbeam.provider.records import parse_load_header
 
@@ -181,16 +181,37 @@
         progress.sent = True
         return False
     raw = await response.read()
-    error = decode_error(raw, response.status)
-    if error is None:
-        reported = response.headers.get(OUTCOME_HEADER)
-        outcome = "not_run" if reported == "not_run" else "unknown"
-        error = make_error("upstream_failed", outcome=outcome)
+    outcome = response.headers.get(OUTCOME_HEADER, "")
+    error = refusal_error(raw, response.status, outcome)
     progress.settled = True
     driver.handle(ev.AttemptRefused(command.attempt_id, error, load))
     return False
 
 
+def refusal_error(raw, status, reported_outcome):
+    """Return the :class:`CallerError` of an error response to an attempt.
+
+    A code that this daemon does not know is replaced: a server that another one was
+    expected at has changed, any other has failed.
+
+    Parameters
+    ----------
+    raw : bytes
+        Body of the response.
+    status : int
+    reported_outcome : str
+        Outcome in the headers of the response, or empty.
+    """
+    error = decode_error(raw, status)
+    if error is not None and error.code in ERRORS:
+        return error
+    not_run = status == 421 or reported_outcome == "not_run"
+    if error is not None:
+        not_run = not_run or error.outcome == "not_run"
+    code = "server_changed" if status == 421 else "upstream_failed"
+    return make_error(code, outcome="not_run" if not_run else "unknown")
+
+
 def _read_load_header(response):
     return parse_load_header(response.headers.get(LOAD_HEADER, ""))
 
--- a/bluebellbeam/demo.py
+++ b/bluebellbeam/demo.py
@@ -50,8 +50,6 @@
         Daemons by entry VM.
     servers : dict of str to StandinServer
         Backend servers by name.
-    settings : dict
-        Unused.
     revision : int
         Configuration revision that the start publishes.
     """
@@ -65,7 +63,6 @@
         "servers",
         "base",
         "overlays",
-        "settings",
         "revision",
     )
 
@@ -79,7 +76,6 @@
         self.platform = None
         self.daemons = {}
         self.servers = {}
-        self.settings = {}
         self.revision = 1
 
     async def start(self):
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -221,8 +221,6 @@
     peer_demand : dict of str to dict of str to (float, float, int)
         Total weights of waiting interactive and batch work and the time at
         which they were received, by pool and VM.
-    active : dict of str to dict of str to int
-        Always empty; not used.
     rates : RateTable
     lender, borrower : LenderTable, BorrowerTable
         Leases granted to and held from daemons of other regions.
@@ -304,7 +302,6 @@
         "next_attempt_id",
         "queues",
         "inflight",
-        "active",
         "peer_demand",
         "rates",
         "lender",
@@ -368,7 +365,6 @@
         self.next_attempt_id = 0
         self.queues = {}
         self.inflight = {}
-        self.active = {}
         self.peer_demand = {}
         self.rates = make_rate_table()
         self.lender = make_lender_table()
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -122,8 +122,6 @@
     load_key : float
         Sort key in the indexes of its pools: the requests per slot, raised by the
         slowness.
-    table_index : int
-        Number of servers in the table when it was added.
     """
 
     __slots__ = (
@@ -165,7 +163,6 @@
         "fence",
         "pools",
         "load_key",
-        "table_index",
     )
 
     def __init__(self, record):
@@ -207,7 +204,6 @@
         self.fence = 0
         self.pools = ()
         self.load_key = 0.0
-        self.table_index = 0
 
     def occupancy(self):
         """Return the estimated number of requests running and waiting at the server."""
@@ -297,7 +293,6 @@
             replica = Replica(record)
             if table.leaving_incarnations.get(record.name, 0) >= record.incarnation:
                 replica.leaving = True
-            replica.table_index = len(table.rows)
             record_warm_up(replica, record.warm_up_left_ms, now_ms)
             table.rows[record.name] = replica
         elif replica.address != record.address:
