Tell callers of a starting daemon to return when it is likely to be ready

Change: while a daemon is not ready, and while it knows no server within five seconds of its start, Retry-After is 0.3 s at first and then as long as the start has lasted, at most two seconds, with jitter as for overload.

--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -23,6 +23,7 @@
     workspace_active_count,
     workspace_role,
 )
+from bluebellbeam.node.retry_after import START_MS, start_retry_after_ms
 from bluebellbeam.node.routed import expected_routed_start_ms, resolve_route
 from bluebellbeam.node.shutdown import shutdown_error
 from bluebellbeam.node.wait_estimates import local_wait_ms
@@ -43,6 +44,9 @@
 
 __all__ = ["entry_addresses_for_workspace", "receive_request"]
 
+NO_BACKEND_RETRY_AFTER_MS = 2000
+"""Retry-After time when no region has a server: new ones register within seconds."""
+
 
 def receive_request(state, request, now_ms):
     """Admit a request to its queue, or answer it at once.
@@ -127,10 +131,16 @@
             "leaving", entries=entry_addresses_for_workspace(state, request.workspace)
         )
     if state.config is None or not (state.ready or state.leaving):
-        return make_error("not_ready")
+        return _start_error(state, "not_ready", now_ms)
     return shutdown_error(state, request, now_ms) if state.leaving else None
 
 
+def _start_error(state, code, now_ms):
+    """Return an error that will not last once this daemon has started."""
+    retry_ms = start_retry_after_ms(now_ms - state.started_ms, state.rng)
+    return msgspec.structs.replace(make_error(code), retry_after_ms=retry_ms)
+
+
 def entry_addresses_for_workspace(state, workspace_name, include_self=False):
     """Return the caller addresses of entry VMs for a workspace, best first.
 
@@ -300,8 +310,10 @@
         wait_ms = expected_routed_start_ms(state, request, now_ms)
     else:
         wait_ms = _expected_start_ms(state, request, now_ms)
+    if wait_ms is None and now_ms - state.started_ms < START_MS:
+        return _start_error(state, "no_backend", now_ms)
     if wait_ms is None:
-        return make_error("no_backend", retry_after_ms=2000)
+        return make_error("no_backend", retry_after_ms=NO_BACKEND_RETRY_AFTER_MS)
     left_ms = request.start_deadline_ms - now_ms
     if wait_ms <= left_ms:
         return None
--- a/bluebellbeam/node/retry_after.py
+++ b/bluebellbeam/node/retry_after.py
@@ -6,7 +6,12 @@
 at the same time.
 """
 
-__all__ = ["RefusalTable", "make_refusal_table", "record_refusal"]
+__all__ = [
+    "RefusalTable",
+    "make_refusal_table",
+    "record_refusal",
+    "start_retry_after_ms",
+]
 
 MIN_RETRY_AFTER_MS = 700
 """Shortest Retry-After time: about the duration of one response on a full server."""
@@ -18,6 +23,16 @@
 REFUSAL_GAP_MS = 1500
 """Time without a refusal after which the overload of a pool counts as over."""
 
+MIN_START_RETRY_AFTER_MS = 300
+"""Shortest Retry-After time of a daemon that starts: most are ready by then."""
+
+MAX_START_RETRY_AFTER_MS = 2000
+"""Longest Retry-After time of a daemon that starts."""
+
+START_MS = 5000
+"""Time after its start by which a daemon knows the members and servers that it can
+reach; until then, that it knows none does not last."""
+
 JITTER_SHARE = 0.5
 """Width of the jitter, relative to the Retry-After time and centred on it."""
 
@@ -63,5 +78,23 @@
     table.last_refusal_ms[pool] = now_ms
     lasted_ms = now_ms - table.overload_since_ms[pool]
     delay_ms = max(MIN_RETRY_AFTER_MS, wait_ms, lasted_ms)
-    jitter = 1.0 + JITTER_SHARE * (rng.random() - 0.5)
-    return int(min(MAX_RETRY_AFTER_MS, delay_ms * jitter))
+    return int(min(MAX_RETRY_AFTER_MS, _jittered(delay_ms, rng)))
+
+
+def start_retry_after_ms(age_ms, rng):
+    """Return the Retry-After time in ms of a daemon that cannot serve requests yet.
+
+    Its start is expected to last as long again as it already has.
+
+    Parameters
+    ----------
+    age_ms : int
+        Time since its start.
+    rng : random.Random
+    """
+    delay_ms = min(MAX_START_RETRY_AFTER_MS, max(MIN_START_RETRY_AFTER_MS, age_ms))
+    return int(_jittered(delay_ms, rng))
+
+
+def _jittered(delay_ms, rng):
+    return delay_ms * (1.0 + JITTER_SHARE * (rng.random() - 0.5))
--- /dev/null
+++ b/bluebellbeam/node/tests/test_retry_after.py
@@ -0,0 +1,62 @@
+import random
+import unittest
+
+from bluebellbeam.node.retry_after import start_retry_after_ms
+from bluebellbeam.node.tests.harness import Harness, final_errors, server
+
+
+class TestStart(unittest.TestCase):
+    """Callers that reach a daemon while it starts are served soon after it is ready.
+
+    Load: after a loss of power all callers return at once, and a start takes about
+    half a second.
+    """
+
+    def starting(self, age_ms):
+        harness = Harness()
+        harness.state.ready = False
+        harness.state.started_ms = harness.now_ms - age_ms
+        return harness
+
+    def refuse(self, harness):
+        (error,) = final_errors(harness.send_request())
+        self.assertEqual((error.status, error.outcome), (503, "not_run"))
+        return error
+
+    def test_caller_is_told_to_return_when_a_usual_start_has_ended(self):
+        error = self.refuse(self.starting(100))
+        self.assertEqual(error.code, "not_ready")
+        self.assertTrue(200 <= error.retry_after_ms <= 400, error.retry_after_ms)
+
+    def test_delay_grows_with_the_duration_of_the_start(self):
+        error = self.refuse(self.starting(1500))
+        self.assertTrue(1000 <= error.retry_after_ms <= 2000, error.retry_after_ms)
+
+    def test_missing_servers_of_a_new_daemon_are_expected_soon(self):
+        harness = Harness()
+        harness.state.started_ms = harness.now_ms - 400
+        error = self.refuse(harness)
+        self.assertEqual(error.code, "no_backend")
+        self.assertLessEqual(error.retry_after_ms, 500)
+
+    def test_missing_servers_of_an_older_daemon_take_seconds(self):
+        harness = Harness()
+        harness.state.started_ms = harness.now_ms - 6000
+        error = self.refuse(harness)
+        self.assertEqual((error.code, error.retry_after_ms), ("no_backend", 2000))
+
+    def test_delays_are_jittered_and_bounded(self):
+        rng = random.Random(1)
+        delays = [start_retry_after_ms(60_000, rng) for _ in range(50)]
+        self.assertGreater(len(set(delays)), 20)
+        self.assertLessEqual(max(delays), 2500)
+        self.assertGreaterEqual(min(delays), 1500)
+
+    def test_ready_daemon_serves_at_once(self):
+        harness = Harness()
+        harness.publish_servers(server("s1"))
+        self.assertEqual(final_errors(harness.send_request()), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
