Repeat the first contact of a starting daemon until a peer responds

Change: until a peer has responded, a daemon that started less than five seconds ago probes every 100 ms instead of 500. Test failed first (2 pings in a second).

--- a/bluebellbeam/node/gossip.py
+++ b/bluebellbeam/node/gossip.py
@@ -39,6 +39,13 @@
 ]
 
 
+FIRST_CONTACT_INTERVAL_MS = 100
+"""Interval of the probe rounds of a starting daemon until a peer has responded. It
+sends requests to servers without knowing those of its peers until then."""
+
+FIRST_CONTACT_MS = 5_000
+"""Time after a start for which `FIRST_CONTACT_INTERVAL_MS` applies."""
+
 SEED_INTERVAL_ROUNDS = 20
 """Number of probe rounds between two pings of a seed peer that is not a known
 member."""
@@ -62,10 +69,17 @@
         state.emit(Log("membership", f"declare {name} dead: suspicion not refuted"))
     if now_ms < schedule.next_round_ms:
         return
-    schedule.next_round_ms = now_ms + policy.probe_interval_ms
+    schedule.next_round_ms = now_ms + _round_interval_ms(state, now_ms)
     _probe_round(state, now_ms)
 
 
+def _round_interval_ms(state, now_ms):
+    isolated = not state.peers_responded
+    if isolated and now_ms - state.started_ms < FIRST_CONTACT_MS:
+        return min(FIRST_CONTACT_INTERVAL_MS, state.policy.probe_interval_ms)
+    return state.policy.probe_interval_ms
+
+
 def _probe_round(state, now_ms):
     own = state.identity
     targets = next_targets(
--- a/bluebellbeam/node/tests/test_discovery.py
+++ b/bluebellbeam/node/tests/test_discovery.py
@@ -118,6 +118,27 @@
         sent = [c for c in harness.commands if isinstance(c, cmd.SendToPeer)]
         self.assertEqual({item.address for item in sent}, {"10.9.0.1:1"})
 
+    def seed_pings(self, harness, step_ms):
+        harness.commands.clear()
+        harness.tick(step_ms)
+        sent = [c for c in harness.commands if isinstance(c, cmd.SendToPeer)]
+        return sum(item.address == "10.9.0.1:1" for item in sent)
+
+    def test_starting_daemon_repeats_its_first_contact_until_a_peer_responds(self):
+        harness = Harness(base=make_base(probe_interval_ms=500))
+        harness.state.started_ms = harness.now_ms
+        harness.state.probe_schedule.next_round_ms = harness.now_ms
+        self.assertGreaterEqual(self.seed_pings(harness, 1000), 9)
+        envelope = Envelope("vm-2", 5, (Pong({}),))
+        harness.handle(ev.PeerMessagesReceived(envelope, answer=True))
+        harness.announce_peer("vm-2")
+        self.assertLessEqual(self.seed_pings(harness, 1000), 1)
+
+    def test_daemon_without_peers_contacts_its_seed_peers_less_often_later(self):
+        harness = Harness(base=make_base(probe_interval_ms=500))
+        harness.state.started_ms = harness.now_ms - 6000
+        self.assertLessEqual(self.seed_pings(harness, 2000), 5)
+
     def test_starting_daemon_receives_all_members_from_seed_peer(self):
         first = Harness()
         first.announce_peer("vm-2", region="east")
