--- a/bluebellbeam/node/gossip.py
+++ b/bluebellbeam/node/gossip.py
@@ -40,8 +40,8 @@
 
 
 FIRST_CONTACT_INTERVAL_MS = 100
-"""Interval of the probe rounds of a starting daemon until a peer has responded. It
-sends requests to servers without knowing those of its peers until then."""
+"""Interval of the probe rounds of a starting daemon until a peer has responded, if the
+provider does not list the members: until then it does not know their requests."""
 
 FIRST_CONTACT_MS = 5_000
 """Time after a start for which `FIRST_CONTACT_INTERVAL_MS` applies."""
@@ -74,7 +74,7 @@
 
 
 def _round_interval_ms(state, now_ms):
-    isolated = not state.peers_responded
+    isolated = not (state.identity.lists_entries or state.peers_responded)
     if isolated and now_ms - state.started_ms < FIRST_CONTACT_MS:
         return min(FIRST_CONTACT_INTERVAL_MS, state.policy.probe_interval_ms)
     return state.policy.probe_interval_ms
