--- /dev/null
+++ b/bluebellbeam/daemon/tests/test_metrics.py
@@ -0,0 +1,37 @@
+import unittest
+
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+
+from bluebellbeam.daemon.metrics import LATENCY_BUCKETS_S, LatencyHistogram
+
+LATENCIES_S = (0.004, 0.01, 0.0101, 0.3, 0.3, 7, 121, 4000)
+
+
+class TestLatencyHistogram(unittest.TestCase):
+    def samples(self, collector):
+        registry = CollectorRegistry()
+        registry.register(collector)
+        lines = generate_latest(registry).decode().splitlines()
+        return {line for line in lines if "_created" not in line and line[0] != "#"}
+
+    def test_samples_equal_those_of_the_library(self):
+        found = LatencyHistogram()
+        expected = Histogram(
+            "bluebellbeam_first_token_seconds",
+            "Time from arrival to the first part of the answer.",
+            ["kind"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=None,
+        )
+        for kind in ("stream", "service"):
+            for seconds in LATENCIES_S:
+                found.observe(kind, seconds)
+                expected.labels(kind).observe(seconds)
+        self.assertEqual(self.samples(found), self.samples(expected))
+
+    def test_histogram_without_latencies_has_no_samples(self):
+        self.assertEqual(self.samples(LatencyHistogram()), set())
+
+
+if __name__ == "__main__":
+    unittest.main()
