Refuse a request at once when its only region has no server for it

A daemon elsewhere forwarded each request to all three daemons of that region in turn (340, 171 and 378 ms), since each refusal excluded only the daemon that gave it, and then kept the request queued; its caller left.

Change: a peer that knows no server for a request answers for its region, whose other daemons are then not asked; a request with no daemon left to ask that may not run locally is refused at once as not run. Test failed first (a second forward).

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -12,7 +12,8 @@
     start_second_attempt,
 )
 from bluebellbeam.node.errors import make_error
-from bluebellbeam.node.lending import LENDER_BACKOFF_MS
+from bluebellbeam.node.forwarding import exclude_region, forward_targets
+from bluebellbeam.node.lending import LENDER_BACKOFF_MS, may_run_locally
 from bluebellbeam.node.retries import REFUSED_RETRY_AFTER_MS, add_sends, consume_retry
 from bluebellbeam.node.server_checks import apply_response_load
 from bluebellbeam.operations import mark_not_run, record_outcome
@@ -128,6 +129,8 @@
         key = (attempt.peer, request.pool)
         state.borrower.refused_until_ms[key] = until_ms
         state.borrower.rows.pop(attempt.lease_id, None)
+        if error.code == "no_backend" and request.route is not None:
+            exclude_region(state, request, attempt.peer)
     row = state.replicas.rows.get(attempt.server)
     if row is not None:
         _record_server_refusal(state, row, event, now_ms)
@@ -222,7 +225,8 @@
         not_run=not_run,
         took_ms=now_ms - attempt.started_ms,
     )
-    if consume_retry(state, request, not_run, now_ms):
+    servable = code != "no_backend" or _has_target_left(state, request)
+    if servable and consume_retry(state, request, not_run, now_ms):
         if not request.idempotent and not request.origin and not request.route:
             mark_not_run(state.ledger, request.operation_id)
         _requeue(state, request)
@@ -237,6 +241,13 @@
     fail_request(state, request, error, now_ms)
 
 
+def _has_target_left(state, request):
+    """Return whether a request may run locally or be forwarded to another daemon."""
+    if request.route is None or may_run_locally(state, request):
+        return True
+    return bool(forward_targets(state, request))
+
+
 def _requeue(state, request):
     """Return the request to the front of its workspace's queue."""
     request.state = "queued"
--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -7,6 +7,7 @@
 __all__ = [
     "choose_faster_peer",
     "choose_forward_peer",
+    "exclude_region",
     "expected_forward_start_ms",
     "forward_targets",
     "record_forward_offer",
@@ -116,6 +117,21 @@
     ]
 
 
+def exclude_region(state, request, peer):
+    """Exclude the region of a peer that knows no server for a request.
+
+    All daemons of a region know the same servers, so the others need not be asked.
+    """
+    row = state.members.rows.get(peer)
+    if row is None:
+        return
+    request.tried_targets.update(
+        other.name
+        for other in usable_members(state.members)
+        if other.region == row.region
+    )
+
+
 def choose_forward_peer(state, request, now_ms):
     """Return the daemon of another region to forward `request` to, or None.
 
--- a/bluebellbeam/node/tests/test_routed.py
+++ b/bluebellbeam/node/tests/test_routed.py
@@ -264,6 +264,38 @@
         self.assertIn("p1", moved)
 
 
+class TestRegionWithoutServer(unittest.TestCase):
+    """A request that no region can run is refused at once.
+
+    Load: the only region that may run a route has lost all servers of its service,
+    and each of its daemons would answer that it has none.
+    """
+
+    def make_harness(self, **values):
+        harness = Harness(region="west", vm="vm-w", **values)
+        harness.announce_peer("vm-e1", region="east", others=("vm-e2", "vm-e3"))
+        return harness
+
+    def refuse(self, harness, attempt, code="no_backend"):
+        error = make_error(code, retry_after_ms=2000)
+        return harness.handle(ev.AttemptRefused(attempt.attempt_id, error, None, 0))
+
+    def test_other_daemons_of_the_region_are_not_asked(self):
+        harness = self.make_harness()
+        attempt = started_attempts(harness.send_request("/c/x"))[0]
+        commands = self.refuse(harness, attempt)
+        self.assertEqual(started_attempts(commands), [])
+        (error,) = final_errors(commands)
+        self.assertEqual((error.code, error.outcome), ("no_backend", "not_run"))
+        self.assertGreaterEqual(error.retry_after_ms, 500)
+
+    def test_refusal_for_another_reason_leads_to_the_next_daemon(self):
+        harness = self.make_harness()
+        attempt = started_attempts(harness.send_request("/c/x"))[0]
+        commands = self.refuse(harness, attempt, "leaving")
+        self.assertEqual(len(started_attempts(commands)), 1)
+
+
 class TestForwardForSpeed(unittest.TestCase):
     """Late requests are forwarded to a faster region, only for a clear gain.
 
