--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 bench: setup
 	$(BIN)/python -m benchmarks.policy
 	$(BIN)/python -m benchmarks.decision
+	$(BIN)/python -m benchmarks.daemon_cost
 
 capacity: setup
 	$(BIN)/python -m benchmarks.capacity
