--- a/bluebellbeam/node/tests/test_retry_after.py
+++ b/bluebellbeam/node/tests/test_retry_after.py
@@ -23,7 +23,7 @@
         self.assertEqual((error.status, error.outcome), (503, "not_run"))
         return error
 
-    def test_caller_is_told_to_return_when_a_usual_start_has_ended(self):
+    def test_retry_after_covers_the_rest_of_a_usual_start(self):
         error = self.refuse(self.starting(100))
         self.assertEqual(error.code, "not_ready")
         self.assertTrue(200 <= error.retry_after_ms <= 400, error.retry_after_ms)
