Show that a stream which ends inside an event reaches its caller as complete

A server that closes its connection inside an event, without a length or chunks or with a final chunk, makes the daemon pass the incomplete event on and end its own response normally; a stream that may be resumed is not.

--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -136,7 +136,10 @@
         are answered with a refusal (``full``), status 500 (``error``), a malformed
         response (``garbage``), a truncated one (``truncate``), a second response
         (``extra``), the response to another request (``foreign``), a connection
-        reset (``reset``) or nothing (``hang``).
+        reset (``reset``) or nothing (``hang``). A stream may also end inside its
+        third event (``cut``) or before its first one (``empty``).
+    framed : bool
+        Whether streams are sent in chunks; others end with their connection.
     runs : list of (str, dict)
         Id and headers of each request that was run.
     bodies : dict of str to (str, str, bytes)
@@ -167,6 +170,7 @@
         self.response_delay_ms = response_delay_ms
         self.pause_ms = 0
         self.behaviours = []
+        self.framed = True
         self.runs = []
         self.bodies = {}
         self.arrivals = []
@@ -299,21 +303,31 @@
     async def _stream(self, writer, headers, head, behaviour):
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in head.items()]
-        lines.append("Transfer-Encoding: chunked")
+        if self.framed:
+            lines.append("Transfer-Encoding: chunked")
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         first = int(headers.get("last-event-id", 0)) + 1
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if behaviour == "empty":
+                break
             if behaviour == "truncate" and number == first + 2:
                 writer.write(b"%x\r\n%b" % (len(event), event[:9]))
                 await writer.drain()
                 writer.transport.abort()
                 return False
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            if behaviour == "cut" and number == first + 2:
+                self._write_part(writer, event[:9])
+                break
+            self._write_part(writer, event)
             await writer.drain()
             await asyncio.sleep(self.pause_ms / 1000.0)
-        writer.write(b"0\r\n\r\n")
-        return True
+        if self.framed:
+            writer.write(b"0\r\n\r\n")
+        return self.framed
+
+    def _write_part(self, writer, part):
+        writer.write(b"%x\r\n%b\r\n" % (len(part), part) if self.framed else part)
 
 
 def config(version=1, routes=(), timeout_ms=3000, home_regions=()):
--- /dev/null
+++ b/bluebellbeam/platform/tests/test_broken_streams.py
@@ -0,0 +1,87 @@
+import unittest
+
+import aiohttp
+
+from bluebellbeam.platform.tests.loopback import PlatformCase
+
+WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (i, i) for i in range(1, 7))
+FIRST_TWO = WHOLE[: WHOLE.index(b"id: 3")]
+FIRST_FOUR = WHOLE[: WHOLE.index(b"id: 5")]
+
+
+class BrokenStreamCase(PlatformCase):
+    """Streams of servers that break them off with a regular close."""
+
+    def break_off(self, deployment, how, framed, count=1):
+        for name, replica in deployment.replicas.items():
+            if name.startswith("llm"):
+                replica.framed = framed
+        for zone in ("hall-e", "hall-w"):
+            deployment.queue_behaviours("llm", *[how] * count, zone=zone)
+
+    async def read(self, deployment, path, zone="hall-e"):
+        """Return what the caller receives, and whether its response is complete."""
+        received = bytearray()
+        async with deployment.call(path, "c1", zone) as response:
+            try:
+                async for part in response.content.iter_any():
+                    received += part
+            except aiohttp.ClientError:
+                return bytes(received), False
+        return bytes(received), response.status == 200
+
+
+class TestStreamThatEndsInsideAnEvent(BrokenStreamCase):
+    def test_stream_without_framing_that_closes_inside_an_event_is_not_complete(self):
+        async def step(deployment):
+            self.break_off(deployment, "cut", framed=False)
+            received = await self.read(deployment, "/audit/1")
+            self.assertEqual(received, (FIRST_TWO, False))
+            self.assertEqual(len(deployment.runs("c1")), 1)
+
+        self.run_with(step)
+
+    def test_chunked_stream_that_ends_inside_an_event_is_not_complete(self):
+        async def step(deployment):
+            self.break_off(deployment, "cut", framed=True)
+            received = await self.read(deployment, "/audit/1")
+            self.assertEqual(received, (FIRST_TWO, False))
+            self.assertEqual(len(deployment.runs("c1")), 1)
+
+        self.run_with(step)
+
+    def test_forwarded_stream_that_closes_inside_an_event_is_not_complete(self):
+        async def step(deployment):
+            await deployment.wait(
+                lambda: len(deployment.state("hall-w").members.rows) == 1
+            )
+            self.break_off(deployment, "cut", framed=False, count=4)
+            received = await self.read(deployment, "/chat/1", zone="hall-w")
+            self.assertEqual(received, (FIRST_FOUR, False))
+
+        self.run_with(step, daemons=("hall-e", "hall-w"), home_regions=("east",))
+
+    def test_resumable_stream_that_closes_inside_an_event_is_resumed(self):
+        async def step(deployment):
+            self.break_off(deployment, "cut", framed=False)
+            replicas = [deployment.replicas[f"llm-hall-e-{i}"] for i in (1, 2)]
+            replicas[0].behaviours, replicas[1].behaviours = ["cut"], []
+            for number in range(8):
+                async with deployment.call("/chat/1", f"r{number}") as response:
+                    received = await response.content.read()
+                self.assertEqual(received, WHOLE)
+            self.assertEqual(replicas[0].behaviours, [])
+
+        self.run_with(step)
+
+    def test_whole_stream_without_framing_is_complete(self):
+        async def step(deployment):
+            self.break_off(deployment, "ok", framed=False)
+            received = await self.read(deployment, "/audit/1")
+            self.assertEqual(received, (WHOLE, True))
+
+        self.run_with(step)
+
+
+if __name__ == "__main__":
+    unittest.main()
