Treat a stream that ends inside an event as broken off

Cause: what was left in the splitter when the connection ended was passed on as an event, and the response was then ended normally. A response without a length or chunks is complete when its server closes the connection, so a server that crashes with a regular close inside an event was taken for one that had ended.

An incomplete event is now never passed on, whatever delimited the response. The attempt fails, so a stream that may be resumed is resumed and any other one ends truncated, also at the daemon that forwarded it.

--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -346,7 +346,14 @@
 
 
 async def _relay_events(driver, command, exchange, connection, response, progress):
-    """Pass on complete events as they arrive."""
+    """Pass on complete events as they arrive.
+
+    Raises
+    ------
+    UpstreamConnectionError
+        If the stream ends inside an event: then it was broken off, however the
+        response was delimited.
+    """
     splitter = make_event_splitter()
     while data := await connection.read_some():
         events = splitter.feed(data)
@@ -357,6 +364,10 @@
         await _put_events(exchange, connection.status, response, events)
     if not connection.is_framed:
         _log_unframed_end(driver, command, exchange.emitted, len(splitter.rest))
+    if splitter.is_inside_event:
+        raise UpstreamConnectionError(
+            "the stream ended inside an event", lost=not connection.is_framed
+        )
     if not _report_start(driver, command, progress):
         return
     if splitter.rest:
--- a/bluebellbeam/daemon/sse.py
+++ b/bluebellbeam/daemon/sse.py
@@ -20,6 +20,11 @@
     def __init__(self):
         self.rest = b""
 
+    @property
+    def is_inside_event(self):
+        """Whether the data received so far ends inside an event."""
+        return bool(self.rest.strip(b"\r\n"))
+
     def feed(self, data):
         """Add received bytes and return the events that they complete.
 
