Treat a stream without framing and without any event as broken off

The attempt now fails; a stream that resumes another one may still be empty, since the other may have lost only its end.

The new test failed before (200 instead of 502); tests of broken streams and of requests pass.

--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -351,8 +351,7 @@
     Raises
     ------
     UpstreamConnectionError
-        If the stream ends inside an event: then it was broken off, however the
-        response was delimited.
+        If the stream was broken off.
     """
     splitter = make_event_splitter()
     while data := await connection.read_some():
@@ -364,10 +363,7 @@
         await _put_events(exchange, connection.status, response, events)
     if not connection.is_framed:
         _log_unframed_end(driver, command, exchange.emitted, len(splitter.rest))
-    if splitter.is_inside_event:
-        raise UpstreamConnectionError(
-            "the stream ended inside an event", lost=not connection.is_framed
-        )
+    _check_stream_end(connection, splitter, exchange)
     if not _report_start(driver, command, progress):
         return
     if splitter.rest:
@@ -381,6 +377,23 @@
     await exchange.put(End())
 
 
+def _check_stream_end(connection, splitter, exchange):
+    """Raise an error if the end of the response shows that the stream is incomplete.
+
+    A stream that ends inside an event is, however the response is delimited. So is
+    one that only the close of its connection delimits and that has no event, unless
+    it resumes a stream, which may have had no other event.
+    """
+    if splitter.is_inside_event:
+        raise UpstreamConnectionError(
+            "the stream ended inside an event", lost=not connection.is_framed
+        )
+    if not (connection.is_framed or exchange.last_event_id or exchange.emitted):
+        raise UpstreamConnectionError(
+            "the connection ended before the first event", lost=True
+        )
+
+
 def _log_unframed_end(driver, command, events, incomplete_bytes):
     """Log that a response without a length or chunks ended with its connection."""
     driver.log.info(
--- a/bluebellbeam/platform/tests/test_broken_streams.py
+++ b/bluebellbeam/platform/tests/test_broken_streams.py
@@ -74,6 +74,25 @@
 
         self.run_with(step)
 
+    def test_stream_without_framing_that_closes_before_its_first_event_has_failed(self):
+        async def step(deployment):
+            self.break_off(deployment, "empty", framed=False)
+            async with deployment.call("/audit/1", "c1") as response:
+                self.assertEqual(response.status, 502)
+            status, _, body = await deployment.fetch("/chat/1", "c2")
+            self.assertEqual((status, body), (200, WHOLE))
+
+        self.run_with(step)
+
+    def test_stream_that_resumes_after_its_last_event_may_be_empty(self):
+        async def step(deployment):
+            self.break_off(deployment, "ok", framed=False)
+            headers = {"Last-Event-Id": "6"}
+            found = await deployment.fetch("/chat/1", "c1", headers=headers)
+            self.assertEqual((found[0], found[2]), (200, b""))
+
+        self.run_with(step)
+
     def test_whole_stream_without_framing_is_complete(self):
         async def step(deployment):
             self.break_off(deployment, "ok", framed=False)
