Decode the software version of a backend server and name it in logs and state

The adapter now decodes the version of an entry; one without a version, or with a version that is no text, is ignored like any other invalid entry, since every server writes its version. No decision uses it yet.

Tests of the adapter, scripts and dumps pass.

--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -264,10 +264,16 @@
         report_age_ms=now_ms - row.reported_ms if row.reported_ms else None,
         waited_ms=now_ms - request.arrival_ms,
         cold=is_cold(row, now_ms),
+        **_version_field(row.version),
     )
     return True
 
 
+def _version_field(version):
+    """Return the log field with the software version of a server, if it has one."""
+    return {"version": version} if version else {}
+
+
 def _send_to_server(state, attempt, row, candidate, now_ms):
     """Send an attempt to the server of `row`.
 
--- a/bluebellbeam/node/dump.py
+++ b/bluebellbeam/node/dump.py
@@ -62,6 +62,7 @@
     reported_ms: int | None
     limit_per_s: float | None
     limit_age_ms: int | None
+    version: str
 
 
 class PoolRow(Struct):
@@ -245,6 +246,7 @@
             row.reported_ms,
             row.limit_per_s,
             now_ms - row.limit_stated_ms if row.limit_per_s is not None else None,
+            row.version,
         )
         for _, row in sorted(state.replicas.rows.items())
     ]
--- a/bluebellbeam/platform/records.py
+++ b/bluebellbeam/platform/records.py
@@ -117,6 +117,8 @@
     zone: str
     state: str
     slots: int
+    # Version of the server's software, not of the weights that it has loaded.
+    version: str
     # Unix time in ms at which the server process started.
     born: int = 1
     # Remaining warm-up time in ms.
@@ -139,14 +141,16 @@
     Raises
     ------
     PlatformError
-        If the entry is malformed, or has an unknown state or failure domain, less
-        than one slot or an address without a port.
+        If the entry is malformed, or has an unknown state or failure domain, no
+        version, less than one slot or an address without a port.
     """
     found = _decode(value, _Server)
     if found.state not in VM_STATES or found.zone not in domains or found.slots < 1:
         raise PlatformError(
             f"entry {key} has an unknown state or zone, or less than one slot"
         )
+    if not found.version:
+        raise PlatformError(f"entry {key} has no version")
     host, _, port = found.address.rpartition(":")
     if not host or not port.isdecimal():
         raise PlatformError(f"entry {key} has no address of the form ip:port")
@@ -159,6 +163,7 @@
         state=VM_STATES[found.state],
         address=found.address,
         service=found.service,
+        version=found.version,
         guarded=True,
         slots=found.slots,
         warm_up_left_ms=max(0, int(found.cold_ms)),
--- a/bluebellbeam/platform/tests/test_platform.py
+++ b/bluebellbeam/platform/tests/test_platform.py
@@ -33,11 +33,16 @@
 
     def test_invalid_entry_is_ignored_without_affecting_others(self):
         async def step(deployment):
+            replica = deployment.replicas["portal-hall-e-2"]
+            entry = replica.entry("portal", "hall-e")
             bad = (
                 b"\xff\xfe",
                 b"{}",
                 b'{"service": 3, "address": "10.0.0.1:80"}',
                 {"service": "portal", "address": "x", "zone": "hall-e", "slots": 1},
+                replica.entry("portal", "hall-e", version=""),
+                replica.entry("portal", "hall-e", version=2),
+                {k: v for k, v in entry.items() if k != "version"},
             )
             for i, value in enumerate(bad):
                 deployment.store.put(f"servers/bad-{i}", value)
--- a/bluebellbeam/provider/records.py
+++ b/bluebellbeam/provider/records.py
@@ -38,6 +38,8 @@
         Listening addresses of an entry VM.
     service : str
         Service of a plain backend server.
+    version : str
+        Version of the server's software; empty if the list does not give it.
     fenced : bool
         Whether the engine refuses a load order with an outdated fencing number.
     checks_sender : bool
@@ -62,6 +64,7 @@
     peer_address: str = ""
     caller_address: str = ""
     service: str = ""
+    version: str = ""
     fenced: bool = False
     checks_sender: bool = False
     guarded: bool = False
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -54,6 +54,8 @@
     role : {"engine", "service"}
     service : str
         Service of a plain backend server; empty for an engine.
+    version : str
+        Version of its software; empty if the server list does not give it.
     fenced, guarded : bool
         As in :class:`VmRecord`.
     slots, running, waiting, waiting_tokens : int
@@ -142,6 +144,7 @@
         "address",
         "role",
         "service",
+        "version",
         "fenced",
         "guarded",
         "listed",
@@ -190,6 +193,7 @@
         self.address = record.address
         self.role = record.role
         self.service = record.service
+        self.version = record.version
         self.fenced = record.fenced
         self.guarded = record.guarded
         self.listed = record.slots > 0 and record.guarded
@@ -324,6 +328,7 @@
             replica.identified = False
         else:
             record_warm_up(replica, record.warm_up_left_ms, now_ms)
+        replica.version = record.version
         if record.state == "leaving":
             mark_leaving(table, replica.name, replica.incarnation)
         reindex(table, replica)
