Show that a resumed stream continues at another software version

Two daemons, two servers in each region at versions v1 and v2: a stream that its server breaks off, one that its caller resumes, and one whose daemon is gone all continue at the other version.

--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -138,6 +138,8 @@
         (``extra``), the response to another request (``foreign``), a connection
         reset (``reset``) or nothing (``hang``). A stream may also end inside its
         third event (``cut``) or before its first one (``empty``).
+    version : str
+        Version of its software.
     framed : bool
         Whether streams are sent in chunks; others end with their connection.
     runs : list of (str, dict)
@@ -170,6 +172,7 @@
         self.response_delay_ms = response_delay_ms
         self.pause_ms = 0
         self.behaviours = []
+        self.version = "v1"
         self.framed = True
         self.runs = []
         self.bodies = {}
@@ -198,7 +201,7 @@
             "service": service,
             "address": self.address,
             "zone": zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": "ready",
             "warmupLeftMs": 0,
--- /dev/null
+++ b/bluebellbeam/platform/tests/test_stream_versions.py
@@ -0,0 +1,121 @@
+import asyncio
+import unittest
+
+from bluebellbeam.platform.tests.loopback import DOMAINS, PlatformCase
+
+IDS = [b"id: %d" % i for i in range(1, 7)]
+STREAMS = 8
+
+
+class StreamVersionCase(PlatformCase):
+    """Two daemons, and servers of two software versions in each region."""
+
+    async def start_versions(self, deployment, versions=("v1", "v2")):
+        """Give the two servers of each zone these versions."""
+        for zone in DOMAINS:
+            for number, version in enumerate(versions, 1):
+                self.publish(deployment, f"llm-{zone}-{number}", zone, version)
+        for zone in deployment.daemons:
+            names = [f"llm-{zone}-{number}" for number in (1, 2)]
+            rows = deployment.state(zone).replicas.rows
+            await deployment.wait(
+                lambda rows=rows, names=names: (
+                    [rows[n].version for n in names] == list(versions)
+                )
+            )
+            await deployment.wait(
+                lambda zone=zone: (
+                    len(deployment.state(zone).members.rows)
+                    == len(deployment.daemons) - 1
+                )
+            )
+
+    def publish(self, deployment, name, zone, version):
+        replica = deployment.replicas[name]
+        replica.version = version
+        born = int(name.rpartition("-")[2])
+        entry = replica.entry("llm", zone, born=born)
+        deployment.store.put(f"servers/{name}", entry)
+
+    def set_replicas(self, deployment, **values):
+        for name, replica in deployment.replicas.items():
+            if name.startswith("llm"):
+                for field, value in values.items():
+                    setattr(replica, field, value)
+
+    def versions(self, deployment, *keys):
+        """Return the versions of the servers that ran the requests `keys`."""
+        names = [name for key in keys for name in deployment.runs(key)]
+        return {deployment.replicas[name].version for name in names}
+
+    async def begin(self, deployment, key, zone="hall-e"):
+        """Read two events of a new stream, and leave it."""
+        async with deployment.call("/chat/1", key, zone) as response:
+            for _ in range(6):
+                await response.content.readline()
+
+    async def resume(self, deployment, key, resumes, zone="hall-e", after="2"):
+        """Resume a stream; return the status and the ids of the events."""
+        headers = {"Last-Event-Id": after}
+        if resumes:
+            headers["Resumes"] = resumes
+        status, _, body = await deployment.fetch(
+            "/chat/1", key, zone=zone, headers=headers
+        )
+        return status, [line for line in body.split(b"\n") if line[:3] == b"id:"]
+
+
+class TestVersionOfAResumedStream(StreamVersionCase):
+    def test_broken_stream_is_not_continued_at_another_version(self):
+        async def step(deployment):
+            await self.start_versions(deployment)
+            for number in range(STREAMS):
+                key = f"c{number}"
+                name = f"llm-hall-e-{number % 2 + 1}"
+                deployment.replicas[name].behaviours = ["truncate"]
+                status, _, body = await deployment.fetch("/chat/1", key)
+                ids = [line for line in body.split(b"\n") if line[:3] == b"id:"]
+                self.assertEqual((status, ids), (200, IDS))
+                self.assertEqual(len(self.versions(deployment, key)), 1, key)
+
+        self.run_with(step, daemons=("hall-e", "hall-w"))
+
+    def test_stream_that_a_caller_resumes_stays_at_its_version(self):
+        async def step(deployment):
+            await self.start_versions(deployment)
+            keys = await self.begin_streams(deployment)
+            for key in keys:
+                for zone in DOMAINS:
+                    await self.check_resumed(deployment, key, zone)
+
+        self.run_with(step, daemons=("hall-e", "hall-w"))
+
+    def test_stream_whose_daemon_is_gone_stays_at_its_version(self):
+        async def step(deployment):
+            await self.start_versions(deployment)
+            keys = await self.begin_streams(deployment)
+            await asyncio.sleep(0.1)
+            await deployment.daemons.pop("hall-e").close()
+            for key in keys:
+                await self.check_resumed(deployment, key, "hall-w")
+
+        self.run_with(step, daemons=("hall-e", "hall-w"))
+
+    async def begin_streams(self, deployment):
+        """Begin streams at both versions; return the ids of their requests."""
+        keys = [f"a{number}" for number in range(STREAMS)]
+        self.set_replicas(deployment, pause_ms=20)
+        await asyncio.gather(*(self.begin(deployment, key) for key in keys))
+        self.set_replicas(deployment, pause_ms=0)
+        self.assertEqual(self.versions(deployment, *keys), {"v1", "v2"})
+        return keys
+
+    async def check_resumed(self, deployment, first, zone):
+        key = f"{first}-{zone}"
+        found = await self.resume(deployment, key, first, zone)
+        self.assertEqual(found, (200, IDS[2:]))
+        self.assertEqual(len(self.versions(deployment, first, key)), 1, key)
+
+
+if __name__ == "__main__":
+    unittest.main()
