Continue a broken stream only at the software version that began it

What two versions write does not fit together.

Cause: no decision knew the version of a server. A stream that its server broke off was continued at any server of its service, here or at the daemon of another region.

The first event now binds a request to the service and version of its server. A forward carries them, the response of a peer names them, and only servers of the version are candidates after that; a request that is bound does not hold up those behind it. Versions that are no short ASCII text are compared by hash, since they are sent in headers.

--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -7,6 +7,7 @@
 
 import re
 
+import msgspec
 from sanic import response
 
 from bluebellbeam.daemon.codec import HOP_BY_HOP_HEADERS, chain_blocks
@@ -23,6 +24,7 @@
     CODE_HEADER,
     FORWARD_HEADER,
     OFFER_HEADER,
+    ORIGIN_HEADER,
     OUTCOME_HEADER,
     RETRY_AFTER_HEADER,
     SENDS_HEADER,
@@ -175,6 +177,7 @@
         allowed=frozenset(forward.allowed),
         revision=forward.revision,
         sends=forward.sends,
+        stream_origin=forward.stream_origin,
     )
 
 
@@ -325,6 +328,9 @@
             now_ms = driver.clock.now_ms()
             spare, wait_ms = current_offer(driver.node.state, node_request.pool, now_ms)
             pairs.append((OFFER_HEADER, f"{spare} {wait_ms}"))
+        if node_request.stream_origin is not None:
+            origin = msgspec.json.encode(node_request.stream_origin).decode()
+            pairs.append((ORIGIN_HEADER, origin))
         if error is not None:
             pairs.append((OUTCOME_HEADER, error.outcome))
             pairs.append((CODE_HEADER, error.code))
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -16,11 +16,13 @@
 from bluebellbeam.exception import UpstreamError
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.errors import ERRORS, make_error
+from bluebellbeam.routing import StreamOrigin
 
 __all__ = [
     "CODE_HEADER",
     "FORWARD_HEADER",
     "OFFER_HEADER",
+    "ORIGIN_HEADER",
     "OUTCOME_HEADER",
     "ROUTED_PATH",
     "RETRY_AFTER_HEADER",
@@ -36,6 +38,7 @@
 RETRY_AFTER_HEADER = "x-bluebellbeam-retry-after-ms"
 OFFER_HEADER = "x-bluebellbeam-offer"
 SENDS_HEADER = "x-bluebellbeam-sends"
+ORIGIN_HEADER = "x-bluebellbeam-stream-origin"
 _GATEWAY_HEADER_PREFIX = "x-bluebellbeam-"
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
@@ -69,6 +72,8 @@
         Id of the last event that the caller received; empty for a new stream.
     passed : tuple of (str, str)
         Headers forwarded to the backend server unchanged.
+    stream_origin : StreamOrigin or None
+        Where the stream that the request continues began; None for a new one.
     """
 
     request_id: str
@@ -86,6 +91,7 @@
     block_ends: tuple[int, ...] = ()
     last_event_id: str = ""
     passed: tuple[tuple[str, str], ...] = ()
+    stream_origin: StreamOrigin | None = None
 
 
 class _Progress:
@@ -102,15 +108,18 @@
         Whether the start of the response has been reported to the node.
     settled : bool
         Whether the end has been reported to the node, or no longer matters.
+    origin : StreamOrigin or None
+        Where the stream in a peer's response began; None if it has not said so.
     """
 
-    __slots__ = ("sends", "sent", "response_started", "settled")
+    __slots__ = ("sends", "sent", "response_started", "settled", "origin")
 
     def __init__(self, sends):
         self.sends = sends
         self.sent = False
         self.response_started = False
         self.settled = False
+        self.origin = None
 
 
 async def run_routed_attempt(driver, command):
@@ -165,7 +174,7 @@
         await connection.read_head()
         response = _read_response_head(driver, command, connection)
         if command.peer:
-            progress.sends = _read_peer_headers(driver, command, connection)
+            _read_peer_headers(driver, command, connection, progress)
         _check_request_id(command, response)
         if command.server and not response.other_server:
             _report_limit(driver, command, response.limit, sent_ms)
@@ -224,6 +233,7 @@
         block_ends=request.block_ends,
         last_event_id=exchange.last_event_id,
         passed=exchange.head.passed,
+        stream_origin=request.stream_origin,
     )
     raw = msgspec.json.encode(forward)
     signed = driver.auth.sign(ROUTED_PATH, driver.settings.vm, raw + exchange.payload)
@@ -249,12 +259,14 @@
     )
 
 
-def _read_peer_headers(driver, command, connection):
-    """Report the peer's offer; return to how many servers it sent the request."""
+def _read_peer_headers(driver, command, connection, progress):
+    """Report the peer's offer; record its sends and where its stream began."""
     first = dict(reversed(connection.headers))
     _report_offer(driver, command, first.get(OFFER_HEADER, ""))
     sends = first.get(SENDS_HEADER, "")
-    return int(sends) if sends.isdecimal() else None
+    progress.sends = int(sends) if sends.isdecimal() else None
+    if ORIGIN_HEADER in first:
+        progress.origin = msgspec.json.decode(first[ORIGIN_HEADER], type=StreamOrigin)
 
 
 def _report_offer(driver, command, value):
@@ -420,7 +432,7 @@
     """Report the first bytes to the node; return whether the attempt still runs."""
     if not progress.response_started:
         progress.response_started = True
-        driver.handle(ev.AttemptStarted(command.attempt_id))
+        driver.handle(ev.AttemptStarted(command.attempt_id, progress.origin))
         driver.record_first_token(command.request)
     running = command.attempt_id in driver.node.state.attempts
     progress.settled = progress.settled or not running
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -315,6 +315,8 @@
         wait_ms = _expected_start_ms(state, request, now_ms)
     if wait_ms is None and now_ms - state.started_ms < START_MS:
         return _start_error(state, "no_backend", now_ms)
+    if wait_ms is None and request.stream_origin is not None:
+        return make_error("stream_version_gone")
     if wait_ms is None:
         return make_error("no_backend", retry_after_ms=NO_BACKEND_RETRY_AFTER_MS)
     left_ms = request.start_deadline_ms - now_ms
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -24,7 +24,12 @@
     take_credit,
     update_slowness,
 )
-from bluebellbeam.routing import record_full, record_miss, record_response
+from bluebellbeam.routing import (
+    StreamOrigin,
+    record_full,
+    record_miss,
+    record_response,
+)
 
 __all__ = [
     "handle_attempt_failed",
@@ -47,6 +52,9 @@
 MIN_STALL_DELAY_MS = 2500
 """Shortest time after which a first token is overdue."""
 
+UNSERVED_CODES = frozenset({"no_backend", "stream_version_gone"})
+"""Error codes of a peer whose region has no server for the request."""
+
 NON_RETRYABLE_CODES = frozenset(
     {"not_permitted", "region_not_permitted", "bad_request"}
 )
@@ -57,12 +65,16 @@
 def handle_attempt_started(state, event, now_ms):
     """Record the start of a response and cancel the request's other attempts."""
     attempt = state.attempts.get(event.attempt_id)
-    if attempt is None or attempt.response_started_ms is not None:
-        return
+    if attempt is not None and attempt.response_started_ms is None:
+        _record_start(state, attempt, event.origin, now_ms)
+
+
+def _record_start(state, attempt, origin, now_ms):
     attempt.response_started_ms = now_ms
     request = attempt.request
     _confirm_server(state, attempt, now_ms)
     request.response_started = True
+    _record_origin(request, attempt, origin)
     for other in list(request.running_attempts):
         if other is not attempt:
             state.emit(CancelAttempt(other.attempt_id))
@@ -75,6 +87,23 @@
     update_slowness(state.replicas, row, observed_ms, attempt.expected_ms)
 
 
+def _record_origin(request, attempt, origin):
+    """Record where the stream of a routed request began, with its first event.
+
+    Parameters
+    ----------
+    request : Request
+    attempt : Attempt
+    origin : StreamOrigin or None
+        As reported by the peer that the request was forwarded to.
+    """
+    if request.route is None or request.route.kind != "stream":
+        return
+    if request.stream_origin is None:
+        own = StreamOrigin(request.service, attempt.server_version)
+        request.stream_origin = origin or own
+
+
 def _confirm_server(state, attempt, now_ms):
     """Record that the backend server of the attempt has responded."""
     row = state.replicas.rows.get(attempt.server)
@@ -88,7 +117,7 @@
     if attempt is None:
         return
     if attempt.response_started_ms is None:
-        handle_attempt_started(state, event, now_ms)
+        _record_start(state, attempt, None, now_ms)
     request = attempt.request
     _confirm_server(state, attempt, now_ms)
     row = state.replicas.rows.get(attempt.server)
@@ -130,7 +159,7 @@
         key = (attempt.peer, request.pool)
         state.borrower.refused_until_ms[key] = until_ms
         state.borrower.rows.pop(attempt.lease_id, None)
-        if error.code == "no_backend" and request.route is not None:
+        if error.code in UNSERVED_CODES and request.route is not None:
             exclude_region(state, request, attempt.peer)
     row = state.replicas.rows.get(attempt.server)
     if row is not None:
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -18,7 +18,7 @@
 from bluebellbeam.node.request import Attempt
 from bluebellbeam.node.server_checks import check_unconfirmed
 from bluebellbeam.node.server_limits import record_restricted_servers
-from bluebellbeam.node.targets import needs_other_region
+from bluebellbeam.node.targets import may_be_passed
 from bluebellbeam.node.wait_estimates import (
     local_wait_ms,
     own_slot_share,
@@ -89,7 +89,7 @@
     blocked = _exhausted_priorities(state, pool, now_ms)
     leased = {lease.workspace for lease in state.borrower.rows.values()}
     for request in next_requests(
-        queue, now_ms, lambda request: needs_other_region(state, request)
+        queue, now_ms, lambda request: may_be_passed(state, request)
     ):
         if now_ms >= request.start_deadline_ms:
             remove_request(queue, request)
@@ -205,7 +205,8 @@
             request.request_id, ("peer", now_ms, member.name, member.region, "")
         )
         return True, False
-    return False, may_run_locally(state, request) and not request.tried_targets
+    no_room = may_run_locally(state, request) and not request.tried_targets
+    return False, no_room and not may_be_passed(state, request)
 
 
 def _prefers_lease(state, request, local, lease):
@@ -305,6 +306,7 @@
     """
     request = attempt.request
     attempt.server = row.name
+    attempt.server_version = row.version
     record_send(row, attempt.started_ms)
     record_request_start(state.replicas, row, attempt.expected_uncached_tokens)
     _count_inflight(state, request, 1)
--- a/bluebellbeam/node/errors.py
+++ b/bluebellbeam/node/errors.py
@@ -110,6 +110,9 @@
     "no_backend": ErrorKind(
         503, "not_run", "No backend server can take the request now.", retry=True
     ),
+    "stream_version_gone": ErrorKind(
+        503, "not_run", "No server of the stream's software version is left."
+    ),
     "server_changed": ErrorKind(
         503, "not_run", "The backend server at the address has changed.", retry=True
     ),
--- a/bluebellbeam/node/event.py
+++ b/bluebellbeam/node/event.py
@@ -10,6 +10,7 @@
     LoadHeader,
     LoadReport,
 )
+from bluebellbeam.routing import StreamOrigin
 
 __all__ = [
     "AttemptFailed",
@@ -54,9 +55,17 @@
 
 
 class AttemptStarted(Struct, frozen=True):
-    """The response to an attempt has begun."""
+    """The response to an attempt has begun.
+
+    Parameters
+    ----------
+    attempt_id : int
+    origin : StreamOrigin or None
+        Where the stream in the response of a peer began, as far as it reports that.
+    """
 
     attempt_id: int
+    origin: StreamOrigin | None = None
 
 
 class AttemptFinished(Struct, frozen=True):
--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -2,7 +2,7 @@
 
 from bluebellbeam.borrowing import record_offer, usable_offers
 from bluebellbeam.membership import usable_members
-from bluebellbeam.routing import cached_tokens, prefill_speed
+from bluebellbeam.routing import cached_tokens, may_continue_at, prefill_speed
 
 __all__ = [
     "choose_faster_peer",
@@ -10,6 +10,7 @@
     "exclude_region",
     "expected_forward_start_ms",
     "forward_targets",
+    "is_continued_locally",
     "record_forward_offer",
 ]
 
@@ -136,14 +137,17 @@
     """Return the daemon of another region to forward `request` to, or None.
 
     A request that may run locally is forwarded only to a daemon that has
-    offered a free slot. One that may run only in other regions is forwarded to
-    one of their daemons even without an offer.
+    offered a free slot. One that may run only in other regions, or whose stream no
+    server of this region may continue, is forwarded to one of their daemons even
+    without an offer.
     """
     if request.origin:
         return None
     peers = forward_targets(state, request)
     offers = _usable_offers_by_lender(state, request, now_ms)
-    remote_only = state.region not in request.allowed
+    remote_only = state.region not in request.allowed or not is_continued_locally(
+        state, request
+    )
     with_slot = [row for row in peers if _has_free_slot(state, offers.get(row.name))]
     if with_slot:
         peers = with_slot
@@ -155,6 +159,17 @@
     return min(peers, key=lambda row: _peer_sort_key(state, row, offers, delays))
 
 
+def is_continued_locally(state, request):
+    """Return whether some server of this region may continue the request's stream.
+
+    A request without a stream may run at any of them.
+    """
+    return request.stream_origin is None or any(
+        may_continue_at(row, request.stream_origin) and not row.leaving
+        for row in state.replicas.rows.values()
+    )
+
+
 def _has_free_slot(state, offer):
     """Return whether an offer has a slot beyond the requests already in flight."""
     if offer is None:
--- a/bluebellbeam/node/reconfiguration.py
+++ b/bluebellbeam/node/reconfiguration.py
@@ -35,7 +35,8 @@
     """Apply a new configuration to a queued routed request.
 
     A request whose response has not begun moves to the end of another queue if its
-    route now selects another service. Every other request keeps its place.
+    route now selects another service. Every other request keeps its place, as does one
+    that continues a stream.
     """
     route = match_route(state.config.routes, request.host, request.path)
     if route is None:
@@ -46,6 +47,8 @@
     if not request.allowed:
         _fail_queued(state, request, make_error("region_not_permitted"), now_ms)
         return
+    if request.stream_origin is not None:
+        return
     service = choose_service(route, request.attempt_key)
     if service != request.service and not request.response_started:
         remove_request(state.queue(request.pool), request)
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -91,6 +91,9 @@
     stalled : bool
         Whether its first token was overdue. At most one second attempt is started
         for that reason.
+    stream_origin : StreamOrigin or None
+        Where the event stream of a routed request began; None before its first
+        event, and for other responses.
     """
 
     __slots__ = (
@@ -134,6 +137,7 @@
         "response_started",
         "running_attempts",
         "stalled",
+        "stream_origin",
     )
 
     def __init__(self, request_id, workspace, **values):
@@ -169,6 +173,7 @@
         self.allowed = values.pop("allowed", frozenset())
         self.revision = values.pop("revision", 0)
         self.lease_id = values.pop("lease_id", "")
+        self.stream_origin = values.pop("stream_origin", None)
         if values:
             raise TypeError(f"unknown fields of request {request_id}: {sorted(values)}")
         self.state = "queued"
@@ -198,6 +203,8 @@
     request : Request
     server : str
         Backend server, or empty.
+    server_version : str
+        Software version of that server when the request was sent to it.
     peer : str
         Peer that the request is forwarded to, or empty.
     lease_id : str
@@ -216,6 +223,7 @@
         "attempt_id",
         "request",
         "server",
+        "server_version",
         "peer",
         "lease_id",
         "started_ms",
@@ -228,6 +236,7 @@
         self.attempt_id = attempt_id
         self.request = request
         self.server = server
+        self.server_version = ""
         self.peer = peer
         self.lease_id = ""
         self.started_ms = started_ms
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -18,6 +18,7 @@
     choose_service,
     estimate_local,
     match_route,
+    may_continue_at,
     prefill_speed,
 )
 
@@ -50,7 +51,12 @@
     request.workspace = route.workspace
     request.revision = request.revision or state.config.revision
     request.route = route
-    request.service = choose_service(route, request.attempt_key)
+    if request.stream_origin is not None:
+        request.service = request.stream_origin.service
+        if request.service not in {item.service for item in route.services}:
+            return make_error("stream_version_gone")
+    else:
+        request.service = choose_service(route, request.attempt_key)
     request.pool = f"s/{request.service}"
     request.idempotent = route.repeatable
     request.max_attempts = route.max_attempts
@@ -96,6 +102,7 @@
     """
     return any(
         row.service == request.service
+        and may_continue_at(row, request.stream_origin)
         and not row.leaving
         and row.limit_per_s is None
         and not row.paused_until_ms
@@ -154,6 +161,7 @@
         estimate_local(row, request, speed, region, cached, now_ms).first_token_ms
         for row in unlimited_replicas(state, request.pool)
         if row.failure_domain not in state.evacuated
+        and may_continue_at(row, request.stream_origin)
         for cached in (
             cached_tokens(state.prefixes, row.name, request, state.block_tokens),
         )
--- a/bluebellbeam/node/targets.py
+++ b/bluebellbeam/node/targets.py
@@ -2,38 +2,40 @@
 
 from bluebellbeam.node.forwarding import forward_targets
 from bluebellbeam.node.lending import may_run_locally
+from bluebellbeam.routing import may_continue_at
 
-__all__ = ["has_target_left", "needs_other_region"]
+__all__ = ["has_target_left", "may_be_passed"]
 
 
 def has_target_left(state, request):
     """Return whether a request has not been tried at every server and daemon yet.
 
-    In the queue it would hold up the requests behind it. A broken stream waits there
-    all the same, since it is lost otherwise.
+    It cannot be served otherwise, and would hold up the requests behind it.
     """
-    if request.route is None or request.response_started:
+    if request.route is None:
         return True
     if may_run_locally(state, request) and _has_untried_server(state, request):
         return True
     return not request.origin and bool(forward_targets(state, request))
 
 
-def needs_other_region(state, request):
-    """Return whether a routed request was tried at every server of this region.
+def may_be_passed(state, request):
+    """Return whether requests behind a routed request need not wait for it.
 
-    Requests behind it in the queue need not wait for it then.
+    They need not if it was tried at every server of this region, or if only servers
+    of one software version may continue its stream.
     """
-    return (
-        request.route is not None
-        and bool(request.tried_targets)
-        and not _has_untried_server(state, request)
-    )
+    if request.route is None:
+        return False
+    if request.stream_origin is not None:
+        return True
+    return bool(request.tried_targets) and not _has_untried_server(state, request)
 
 
 def _has_untried_server(state, request):
     return any(
         row.service == request.service
+        and may_continue_at(row, request.stream_origin)
         and not row.leaving
         and row.failure_domain not in state.evacuated
         and row.name not in request.tried_targets
--- a/bluebellbeam/platform/records.py
+++ b/bluebellbeam/platform/records.py
@@ -6,6 +6,7 @@
 
 import base64
 import binascii
+import re
 
 import msgspec
 from msgspec import Struct, field
@@ -13,6 +14,7 @@
 from bluebellbeam.config import canonical_json, split_documents
 from bluebellbeam.exception import PlatformError
 from bluebellbeam.provider.records import VmRecord
+from bluebellbeam.utils.hashing import hash_text
 
 __all__ = [
     "CONFIG_KEY",
@@ -163,13 +165,26 @@
         state=VM_STATES[found.state],
         address=found.address,
         service=found.service,
-        version=found.version,
+        version=_version_name(found.version),
         guarded=True,
         slots=found.slots,
         warm_up_left_ms=max(0, int(found.cold_ms)),
     )
 
 
+def _version_name(version):
+    """Return a short ASCII name for a version, since it is sent in headers.
+
+    Versions are only compared, so any other text is replaced by a hash of it.
+    """
+    if _VERSION_NAME.fullmatch(version):
+        return version
+    return f"hash-{hash_text(version):x}"
+
+
+_VERSION_NAME = re.compile(r"[!-~]{1,64}")
+
+
 class _WeightedService(Struct):
     service: str
     weight: float = 1.0
--- a/bluebellbeam/routing/__init__.py
+++ b/bluebellbeam/routing/__init__.py
@@ -61,6 +61,7 @@
     record_limit,
     spend_limit,
 )
+from bluebellbeam.routing.stream_origin import StreamOrigin, may_continue_at
 from bluebellbeam.routing.warmup import is_cold, record_send
 
 __all__ = [
@@ -69,6 +70,7 @@
     "PrefixIndex",
     "Replica",
     "ReplicaTable",
+    "StreamOrigin",
     "active_entry_count",
     "age_peer_load",
     "apply_cache_events",
@@ -92,6 +94,7 @@
     "make_replica_table",
     "mark_leaving",
     "match_route",
+    "may_continue_at",
     "may_send_limited",
     "merge_limit",
     "pause_replica",
--- a/bluebellbeam/routing/replica_ranking.py
+++ b/bluebellbeam/routing/replica_ranking.py
@@ -19,6 +19,7 @@
 from bluebellbeam.routing.prefix import cached_tokens, longest_prefix_servers
 from bluebellbeam.routing.priority_separation import separation_penalty_ms
 from bluebellbeam.routing.server_limit import may_send_limited
+from bluebellbeam.routing.stream_origin import may_continue_at
 from bluebellbeam.routing.warmup import is_cold, may_send_cold, may_send_unchecked
 
 __all__ = ["Candidate", "rank_replicas"]
@@ -103,6 +104,8 @@
     """
     if replica.failure_domain in state.evacuated:
         return False
+    if not may_continue_at(replica, request.stream_origin):
+        return False
     if is_cold(replica, now_ms) and not may_send_cold(state, replica, now_ms):
         return False
     if not may_send_unchecked(state, replica, now_ms):
@@ -123,8 +126,10 @@
 
 def _candidate_replicas(state, request, now_ms):
     pool = state.replicas.pool(request.pool)
+    # The few servers that may continue a stream need not be among the least loaded.
+    examined = None if request.stream_origin is not None else MAX_LEAST_LOADED * 3
     found = []
-    for replica in islice(pool, MAX_LEAST_LOADED * 3):
+    for replica in islice(pool, examined):
         if is_available(state, replica, request, now_ms):
             found.append(replica)
             if len(found) == MAX_LEAST_LOADED:
--- /dev/null
+++ b/bluebellbeam/routing/stream_origin.py
@@ -0,0 +1,34 @@
+"""Software version at which an event stream began.
+
+What two versions of a service write does not fit together, so a stream continues only
+at servers of the version that began it. Servers do not check this.
+"""
+
+from msgspec import Struct
+
+__all__ = ["StreamOrigin", "may_continue_at"]
+
+
+class StreamOrigin(Struct, frozen=True):
+    """Where a stream began.
+
+    Parameters
+    ----------
+    service : str
+    version : str
+        Software version of the server that wrote its first event; empty if the
+        provider lists no versions.
+    """
+
+    service: str
+    version: str
+
+
+def may_continue_at(replica, origin):
+    """Return whether a stream that began at `origin` may continue at `replica`.
+
+    Any stream that has not begun yet, with `origin` None, may.
+    """
+    return origin is None or (
+        replica.service == origin.service and replica.version == origin.version
+    )
