Let a caller resume a stream only at the software version that began it

Cause: the daemon that a caller resumes at, often because the first one is gone, knows nothing of the stream's beginning but an id that the caller chose.

The daemon that serves a first event now tells two others where the stream began, chosen by rendezvous hash of the id: one of its region, in another failure domain if there is one, and one of another region. A daemon that a caller resumes at asks those that may have been told, for 500 ms at most.

--- a/bluebellbeam/daemon/codec.py
+++ b/bluebellbeam/daemon/codec.py
@@ -61,6 +61,8 @@
     resume_after : str
         Id of the last event that the caller received of the stream that it resumes;
         empty if it resumes none.
+    resumes : str
+        Id of the request that brought the first event of that stream, or empty.
     passed : tuple of (str, str)
         Headers forwarded to the backend server unchanged.
     """
@@ -71,6 +73,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     resume_after: str = ""
+    resumes: str = ""
     passed: tuple[tuple[str, str], ...] = ()
 
 
@@ -213,6 +216,7 @@
         prompt_tokens=_parse_count(tokens, 0),
         max_output_tokens=_parse_count(tokens, 1),
         resume_after=first.get("last-event-id", ""),
+        resumes=first.get("x-resumes", ""),
         passed=tuple(
             p for p in pairs if p[0] not in HOP_BY_HOP_HEADERS | _RESERVED_HEADERS
         ),
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -152,6 +152,8 @@
         max_output_tokens=head.max_output_tokens,
         blocks=blocks,
         block_ends=ends,
+        resume_after=head.resume_after,
+        resumes=head.resumes,
     )
 
 
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -364,7 +364,12 @@
     ------
     UpstreamConnectionError
         If the stream was broken off.
+    UpstreamError
+        If a peer continued a stream at another software version.
     """
+    bound = command.request.stream_origin
+    if command.peer and bound is not None and progress.origin != bound:
+        raise UpstreamError("the peer continued the stream at another version")
     splitter = make_event_splitter()
     while data := await connection.read_some():
         events = splitter.feed(data)
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -27,6 +27,7 @@
 from bluebellbeam.node.routed import expected_routed_start_ms, resolve_route
 from bluebellbeam.node.server_limits import record_restricted_servers
 from bluebellbeam.node.shutdown import shutdown_error
+from bluebellbeam.node.stream_origins import is_continued, start_lookup
 from bluebellbeam.node.wait_estimates import local_wait_ms
 from bluebellbeam.operations import (
     Busy,
@@ -43,7 +44,7 @@
 from bluebellbeam.routing.entry import rank_entries
 from bluebellbeam.routing.policies import is_baseline
 
-__all__ = ["entry_addresses_for_workspace", "receive_request"]
+__all__ = ["admit_continued", "entry_addresses_for_workspace", "receive_request"]
 
 NO_BACKEND_RETRY_AFTER_MS = 2000
 """Retry-After time when no region has a server: new ones register within seconds."""
@@ -60,6 +61,50 @@
     error = _check_daemon(state, request, now_ms)
     if error is None:
         error = _resolve(state, request, now_ms)
+    if error is None and is_continued(request):
+        found, origin = start_lookup(state, request, now_ms)
+        if found:
+            admit_continued(state, request, origin, now_ms)
+        else:
+            request.state = "waiting"
+            state.requests[request.request_id] = request
+        return
+    _admit(state, request, error, now_ms)
+
+
+def admit_continued(state, request, origin, now_ms):
+    """Admit a request that resumes a stream, or answer it at once.
+
+    Parameters
+    ----------
+    state : NodeState
+    request : Request
+    origin : StreamOrigin or None
+        Where the stream began; None if that is not known.
+    now_ms : int
+    """
+    if request.state == "ended":
+        return
+    request.state = "queued"
+    request.stream_origin = origin
+    if origin is None:
+        error = make_error("stream_origin_unknown")
+    else:
+        error = _resolve(state, request, now_ms)
+    _admit(state, request, error, now_ms)
+
+
+def _admit(state, request, error, now_ms):
+    """Queue a request whose route is resolved, or answer it at once.
+
+    Parameters
+    ----------
+    state : NodeState
+    request : Request
+    error : CallerError or None
+        Error of an earlier check.
+    now_ms : int
+    """
     if error is None and request.origin:
         error = _check_forwarded(state, request, now_ms)
     if error is None and not request.origin:
@@ -90,6 +135,7 @@
 def _reject(state, request, error, now_ms):
     """Answer a request that is not admitted with its error."""
     request.state = "ended"
+    state.requests.pop(request.request_id, None)
     restricted = record_restricted_servers(state, request, now_ms)
     errors = state.counters.errors
     errors[error.code] = errors.get(error.code, 0) + 1
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -16,6 +16,7 @@
 from bluebellbeam.node.lending import LENDER_BACKOFF_MS
 from bluebellbeam.node.retries import REFUSED_RETRY_AFTER_MS, add_sends, consume_retry
 from bluebellbeam.node.server_checks import apply_response_load
+from bluebellbeam.node.stream_origins import tell_origin
 from bluebellbeam.node.targets import has_target_left
 from bluebellbeam.operations import mark_not_run, record_outcome
 from bluebellbeam.recovery import (
@@ -73,8 +74,9 @@
     attempt.response_started_ms = now_ms
     request = attempt.request
     _confirm_server(state, attempt, now_ms)
+    if not request.response_started:
+        _record_origin(state, request, attempt, origin, now_ms)
     request.response_started = True
-    _record_origin(request, attempt, origin)
     for other in list(request.running_attempts):
         if other is not attempt:
             state.emit(CancelAttempt(other.attempt_id))
@@ -87,21 +89,24 @@
     update_slowness(state.replicas, row, observed_ms, attempt.expected_ms)
 
 
-def _record_origin(request, attempt, origin):
+def _record_origin(state, request, attempt, origin, now_ms):
     """Record where the stream of a routed request began, with its first event.
 
     Parameters
     ----------
+    state : NodeState
     request : Request
     attempt : Attempt
     origin : StreamOrigin or None
         As reported by the peer that the request was forwarded to.
+    now_ms : int
     """
     if request.route is None or request.route.kind != "stream":
         return
     if request.stream_origin is None:
         own = StreamOrigin(request.service, attempt.server_version)
         request.stream_origin = origin or own
+    tell_origin(state, request, now_ms)
 
 
 def _confirm_server(state, attempt, now_ms):
--- a/bluebellbeam/node/dump.py
+++ b/bluebellbeam/node/dump.py
@@ -97,7 +97,7 @@
     Parameters
     ----------
     request_id, workspace, pool : str
-    state : {"queued", "running"}
+    state : {"waiting", "queued", "running"}
     origin : str
         Daemon that forwarded the request, or empty.
     priority : str
--- a/bluebellbeam/node/errors.py
+++ b/bluebellbeam/node/errors.py
@@ -110,6 +110,9 @@
     "no_backend": ErrorKind(
         503, "not_run", "No backend server can take the request now.", retry=True
     ),
+    "stream_origin_unknown": ErrorKind(
+        503, "not_run", "It is not known at which software version the stream began."
+    ),
     "stream_version_gone": ErrorKind(
         503, "not_run", "No server of the stream's software version is left."
     ),
--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -2,6 +2,7 @@
 
 from bluebellbeam.borrowing import record_offer, usable_offers
 from bluebellbeam.membership import usable_members
+from bluebellbeam.origins import live_versions
 from bluebellbeam.routing import cached_tokens, may_continue_at, prefill_speed
 
 __all__ = [
@@ -106,7 +107,8 @@
 def forward_targets(state, request):
     """Return the daemons of other allowed regions to which a request can be forwarded.
 
-    Those at which an attempt of it has already failed are left out.
+    Those at which an attempt of it has already failed are left out, and those of a
+    region that is known to have no server that may continue its stream.
     """
     return [
         row
@@ -115,9 +117,20 @@
         and row.region in request.allowed
         and row.status == "alive"
         and row.name not in request.tried_targets
+        and _may_continue_in(state, request, row.region)
     ]
 
 
+def _may_continue_in(state, request, region):
+    """Return whether servers of another region may continue the request's stream."""
+    origin = request.stream_origin
+    if origin is None:
+        return True
+    now_ms = state.last_tick_ms or 0
+    versions = live_versions(state.versions, region, origin.service, now_ms)
+    return versions is None or origin.version in versions
+
+
 def exclude_region(state, request, peer):
     """Exclude the region of a peer that knows no server for a request.
 
--- a/bluebellbeam/node/gossip.py
+++ b/bluebellbeam/node/gossip.py
@@ -26,6 +26,8 @@
 from bluebellbeam.node.message import IndirectAck, IndirectProbe, Ping, Pong
 from bluebellbeam.node.peer_send import send_to_member
 from bluebellbeam.node.state import backends_feed
+from bluebellbeam.node.stream_origins import live_local_versions
+from bluebellbeam.origins import record_live_versions
 from bluebellbeam.routing import mark_leaving
 
 __all__ = [
@@ -153,6 +155,7 @@
         on_behalf_of,
         -1 if last_ms is None else now_ms - last_ms,
         member_digest(state),
+        {} if same_region else live_local_versions(state),
     )
 
 
@@ -235,6 +238,9 @@
     if row is None:
         return
     if row.region != state.region:
+        if message.service_versions:
+            versions = message.service_versions
+            record_live_versions(state.versions, row.region, versions, now_ms)
         replace_offers(state.borrower, sender, row.region, message.offers, now_ms)
         return
     for demand_by_vm in state.peer_demand.values():
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -18,9 +18,11 @@
     "LeaseRequest",
     "LeaseResponse",
     "MemberPull",
+    "OriginQuery",
     "Ping",
     "Pong",
     "ServerLoads",
+    "StreamOrigins",
     "decode_envelope",
     "encode_envelope",
 ]
@@ -47,6 +49,9 @@
         far as the sender knows; -1 if never.
     members : int
         Digest of the members that the sender knows; 0 if the provider lists them.
+    service_versions : dict of str to tuple of str
+        Software versions of the usable servers of the sender's region by service;
+        only sent to other regions.
     """
 
     versions: dict[str, int]
@@ -56,6 +61,7 @@
     on_behalf_of: str = ""
     source_age_ms: int = -1
     members: int = 0
+    service_versions: dict[str, tuple[str, ...]] = {}
 
 
 class Pong(Struct, frozen=True, array_like=True, tag="po"):
@@ -68,6 +74,7 @@
     on_behalf_of: str = ""
     source_age_ms: int = -1
     members: int = 0
+    service_versions: dict[str, tuple[str, ...]] = {}
 
 
 class IndirectProbe(Struct, frozen=True, array_like=True, tag="pf"):
@@ -142,6 +149,27 @@
     limits: dict[str, tuple[int, float | None, int, int]] = {}
 
 
+class StreamOrigins(Struct, frozen=True, array_like=True, tag="so"):
+    """Where streams began, told to their holders and in answer to a query.
+
+    Parameters
+    ----------
+    origins : tuple of (int, str, str)
+        Key, service and software version of each stream.
+    unknown : tuple of int
+        Keys that the receiver has asked for and that the sender does not know.
+    """
+
+    origins: tuple[tuple[int, str, str], ...] = ()
+    unknown: tuple[int, ...] = ()
+
+
+class OriginQuery(Struct, frozen=True, array_like=True, tag="oq"):
+    """Request for the origins of the streams with these keys."""
+
+    keys: tuple[int, ...]
+
+
 class LeaseRequest(Struct, frozen=True, array_like=True, tag="lw"):
     """Request for a lease on slots of a lender.
 
@@ -197,6 +225,8 @@
     | LeaseRequest
     | LeaseResponse
     | ServerLoads
+    | StreamOrigins
+    | OriginQuery
     | Delta
     | Snapshot
 )
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -8,7 +8,7 @@
 from bluebellbeam.feeds import Delta, Snapshot
 from bluebellbeam.node import event as ev
 from bluebellbeam.node import message as msg
-from bluebellbeam.node.arrivals import receive_request
+from bluebellbeam.node.arrivals import admit_continued, receive_request
 from bluebellbeam.node.attempts import (
     handle_attempt_failed,
     handle_attempt_finished,
@@ -64,6 +64,13 @@
 from bluebellbeam.node.server_limits import handle_limit_stated
 from bluebellbeam.node.shutdown import begin_shutdown, tick_shutdown
 from bluebellbeam.node.state import make_node_state
+from bluebellbeam.node.stream_origins import (
+    handle_origin_query,
+    handle_stream_origins,
+    handle_unreachable_source,
+    tick_lookups,
+    tick_versions,
+)
 from bluebellbeam.operations import expire_operations, issue_operation
 from bluebellbeam.routing import apply_cache_events, prune_leaving
 from bluebellbeam.routing.policies import EstimatePolicy
@@ -104,6 +111,7 @@
         tick_feeds(state, now_ms)
         tick_membership(state, now_ms)
         tick_requests(state, now_ms)
+        _admit_looked_up(state, tick_lookups(state, now_ms), now_ms)
         if state.config is not None:
             tick_server_checks(state, now_ms)
             tick_leases(state, now_ms)
@@ -151,11 +159,18 @@
     expire_operations(state.ledger, now_ms)
     prune_buckets(state.rates, now_ms)
     prune_leaving(state.replicas)
+    tick_versions(state, now_ms)
     state.update_route_budgets()
     for queue in state.queues.values():
         prune_flows(queue)
 
 
+def _admit_looked_up(state, ended, now_ms):
+    """Admit the requests whose lookup has ended, each with the origin of its stream."""
+    for request, origin in ended:
+        admit_continued(state, request, origin, now_ms)
+
+
 def _handle_event(state, event, now_ms):
     match event:
         case ev.RequestArrived(request):
@@ -201,6 +216,8 @@
             _handle_peer_messages(state, envelope, is_response, now_ms)
         case ev.PeerUnreachable(vm):
             handle_unreachable_peer(state, vm, now_ms)
+            ended = handle_unreachable_source(state, vm, now_ms)
+            _admit_looked_up(state, ended, now_ms)
         case ev.StopRequested():
             begin_shutdown(state, now_ms)
         case _:
@@ -242,6 +259,11 @@
             handle_member_pull(state, sender, message)
         case msg.ServerLoads():
             handle_server_loads(state, sender, message, now_ms)
+        case msg.StreamOrigins():
+            ended = handle_stream_origins(state, sender, message, now_ms)
+            _admit_looked_up(state, ended, now_ms)
+        case msg.OriginQuery():
+            handle_origin_query(state, sender, message, now_ms)
         case msg.FeedPull():
             handle_feed_pull(state, sender, message)
         case Delta():
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -74,7 +74,9 @@
         Configuration revision of the daemon that the caller sent it to.
     lease_id : str
         Lease under which a peer forwarded it, or empty.
-    state : {"queued", "running", "ended"}
+    state : {"waiting", "queued", "running", "ended"}
+        A request waits before it is queued while the origin of its stream is looked
+        up.
     tried_targets : set of str
         Backend servers and peers at which an attempt has failed; no further
         attempt is sent to them.
@@ -91,6 +93,12 @@
     stalled : bool
         Whether its first token was overdue. At most one second attempt is started
         for that reason.
+    resume_after : str
+        Id of the last event that the caller received of the stream that it resumes;
+        empty for a new stream.
+    resumes : str
+        Id of the caller's request that brought the first event of that stream, or
+        empty.
     stream_origin : StreamOrigin or None
         Where the event stream of a routed request began; None before its first
         event, and for other responses.
@@ -137,6 +145,8 @@
         "response_started",
         "running_attempts",
         "stalled",
+        "resume_after",
+        "resumes",
         "stream_origin",
     )
 
@@ -173,6 +183,8 @@
         self.allowed = values.pop("allowed", frozenset())
         self.revision = values.pop("revision", 0)
         self.lease_id = values.pop("lease_id", "")
+        self.resume_after = values.pop("resume_after", "")
+        self.resumes = values.pop("resumes", "")
         self.stream_origin = values.pop("stream_origin", None)
         if values:
             raise TypeError(f"unknown fields of request {request_id}: {sorted(values)}")
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -22,6 +22,7 @@
 )
 from bluebellbeam.node.retry_after import make_refusal_table, record_refusal
 from bluebellbeam.operations import make_ledger
+from bluebellbeam.origins import make_origin_table, make_version_table
 from bluebellbeam.recovery import make_budget, set_burst
 from bluebellbeam.routing import make_prefix_index, make_replica_table
 
@@ -342,6 +343,9 @@
         "pending_commands",
         "baseline_choices",
         "entry_rankings",
+        "origins",
+        "origin_lookups",
+        "versions",
         "part_cache",
         "cache",
     )
@@ -408,6 +412,9 @@
         self.pending_commands = []
         self.baseline_choices = 0
         self.entry_rankings = 0
+        self.origins = make_origin_table()
+        self.origin_lookups = {}
+        self.versions = make_version_table()
         self.part_cache = make_part_cache()
         self.cache = {}
 
--- /dev/null
+++ b/bluebellbeam/node/stream_origins.py
@@ -0,0 +1,236 @@
+"""Exchange of the origins of streams between daemons, and lookups for callers."""
+
+from bluebellbeam.membership import usable_members
+from bluebellbeam.node.message import OriginQuery, StreamOrigins
+from bluebellbeam.node.peer_send import send_to_member
+from bluebellbeam.origins import (
+    choose_holders,
+    choose_sources,
+    find_origin,
+    only_version,
+    prune_origins,
+    prune_versions,
+    record_origin,
+    record_version,
+    stream_key,
+)
+from bluebellbeam.routing import StreamOrigin
+
+__all__ = [
+    "OriginLookup",
+    "handle_origin_query",
+    "handle_stream_origins",
+    "handle_unreachable_source",
+    "is_continued",
+    "live_local_versions",
+    "start_lookup",
+    "tell_origin",
+    "tick_lookups",
+    "tick_versions",
+]
+
+LOOKUP_TIMEOUT_MS = 500
+"""Time after which a lookup ends; covers a lost packet between two regions. Callers
+drop a stream that pauses for two seconds."""
+
+
+class OriginLookup:
+    """Search for the origin of one stream.
+
+    Attributes
+    ----------
+    requests : list of Request
+        Requests that wait for it.
+    sources : set of str
+        Members that were asked and have not answered.
+    started_ms : int
+        Time of the queries.
+    """
+
+    __slots__ = ("requests", "sources", "started_ms")
+
+    def __init__(self, request, sources, started_ms):
+        self.requests = [request]
+        self.sources = sources
+        self.started_ms = started_ms
+
+
+def is_continued(request):
+    """Return whether a caller's request resumes a stream that others may have begun."""
+    return bool(
+        request.resume_after
+        and not request.origin
+        and request.route is not None
+        and request.route.kind == "stream"
+        and request.route.resumable
+    )
+
+
+def tell_origin(state, request, now_ms):
+    """Record where the stream of a caller's request began, and tell its holders.
+
+    Streams that cannot be resumed are left out.
+    """
+    if request.origin or not request.route.resumable:
+        return
+    key = stream_key(request.host, request.resumes or request.attempt_key)
+    origin = request.stream_origin
+    record_origin(state.origins, key, origin, now_ms)
+    message = StreamOrigins(((key, origin.service, origin.version),))
+    for name in choose_holders(key, _alive_members(state), state.identity):
+        send_to_member(state, name, (message,))
+
+
+def start_lookup(state, request, now_ms):
+    """Look for the origin of the stream that a request resumes.
+
+    Returns
+    -------
+    found : bool
+        False if other daemons were asked; the request then waits for their answer.
+    origin : StreamOrigin or None
+        None if the origin is not known.
+    """
+    if not request.resumes:
+        return True, _assumed_origin(state, request, 0, now_ms)
+    key = stream_key(request.host, request.resumes)
+    origin = find_origin(state.origins, key, now_ms)
+    if origin is not None:
+        _log_origin(state, request, origin, "own record", 0)
+        return True, origin
+    lookup = state.origin_lookups.get(key)
+    if lookup is not None:
+        lookup.requests.append(request)
+        return False, None
+    sources = choose_sources(key, _alive_members(state), state.identity)
+    if not sources:
+        return True, _assumed_origin(state, request, 0, now_ms)
+    for name in sources:
+        send_to_member(state, name, (OriginQuery((key,)),))
+    state.origin_lookups[key] = OriginLookup(request, set(sources), now_ms)
+    return False, None
+
+
+def _alive_members(state):
+    own = state.identity.vm
+    return [
+        row
+        for row in usable_members(state.members)
+        if row.status == "alive" and row.name != own
+    ]
+
+
+def handle_origin_query(state, sender, message, now_ms):
+    """Send a member the origins that it asks for, as far as they are known."""
+    found, unknown = [], []
+    for key in message.keys:
+        origin = find_origin(state.origins, key, now_ms)
+        if origin is None:
+            unknown.append(key)
+        else:
+            found.append((key, origin.service, origin.version))
+    send_to_member(state, sender, (StreamOrigins(tuple(found), tuple(unknown)),))
+
+
+def handle_stream_origins(state, sender, message, now_ms):
+    """Record the origins that a member knows.
+
+    Returns
+    -------
+    list of (Request, StreamOrigin or None)
+        Requests whose lookup has ended.
+    """
+    ended = []
+    for key, service, version in message.origins:
+        origin = StreamOrigin(service, version)
+        record_origin(state.origins, key, origin, now_ms)
+        lookup = state.origin_lookups.pop(key, None)
+        if lookup is not None:
+            took_ms = now_ms - lookup.started_ms
+            for request in lookup.requests:
+                _log_origin(state, request, origin, sender, took_ms)
+                ended.append((request, origin))
+    for key in message.unknown:
+        ended += _drop_source(state, key, sender, now_ms)
+    return ended
+
+
+def handle_unreachable_source(state, name, now_ms):
+    """Stop waiting for a member; return the requests whose lookup has ended."""
+    ended = []
+    for key in list(state.origin_lookups):
+        ended += _drop_source(state, key, name, now_ms)
+    return ended
+
+
+def tick_lookups(state, now_ms):
+    """End the lookups that take too long; return their requests."""
+    ended = []
+    for key, lookup in list(state.origin_lookups.items()):
+        if now_ms - lookup.started_ms >= LOOKUP_TIMEOUT_MS:
+            ended += _end_unknown(state, key, now_ms)
+    return ended
+
+
+def _drop_source(state, key, name, now_ms):
+    lookup = state.origin_lookups.get(key)
+    if lookup is None:
+        return []
+    lookup.sources.discard(name)
+    return [] if lookup.sources else _end_unknown(state, key, now_ms)
+
+
+def _end_unknown(state, key, now_ms):
+    """End a lookup that found nothing."""
+    lookup = state.origin_lookups.pop(key)
+    took_ms = now_ms - lookup.started_ms
+    return [
+        (request, _assumed_origin(state, request, took_ms, now_ms))
+        for request in lookup.requests
+    ]
+
+
+def _assumed_origin(state, request, took_ms, now_ms):
+    """Return the origin if the service had only one version lately, else None."""
+    _record_local_versions(state, now_ms)
+    origin = only_version(state.versions, request.service)
+    if origin is not None:
+        _log_origin(state, request, origin, "only version", took_ms)
+    return origin
+
+
+def _log_origin(state, request, origin, source, took_ms):
+    state.log_request(
+        request,
+        "continue a stream",
+        resumes=request.resumes,
+        version=origin.version,
+        source=source,
+        took_ms=took_ms,
+    )
+
+
+def tick_versions(state, now_ms):
+    """Record the versions of the region's servers; remove outdated records."""
+    _record_local_versions(state, now_ms)
+    prune_versions(state.versions, now_ms)
+    prune_origins(state.origins, now_ms)
+
+
+def _record_local_versions(state, now_ms):
+    for row in state.replicas.rows.values():
+        if row.service:
+            record_version(state.versions, row.service, row.version, now_ms)
+
+
+def live_local_versions(state):
+    """Return the versions of the usable servers of the region by service."""
+    found = {}
+    for row in state.replicas.rows.values():
+        if (
+            row.service
+            and not row.leaving
+            and row.failure_domain not in state.evacuated
+        ):
+            found.setdefault(row.service, set()).add(row.version)
+    return {service: tuple(sorted(names)) for service, names in found.items()}
--- /dev/null
+++ b/bluebellbeam/node/tests/test_stream_origins.py
@@ -0,0 +1,180 @@
+import unittest
+
+from bluebellbeam.node import command as cmd
+from bluebellbeam.node import event as ev
+from bluebellbeam.node.message import Envelope, OriginQuery, StreamOrigins
+from bluebellbeam.node.retry_after import START_MS
+from bluebellbeam.node.stream_origins import LOOKUP_TIMEOUT_MS
+from bluebellbeam.node.tests.harness import Harness, server
+from bluebellbeam.origins import stream_key
+
+KEY = stream_key("a.example:80", "first")
+
+
+class StreamOriginCase(unittest.TestCase):
+    """One daemon of region east with a peer in it and one in region west."""
+
+    def setUp(self):
+        self.harness = Harness()
+        self.harness.announce_peer("vm-2", "east")
+        self.harness.announce_peer("vm-w", "west")
+        self.publish("v1", "v2")
+
+    def publish(self, *versions):
+        records = [
+            server(f"llm-{i}", "llm", version=version, address=f"10.0.0.{i}:80")
+            for i, version in enumerate(versions, 1)
+        ]
+        self.harness.publish_servers(*records)
+        self.harness.tick(500)
+        self.harness.commands.clear()
+
+    def resume(self, resumes="first"):
+        return self.harness.send_request(
+            "/c/x", "again", resume_after="2", resumes=resumes
+        )
+
+    def deliver(self, sender, message):
+        envelope = Envelope(sender, 5, (message,))
+        return self.harness.handle(ev.PeerMessagesReceived(envelope, answer=True))
+
+    def queried(self):
+        """Return the peers that were asked for an origin."""
+        return {
+            command.vm
+            for command in self.harness.commands
+            if isinstance(command, cmd.SendToPeer)
+            and any(isinstance(m, OriginQuery) for m in command.messages)
+        }
+
+    def started(self):
+        """Return the servers that the request was sent to."""
+        return [
+            command.server
+            for command in self.harness.commands
+            if isinstance(command, cmd.StartAttempt)
+        ]
+
+    def errors(self):
+        return [
+            (command.error.code, command.error.outcome)
+            for command in self.harness.commands
+            if isinstance(command, cmd.SendErrorResponse)
+        ]
+
+
+class TestLookupOfAnOrigin(StreamOriginCase):
+    def test_request_waits_for_the_first_daemon_that_knows_the_origin(self):
+        self.resume()
+        self.assertEqual(self.queried(), {"vm-2", "vm-w"})
+        self.deliver("vm-w", StreamOrigins(unknown=(KEY,)))
+        self.assertEqual((self.started(), self.errors()), ([], []))
+        self.deliver("vm-2", StreamOrigins(((KEY, "llm", "v2"),)))
+        self.assertEqual(self.started(), ["llm-2"])
+
+    def test_origin_that_nobody_knows_is_refused_at_once_with_two_versions(self):
+        self.resume()
+        for name in ("vm-2", "vm-w"):
+            self.deliver(name, StreamOrigins(unknown=(KEY,)))
+        self.assertEqual(self.errors(), [("stream_origin_unknown", "not_run")])
+        self.assertEqual(self.harness.state.requests, {})
+
+    def test_lookup_ends_without_answers(self):
+        self.resume()
+        self.harness.tick(LOOKUP_TIMEOUT_MS - 50)
+        self.assertEqual(self.errors(), [])
+        self.harness.tick(50)
+        self.assertEqual(self.errors(), [("stream_origin_unknown", "not_run")])
+        self.assertEqual(self.harness.state.origin_lookups, {})
+
+    def test_lookup_does_not_wait_for_unreachable_daemons(self):
+        self.resume()
+        self.harness.handle(ev.PeerUnreachable("vm-w"))
+        self.deliver("vm-2", StreamOrigins(unknown=(KEY,)))
+        self.assertEqual(self.errors(), [("stream_origin_unknown", "not_run")])
+
+    def test_stream_of_a_service_with_one_version_is_continued_all_the_same(self):
+        self.harness.tick(31_000)
+        self.publish("v2")
+        self.harness.tick(31_000)
+        self.harness.announce_peer("vm-2", "east", incarnation=6)
+        self.resume()
+        self.harness.tick(LOOKUP_TIMEOUT_MS)
+        self.assertEqual(self.started(), ["llm-1"])
+
+    def test_request_that_names_no_stream_is_refused_with_two_versions(self):
+        self.resume(resumes="")
+        self.assertEqual(self.queried(), set())
+        self.assertEqual(self.errors(), [("stream_origin_unknown", "not_run")])
+
+    def test_caller_that_leaves_during_the_lookup_is_forgotten(self):
+        self.resume()
+        self.harness.handle(ev.CallerDisconnected("again"))
+        self.deliver("vm-2", StreamOrigins(((KEY, "llm", "v2"),)))
+        self.assertEqual(self.started(), [])
+        self.assertEqual(self.harness.state.requests, {})
+
+    def test_version_without_a_server_is_refused_at_once(self):
+        self.harness.state.started_ms -= START_MS
+        self.resume()
+        self.deliver("vm-2", StreamOrigins(((KEY, "llm", "v3"),)))
+        self.assertEqual(self.errors(), [("stream_version_gone", "not_run")])
+
+    def test_service_that_the_route_has_left_is_refused_at_once(self):
+        self.resume()
+        self.deliver("vm-2", StreamOrigins(((KEY, "portal", "v1"),)))
+        self.assertEqual(self.errors(), [("stream_version_gone", "not_run")])
+
+
+class TestReportOfAnOrigin(StreamOriginCase):
+    def told(self):
+        """Return the origins that each peer was told."""
+        return {
+            command.vm: message.origins
+            for command in self.harness.commands
+            if isinstance(command, cmd.SendToPeer)
+            for message in command.messages
+            if isinstance(message, StreamOrigins)
+        }
+
+    def test_first_event_is_reported_to_holders_of_both_regions(self):
+        started = self.harness.send_request("/c/x", "first")
+        attempt = next(c for c in started if isinstance(c, cmd.StartAttempt))
+        self.assertEqual(self.told(), {})
+        self.harness.handle(ev.AttemptStarted(attempt.attempt_id))
+        row = (KEY, "llm", f"v{attempt.server[-1]}")
+        self.assertEqual(self.told(), {"vm-2": (row,), "vm-w": (row,)})
+        self.harness.commands.clear()
+        self.deliver("vm-w", OriginQuery((KEY, 7)))
+        answer = self.harness.commands[-1]
+        self.assertEqual(answer.messages, (StreamOrigins((row,), (7,)),))
+
+    def test_stream_that_cannot_be_resumed_is_not_reported(self):
+        started = self.harness.send_request("/p/x", "first")
+        self.assertEqual([c for c in started if isinstance(c, cmd.StartAttempt)], [])
+        self.assertEqual(self.told(), {})
+
+
+class TestQueueBehindAResumedStream(StreamOriginCase):
+    def test_request_that_waits_for_one_version_does_not_hold_up_others(self):
+        self.deliver("vm-2", StreamOrigins(((KEY, "llm", "v2"),)))
+        for i in range(20):
+            self.harness.send_request("/c/x", f"n{i}")
+        row = self.harness.state.replicas.rows["llm-1"]
+        busy = next(
+            command
+            for command in self.harness.commands
+            if isinstance(command, cmd.StartAttempt) and command.server == "llm-1"
+        )
+        self.assertLess(row.free_slots(self.harness.state.queue_slack), 1.0)
+        self.harness.commands.clear()
+        self.resume()
+        self.harness.send_request("/c/x", "behind")
+        self.assertEqual(self.started(), [])
+        self.harness.handle(ev.AttemptStarted(busy.attempt_id))
+        self.harness.handle(ev.AttemptFinished(busy.attempt_id))
+        self.assertEqual(self.started(), ["llm-1"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/bluebellbeam/origins/__init__.py
@@ -0,0 +1,44 @@
+"""Where event streams began, kept so that any daemon can continue them.
+
+A caller may resume a stream at another daemon, often because the one that served it is
+gone. The daemon that serves the first event therefore tells a few others where the
+stream began, chosen by rendezvous hash of the stream, and the daemon that the caller
+resumes at asks those that would have been told.
+"""
+
+from bluebellbeam.origins.holders import choose_holders, choose_sources
+from bluebellbeam.origins.table import (
+    OriginTable,
+    find_origin,
+    make_origin_table,
+    prune_origins,
+    record_origin,
+    stream_key,
+)
+from bluebellbeam.origins.versions import (
+    VersionTable,
+    live_versions,
+    make_version_table,
+    only_version,
+    prune_versions,
+    record_live_versions,
+    record_version,
+)
+
+__all__ = [
+    "OriginTable",
+    "VersionTable",
+    "choose_holders",
+    "choose_sources",
+    "find_origin",
+    "live_versions",
+    "make_origin_table",
+    "make_version_table",
+    "only_version",
+    "prune_origins",
+    "prune_versions",
+    "record_live_versions",
+    "record_origin",
+    "record_version",
+    "stream_key",
+]
--- a/bluebellbeam/platform/headers.py
+++ b/bluebellbeam/platform/headers.py
@@ -30,6 +30,8 @@
 PROMPT_PARTS_HEADER = "x-prompt-prefix"
 # Id of the last event that the caller received of the stream that it resumes.
 RESUME_AFTER_HEADER = "last-event-id"
+# Id of the request that brought the first event of that stream.
+RESUMES_HEADER = "resumes"
 # Name of the only server that may run the request.
 TARGET_HEADER = "x-target-instance"
 # "RUNNING,WAITING,SLOTS" of the responding server.
@@ -92,6 +94,7 @@
         prompt_tokens=_parse_count(prompt),
         max_output_tokens=_parse_count(output),
         resume_after=first.get(RESUME_AFTER_HEADER, ""),
+        resumes=first.get(RESUMES_HEADER, ""),
         passed=tuple(
             p for p in pairs if p[0] not in HOP_BY_HOP_HEADERS | RESERVED_HEADERS
         ),
--- a/bluebellbeam/platform/tests/test_stream_versions.py
+++ b/bluebellbeam/platform/tests/test_stream_versions.py
@@ -148,5 +148,31 @@
         self.assertEqual(len(self.versions(deployment, first, key)), 1, key)
 
 
+class TestStreamOfUnknownOrigin(StreamVersionCase):
+    def test_stream_is_refused_while_two_versions_serve(self):
+        async def step(deployment):
+            await self.start_versions(deployment)
+            for resumes in ("nobody", ""):
+                key = f"b-{resumes}"
+                headers = {"Last-Event-Id": "2", "Resumes": resumes}
+                status, _, body = await deployment.fetch(
+                    "/chat/1", key, headers=headers
+                )
+                self.assertEqual(status, 503)
+                self.assertIn(b"stream_origin_unknown", body)
+                self.assertEqual(deployment.runs(key), [])
+
+        self.run_with(step, daemons=("hall-e", "hall-w"))
+
+    def test_stream_is_continued_while_one_version_serves(self):
+        async def step(deployment):
+            await self.start_versions(deployment, ("v1", "v1"))
+            for resumes in ("nobody", ""):
+                found = await self.resume(deployment, f"b-{resumes}", resumes)
+                self.assertEqual(found, (200, IDS[2:]))
+
+        self.run_with(step, daemons=("hall-e", "hall-w"))
+
+
 if __name__ == "__main__":
     unittest.main()
