Bound the bytes of a response that add nothing to its body

Servers in trouble may send bytes without end in a head or a body. A status line, a header line, interim responses, a chunk size, a chunk extension and a trailer line without end were read until the request's deadline: only complete headers counted towards a limit. 64 KB received in a row without a part of a body now end the response, and a response that has failed closes its connection at once.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -26,7 +26,9 @@
 """Unread bytes of a response at which reading from the socket is paused."""
 
 MAX_RESPONSE_HEADER_BYTES = 64 * 1024
-"""Largest total size of the header names and values of a response."""
+"""Largest total size of the header names and values of a response. Also the largest
+number of bytes received in a row that add nothing to a body, such as a status line, a
+header, interim responses, a chunk extension or trailers."""
 
 TCP_USER_TIMEOUT_MS = 2000
 """Time for which sent bytes may stay unacknowledged before the connection is closed."""
@@ -88,6 +90,7 @@
         "_parser",
         "_in_flight",
         "_head_bytes",
+        "_bytes_without_body",
         "_head_done",
         "_complete",
         "_framed",
@@ -127,6 +130,7 @@
         if not self._in_flight or self._complete:
             self._invalidate()
             return
+        self._bytes_without_body += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -136,6 +140,12 @@
                 self._invalidate()
             else:
                 self._fail(f"the response is malformed: {error}", lost=False)
+        if self._bytes_without_body > MAX_RESPONSE_HEADER_BYTES and not self._complete:
+            self._fail(
+                f"{self._bytes_without_body} bytes without a part of a body exceed "
+                f"{MAX_RESPONSE_HEADER_BYTES}",
+                lost=False,
+            )
         if self._buffered_bytes > MAX_BUFFERED_BYTES:
             self._transport.pause_reading()
         self._wake()
@@ -207,6 +217,7 @@
         if not self._complete:
             self._chunks.append(data)
             self._buffered_bytes += len(data)
+            self._bytes_without_body = 0
 
     def on_message_complete(self):
         """Mark the response as complete, unless it is an interim one."""
@@ -327,6 +338,7 @@
         self.status = 0
         self.headers = []
         self._head_bytes = 0
+        self._bytes_without_body = 0
         self._head_done = False
         self._complete = False
         self._framed = False
@@ -338,6 +350,8 @@
         self._invalidated = True
         if self._error is None:
             self._error = UpstreamConnectionError(reason, lost)
+        if self._transport is not None:
+            self._transport.abort()
 
     def _invalidate(self):
         """Bar the connection from reuse; abort it at once if it is idle."""
