Take a refusal for one although its body has no end

A server that refuses a request says in the head that it did not run it. The body was read before the refusal was reported, up to 64 MiB or the request's deadline; one without end, or cut off, made an unsafe request fail with 502, as one that may have run, instead of 503. The body is now read for 0.2 s and 64 KB at most, only so that the connection can be used again, and the refusal stands in any case.

test_refusal_with_a_body_without_end_is_a_refusal failed before (502 instead of 503); tests of requests and of servers' statements pass.

--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -5,6 +5,9 @@
 of any other response.
 """
 
+import asyncio
+import contextlib
+
 import msgspec
 from msgspec import Struct
 
@@ -44,6 +47,12 @@
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 """Largest response that is buffered before it is passed on."""
 
+MAX_REFUSAL_BYTES = 64 * 1024
+"""Largest body of a refusal that is read so that its connection can be reused."""
+
+REFUSAL_BODY_TIMEOUT_S = 0.2
+"""Longest time to read that body; the refusal is known from the head."""
+
 EVENT_STREAM = "text/event-stream"
 
 
@@ -320,7 +329,7 @@
 
 async def _report_refusal(driver, command, connection, response, progress):
     first = dict(reversed(connection.headers))
-    await connection.read_all(MAX_RESPONSE_BYTES)
+    await _skip_refusal_body(connection)
     code = first.get(CODE_HEADER, "") if command.peer else ""
     if code not in ERRORS:
         code = "server_changed" if response.other_server else "upstream_failed"
@@ -336,6 +345,16 @@
     )
 
 
+async def _skip_refusal_body(connection):
+    """Read the body of a refusal; one that is long or incomplete ends its connection.
+
+    That is not an error, since the head has said that the request did not run.
+    """
+    with contextlib.suppress(UpstreamConnectionError, TimeoutError):
+        async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+            await connection.read_all(MAX_REFUSAL_BYTES)
+
+
 async def _relay_full(driver, command, exchange, connection, response, progress):
     payload = await connection.read_all(MAX_RESPONSE_BYTES)
     if not connection.is_framed:
--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -137,7 +137,9 @@
         response (``garbage``), a truncated one (``truncate``), a second response
         (``extra``), the response to another request (``foreign``), a connection
         reset (``reset``) or nothing (``hang``). A stream may also end inside its
-        third event (``cut``) or before its first one (``empty``).
+        third event (``cut``) or before its first one (``empty``). Bytes without end
+        may follow the head of a refusal (``full endless``) or of a response
+        (``endless``).
     version : str
         Version of its software.
     framed : bool
@@ -237,11 +239,13 @@
             head = {"X-Instance-Id": self.name}
             return self._write(writer, 421, head, b"")
         behaviour = self.behaviours.pop(0) if self.behaviours else "ok"
-        if behaviour == "full":
+        if behaviour.startswith("full"):
             head = {"X-Not-Executed": "1"} | self._statements()
             if self.retry_after:
                 head["Retry-After"] = self.retry_after
                 self._record("Retry-After", self.retry_after)
+            if behaviour == "full endless":
+                return await self._write_endless(writer, 503, head)
             return self._write(writer, 503, head, b"")
         key = headers["x-attempt-id"]
         self.runs.append((key, headers))
@@ -271,6 +275,15 @@
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode() + body)
         return True
 
+    async def _write_endless(self, writer, status, headers):
+        """Write a head without a length, and bytes until the daemon closes."""
+        lines = [f"HTTP/1.1 {status} X"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        while True:
+            writer.write(b"x" * 65_536)
+            await writer.drain()
+
     async def _respond(self, reader, writer, headers, behaviour):
         key = headers["x-attempt-id"]
         head = {
@@ -290,6 +303,8 @@
         if behaviour == "garbage":
             writer.write(b"\x00\x07 these bytes are no answer\r\n\r\n")
             return False
+        if behaviour == "endless":
+            return await self._write_endless(writer, 200, head)
         if self.events:
             return await self._stream(writer, headers, head, behaviour)
         body = f"body of {key}".encode()
--- a/bluebellbeam/platform/tests/test_requests.py
+++ b/bluebellbeam/platform/tests/test_requests.py
@@ -140,6 +140,27 @@
 
         self.run_with(step)
 
+    def test_refusal_with_a_body_without_end_is_a_refusal(self):
+        async def step(deployment):
+            for number in range(4):
+                deployment.queue_behaviours("portal", "full endless", "full endless")
+                started_s = asyncio.get_running_loop().time()
+                status, _, _ = await deployment.fetch("/unsafe/1", f"f{number}")
+                took_s = asyncio.get_running_loop().time() - started_s
+                self.assertEqual(status, 503)
+                self.assertLess(took_s, 1.5)
+                self.assertEqual(deployment.runs(f"f{number}"), [])
+                for replica in deployment.replicas.values():
+                    replica.behaviours.clear()
+            replicas = [deployment.replicas[f"portal-hall-e-{i}"] for i in (1, 2)]
+            sent = sum(len(replica.arrivals) for replica in replicas)
+            self.assertGreater(sent, 1)
+            await deployment.wait(
+                lambda: sum(replica.disconnects for replica in replicas) >= sent
+            )
+
+        self.run_with(step)
+
     def test_route_timeout_ends_the_request_on_time(self):
         async def step(deployment):
             deployment.queue_behaviours("portal", "hang", "hang")
