Bound the memory of the full responses that a daemon buffers

A response that is no stream is buffered until it is whole, 64 MiB for each request: two servers that send without end used more than half of the memory of an entry VM.

test_response_without_end_fails_and_frees_its_memory failed before (no such bound) and passes; tests of requests pass.

--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -11,6 +11,7 @@
 from bluebellbeam.daemon.exchange import Chunk, End, Head, make_exchange
 from bluebellbeam.daemon.native_provider import SERVER_CALL_TIMEOUT_S
 from bluebellbeam.daemon.peer_client import post_to_peer
+from bluebellbeam.daemon.response_buffers import make_response_buffers
 from bluebellbeam.daemon.routed_attempt import run_routed_attempt
 from bluebellbeam.daemon.upstream import run_attempt
 from bluebellbeam.exception import PeerError, PlatformError, UpstreamError
@@ -54,6 +55,8 @@
         Authentication of messages between daemons.
     connection_pool : ConnectionPool
         Connections of routed requests.
+    response_buffers : ResponseBuffers
+        Memory of full responses to routed requests.
     peer_connections : ConnectionPool
         Connections of messages to peers.
     routed_id_counter : int
@@ -89,6 +92,7 @@
         "provider",
         "session",
         "connection_pool",
+        "response_buffers",
         "peer_connections",
         "routed_id_counter",
         "exchanges",
@@ -110,6 +114,7 @@
         self.provider = provider
         self.clock = clock
         self.connection_pool = make_connection_pool(clock)
+        self.response_buffers = make_response_buffers()
         self.peer_connections = make_connection_pool(clock, PEER_MAX_IDLE_MS)
         self.routed_id_counter = 0
         self.auth = make_peer_auth(settings.peer_key, wall_clock())
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -15,6 +15,7 @@
 from bluebellbeam.daemon.codec import HOP_BY_HOP_HEADERS, ResponseHead, UpstreamHead
 from bluebellbeam.daemon.connection import UpstreamConnectionError, encode_request
 from bluebellbeam.daemon.exchange import Chunk, End, FullResponse, Head
+from bluebellbeam.daemon.response_buffers import read_full
 from bluebellbeam.daemon.sse import make_event_splitter
 from bluebellbeam.exception import UpstreamError
 from bluebellbeam.node import event as ev
@@ -44,9 +45,6 @@
 ORIGIN_HEADER = "x-bluebellbeam-stream-origin"
 _GATEWAY_HEADER_PREFIX = "x-bluebellbeam-"
 
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
-"""Largest response that is buffered before it is passed on."""
-
 MAX_REFUSAL_BYTES = 64 * 1024
 """Largest body of a refusal that is read so that its connection can be reused."""
 
@@ -356,7 +354,7 @@
 
 
 async def _relay_full(driver, command, exchange, connection, response, progress):
-    payload = await connection.read_all(MAX_RESPONSE_BYTES)
+    payload = await read_full(driver.response_buffers, connection)
     if not connection.is_framed:
         _log_unframed_end(driver, command, 0, 0)
     first = dict(reversed(connection.headers))
--- a/bluebellbeam/platform/tests/test_requests.py
+++ b/bluebellbeam/platform/tests/test_requests.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 
+from bluebellbeam.daemon.response_buffers import MAX_BUFFERED_BYTES
 from bluebellbeam.platform.tests.loopback import PlatformCase
 
 
@@ -161,6 +162,22 @@
 
         self.run_with(step)
 
+    def test_response_without_end_fails_and_frees_its_memory(self):
+        async def step(deployment):
+            deployment.queue_behaviours("portal", "endless", "endless")
+            keys = ("u1", "u2")
+            found = await asyncio.gather(
+                *(deployment.fetch("/unsafe/1", key) for key in keys)
+            )
+            self.assertEqual([status for status, _, _ in found], [502, 502])
+            driver = deployment.daemons["hall-e"].driver
+            self.assertEqual(driver.response_buffers.used_bytes, 0)
+            self.assertLessEqual(
+                driver.response_buffers.most_bytes, MAX_BUFFERED_BYTES + 300_000
+            )
+
+        self.run_with(step)
+
     def test_route_timeout_ends_the_request_on_time(self):
         async def step(deployment):
             deployment.queue_behaviours("portal", "hang", "hang")
