--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 
 import msgspec
 from msgspec import Struct
@@ -327,7 +326,7 @@
 
 async def _report_refusal(driver, command, connection, response, progress):
     first = dict(reversed(connection.headers))
-    await _skip_refusal_body(connection)
+    await _skip_refusal_body(driver, command, connection)
     code = first.get(CODE_HEADER, "") if command.peer else ""
     if code not in ERRORS:
         code = "server_changed" if response.other_server else "upstream_failed"
@@ -343,14 +342,22 @@
     )
 
 
-async def _skip_refusal_body(connection):
+async def _skip_refusal_body(driver, command, connection):
     """Read the body of a refusal; one that is long or incomplete ends its connection.
 
     That is not an error, since the head has said that the request did not run.
     """
-    with contextlib.suppress(UpstreamConnectionError, TimeoutError):
+    try:
         async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
             await connection.read_all(MAX_REFUSAL_BYTES)
+    except (UpstreamConnectionError, TimeoutError) as error:
+        driver.log.info(
+            "upstream: leave the body of a refusal unread",
+            vm=driver.settings.vm,
+            request_id=command.request.request_id,
+            target=command.server or command.peer,
+            reason=str(error) or "timeout",
+        )
 
 
 async def _relay_full(driver, command, exchange, connection, response, progress):
