Bound the bodies that are read with aiohttp

Health checks, load reports, cache events, errors, calls of plain services, feeds and the store were read whole, whatever their size, until their timeout: a health check without end took what its server could send in a second. read_body ends such a response at a limit and closes its connection; each use names its limit.

test_health_check_fails_and_closes_its_connection failed before (it ran into its timeout of a second with the connection open); tests of the daemon, the adapter and the store pass.

--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -20,6 +20,7 @@
 from bluebellbeam.node.message import Envelope, decode_envelope, encode_envelope
 from bluebellbeam.provider.records import CacheEvents
 from bluebellbeam.utils.clock import monotonic_clock, wall_clock
+from bluebellbeam.utils.http_body import read_body
 
 __all__ = ["Driver", "make_driver"]
 
@@ -29,6 +30,12 @@
 LATE_TICK_MS = 500
 """Shortest delay of a tick that is logged. Callers wait a second for a connection."""
 
+MAX_CACHE_EVENTS_BYTES = 16 * 1024 * 1024
+"""Largest list of cache events that is read."""
+
+MAX_ORDER_BODY_BYTES = 64 * 1024
+"""Largest response to an order that is read."""
+
 MESSAGES_PATH = "/peer/v1/messages"
 SWEEP_INTERVAL_S = 1.0
 """Interval at which expired idle connections are closed and the limits of callers are
@@ -384,7 +391,7 @@
         async with self.session.get(
             url, timeout=timeout, allow_redirects=False
         ) as response:
-            raw = await response.read()
+            raw = await read_body(response, MAX_CACHE_EVENTS_BYTES)
             if response.status != 200:
                 raise ValueError(f"status {response.status}")
             return raw
@@ -403,7 +410,8 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                text = await response.text()
+                raw = await read_body(response, MAX_ORDER_BODY_BYTES)
+                text = raw.decode(errors="replace")
                 accepted = response.status == 200
         except (TimeoutError, aiohttp.ClientError, OSError):
             text, accepted = "no response", False
--- a/bluebellbeam/daemon/native_provider.py
+++ b/bluebellbeam/daemon/native_provider.py
@@ -8,12 +8,16 @@
 from bluebellbeam.node import event as ev
 from bluebellbeam.provider.clients import make_directory_client, make_feed_client
 from bluebellbeam.provider.records import LoadReport
+from bluebellbeam.utils.http_body import read_body
 
 __all__ = ["SERVER_CALL_TIMEOUT_S", "NativeProvider", "make_native_provider"]
 
 SERVER_CALL_TIMEOUT_S = 1.0
 """Timeout of a load report, cache events or an order requested from a server."""
 
+MAX_LOAD_BODY_BYTES = 1024 * 1024
+"""Largest load report that is read."""
+
 
 class NativeProvider:
     """Provider whose services implement the native HTTP interface.
@@ -65,7 +69,7 @@
             async with session.get(
                 url, timeout=timeout, allow_redirects=False
             ) as response:
-                raw = await response.read()
+                raw = await read_body(response, MAX_LOAD_BODY_BYTES)
                 identity = response.headers.get(SERVER_HEADER, "")
             if response.status != 200:
                 return _identity_event(command.server, identity)
--- a/bluebellbeam/daemon/upstream.py
+++ b/bluebellbeam/daemon/upstream.py
@@ -14,6 +14,7 @@
 
 from bluebellbeam.daemon.auth import AUTH_HEADER
 from bluebellbeam.daemon.exchange import Chunk, End, Head
+from bluebellbeam.daemon.response_buffers import MAX_BUFFERED_BYTES
 from bluebellbeam.daemon.single_use import single_use_session
 from bluebellbeam.daemon.wire import ForwardRequest, ForwardResponse, decode_error
 from bluebellbeam.exception import UpstreamError
@@ -21,6 +22,7 @@
 from bluebellbeam.node.errors import ERRORS, make_error
 from bluebellbeam.operations import MAX_RECORDED_RESPONSE_BYTES
 from bluebellbeam.provider.records import parse_load_header
+from bluebellbeam.utils.http_body import read_body
 
 __all__ = ["RecordedResponse", "run_attempt"]
 
@@ -32,6 +34,12 @@
 MAX_EVENT_BYTES = 1024 * 1024
 """Largest incomplete line of an event stream."""
 
+MAX_ERROR_BODY_BYTES = 64 * 1024
+"""Largest body of an error response that is read."""
+
+MAX_FORWARDED_BODY_BYTES = 2 * MAX_BUFFERED_BYTES
+"""Largest response of a peer to a forwarded call, whose body is encoded as base64."""
+
 STREAM_STALL_TIMEOUT_S = 4.0
 """Longest time without data after a stream has begun."""
 
@@ -180,7 +188,7 @@
             return True
         progress.sent = True
         return False
-    raw = await response.read()
+    raw = await read_body(response, MAX_ERROR_BODY_BYTES)
     outcome = response.headers.get(OUTCOME_HEADER, "")
     error = refusal_error(raw, response.status, outcome)
     progress.settled = True
@@ -329,12 +337,12 @@
         ) as response,
     ):
         if response.status == 421 or response.headers.get(OUTCOME_HEADER) == "not_run":
-            await response.read()
+            await read_body(response, MAX_ERROR_BODY_BYTES)
             progress.settled = True
             error = make_error("upstream_failed", outcome="not_run")
             driver.handle(ev.AttemptRefused(command.attempt_id, error, None))
             return
-        payload = await response.read()
+        payload = await read_body(response, MAX_BUFFERED_BYTES)
         response_headers = {
             n: response.headers[n]
             for n in FORWARDED_RESPONSE_HEADERS
@@ -395,7 +403,8 @@
         if not await _check_response(driver, command, response, progress):
             return
         if command.request.service:
-            found = msgspec.json.decode(await response.read(), type=ForwardResponse)
+            raw = await read_body(response, MAX_FORWARDED_BODY_BYTES)
+            found = msgspec.json.decode(raw, type=ForwardResponse)
             await _finish_service(
                 driver,
                 command,
--- a/bluebellbeam/platform/health.py
+++ b/bluebellbeam/platform/health.py
@@ -9,12 +9,16 @@
     read_limit,
     states_leaving,
 )
+from bluebellbeam.utils.http_body import read_body
 
 __all__ = ["check_health"]
 
 CHECK_TIMEOUT_MS = 1000
 """Includes queueing: a server runs a health check in a slot, like a request."""
 
+MAX_CHECK_BODY_BYTES = 64 * 1024
+"""Largest body of a health check that is read; only its headers are used."""
+
 # Name of the responding server.
 INSTANCE_HEADER = "x-instance-id"
 # Remaining warm-up time in ms, during which the server accepts only few requests.
@@ -40,7 +44,7 @@
     timeout = aiohttp.ClientTimeout(total=CHECK_TIMEOUT_MS / 1000.0)
     try:
         async with session.get(url, timeout=timeout, allow_redirects=False) as response:
-            await response.read()
+            await read_body(response, MAX_CHECK_BODY_BYTES)
             name = response.headers.get(INSTANCE_HEADER, "")
             warm_up = response.headers.get(WARM_UP_HEADER, "0").partition(".")[0]
             limit = read_limit(response.headers.getall(LIMIT_HEADER, []))
--- a/bluebellbeam/platform/store_client.py
+++ b/bluebellbeam/platform/store_client.py
@@ -3,6 +3,7 @@
 import aiohttp
 
 from bluebellbeam.exception import PlatformError
+from bluebellbeam.utils.http_body import read_body
 
 __all__ = [
     "HistoryCompactedError",
@@ -17,6 +18,9 @@
 
 MAX_ERA_DIGITS = 9
 
+MAX_STORE_BODY_BYTES = 16 * 1024 * 1024
+"""Largest response that is read; a page of the store has about one megabyte."""
+
 
 class HistoryCompactedError(PlatformError):
     """Raised when the store has discarded the history that a watch starts from."""
@@ -84,7 +88,7 @@
             async with self.session.get(
                 url, params=query, timeout=timeout, allow_redirects=False
             ) as response:
-                raw = await response.read()
+                raw = await read_body(response, MAX_STORE_BODY_BYTES)
                 check_era(read_era(response.headers.getall(ERA_HEADER, [])))
                 if response.status == 410:
                     raise HistoryCompactedError(f"status 410 for {path}")
--- a/bluebellbeam/provider/clients.py
+++ b/bluebellbeam/provider/clients.py
@@ -9,6 +9,7 @@
 from bluebellbeam.config.bundle import bundle_digest, hash_part
 from bluebellbeam.exception import PlatformError
 from bluebellbeam.feeds import Snapshot
+from bluebellbeam.utils.http_body import read_body
 
 __all__ = [
     "DirectoryClient",
@@ -31,6 +32,12 @@
 UNKNOWN_KEY_TTL_MS = 5_000
 """Time for which the refusal of an unknown key is cached."""
 
+MAX_FEED_BODY_BYTES = 64 * 1024 * 1024
+"""Largest manifest or part of a feed that is read."""
+
+MAX_DIRECTORY_BODY_BYTES = 64 * 1024
+"""Largest response of the directory that is read."""
+
 MAX_KEYS = 20_000
 """Largest number of cached keys."""
 
@@ -126,7 +133,7 @@
             async with self.session.get(
                 url, timeout=timeout, allow_redirects=False
             ) as response:
-                raw = await response.read()
+                raw = await read_body(response, MAX_FEED_BODY_BYTES)
                 if response.status != 200:
                     raise PlatformError(
                         f"status {response.status} instead of 200 for {path}"
@@ -203,7 +210,8 @@
                     raise PlatformError(
                         f"directory status {response.status} instead of 200 or 404"
                     )
-                body = msgspec.json.decode(await response.read())
+                raw = await read_body(response, MAX_DIRECTORY_BODY_BYTES)
+                body = msgspec.json.decode(raw)
                 return str(body["workspace"])
         except (
             TimeoutError,
