Use a server again at the end of the pause that it asked for

Found by a test that failed once (TestPauseOfServer), traced: a refusal with Retry-After also counted the server as full, and nothing reduces that estimate for 1.5 s. If no other response came after the refusal, a server that had asked for 1 s stayed unused for longer: all eight requests after the pause went to the other server. A server that asks for a pause has said itself when it has room again, so its refusal counts neither as full nor as a failure.

The new test of the node failed before and passes; tests of servers, requests and loads pass.

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -186,6 +186,9 @@
     if event.load is not None:
         apply_response_load(state, row, event.load, now_ms)
         return
+    # A server that asked for a pause has said itself when it has room again.
+    if row.paused_until_ms > now_ms:
+        return
     record_full(state.replicas, row, state.queue_slack, now_ms)
     record_failure(state.replicas, row, state.policy, now_ms, state.rng)
 
--- a/bluebellbeam/node/tests/test_server_pauses.py
+++ b/bluebellbeam/node/tests/test_server_pauses.py
@@ -28,13 +28,13 @@
         harness.handle(stated)
         return harness.handle(ev.AttemptRefused(attempt.attempt_id, refusal))
 
-    def pause_all(self, count):
+    def pause_all(self, count, pause_ms=PAUSE_MS):
         self.harness.publish_servers(
             *(server(f"s{n}", address=f"10.0.0.{n}:80") for n in range(count))
         )
         commands = self.harness.send_request(request_id="first")
         while attempts := started_attempts(commands):
-            commands = self.refuse(attempts[0])
+            commands = self.refuse(attempts[0], pause_ms)
 
     def test_retry_of_the_refused_request_uses_another_server(self):
         self.harness.publish_servers(server("s1"), server("s2", address="10.0.0.2:80"))
@@ -54,6 +54,12 @@
         harness.tick(100)
         self.assertGreaterEqual(len(started_attempts(harness.commands)), 1)
 
+    def test_server_is_used_at_the_end_of_a_pause_that_nothing_else_ended(self):
+        self.pause_all(1, pause_ms=1000)
+        self.harness.tick(1000)
+        commands = self.harness.send_request(request_id="r2")
+        self.assertEqual(len(started_attempts(commands)), 1)
+
     def test_paused_server_gets_no_health_checks(self):
         harness = self.harness
         harness.handle(ev.FeedSourceResponded())
