Do not take a reset for the end of a response read with aiohttp

The session's responses now keep the error that their connection was lost with, and read_body checks it.

test_reset_response_without_a_length_is_unknown_and_never_retried failed before (200 instead of an error) and passes, five runs of its file; a close still ends a body.

--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -20,7 +20,7 @@
 from bluebellbeam.node.message import Envelope, decode_envelope, encode_envelope
 from bluebellbeam.provider.records import CacheEvents
 from bluebellbeam.utils.clock import monotonic_clock, wall_clock
-from bluebellbeam.utils.http_body import read_body
+from bluebellbeam.utils.http_body import CheckedResponse, read_body
 
 __all__ = ["Driver", "make_driver"]
 
@@ -145,7 +145,10 @@
         """
         pool = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
         self.session = aiohttp.ClientSession(
-            connector=pool, auto_decompress=False, read_bufsize=2**17
+            connector=pool,
+            response_class=CheckedResponse,
+            auto_decompress=False,
+            read_bufsize=2**17,
         )
         self.provider.open(self.session, self._on_source_response)
         self._spawn(self._run_ticks())
--- a/bluebellbeam/daemon/single_use.py
+++ b/bluebellbeam/daemon/single_use.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from bluebellbeam.exception import UpstreamError
+from bluebellbeam.utils.http_body import CheckedResponse
 
 __all__ = ["SingleUseConnector", "single_use_session"]
 
@@ -35,4 +36,8 @@
 
 def single_use_session():
     """Return a client session for one call that must not be retried."""
-    return aiohttp.ClientSession(connector=SingleUseConnector(), auto_decompress=False)
+    return aiohttp.ClientSession(
+        connector=SingleUseConnector(),
+        response_class=CheckedResponse,
+        auto_decompress=False,
+    )
--- a/bluebellbeam/daemon/tests/test_loopback.py
+++ b/bluebellbeam/daemon/tests/test_loopback.py
@@ -250,10 +250,16 @@
         self.run_with(step)
 
     def test_lost_response_is_unknown_and_never_retried(self):
+        self.check_lost_response("responses_to_drop")
+
+    def test_reset_response_without_a_length_is_unknown_and_never_retried(self):
+        self.check_lost_response("responses_to_reset")
+
+    def check_lost_response(self, fault):
         async def step(deployment, session):
             for name, server in deployment.servers.items():
                 if name in deployment.fleet.services:
-                    server.app["responses_to_drop"] = 1
+                    server.app[fault] = 1
             url = caller_url(deployment, "/v1/services/portal/status/8")
             headers = auth_headers("certificates")
             async with session.put(url, headers=headers) as response:
@@ -262,6 +268,7 @@
             codes = []
             for _ in range(2):
                 async with session.put(url, headers=headers) as response:
+                    self.assertNotEqual(response.status, 200)
                     codes.append((await response.json())["error"]["code"])
             self.assertEqual(codes, ["upstream_failed", "operation_unknown"])
             effects = [s.effects for s in deployment.fleet.services.values()]
--- a/bluebellbeam/standins/http.py
+++ b/bluebellbeam/standins/http.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import hashlib
+import socket
+import struct
 
 import msgspec
 from aiohttp import web
@@ -39,7 +41,8 @@
         Handlers of the stand-in. Two of its keys are faults that tests set:
         ``abort_after_tokens`` of an engine is the number of tokens after which
         streams are aborted, or None, and ``responses_to_drop`` of a plain service
-        is the number of responses still to be dropped.
+        is the number of responses still to be dropped, ``responses_to_reset`` that
+        of responses without a length that are still to be reset midway.
     runner : aiohttp.web.AppRunner or None
         None while the server is stopped.
     host : str
@@ -290,6 +293,18 @@
     return b"data: " + msgspec.json.encode(event) + b"\n\n"
 
 
+async def _reset_midway(transport, identity):
+    """Send a part of a response without a length, and reset the connection."""
+    head = f"HTTP/1.1 200 OK\r\nx-backend-server: {identity}\r\n\r\n"
+    transport.write(f'{head}{{"path": '.encode())
+    await asyncio.sleep(POLL_S)
+    linger = struct.pack("ii", 1, 0)
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    transport.abort()
+    await asyncio.sleep(POLL_S)
+
+
 def make_service_server(service, is_idempotent):
     """Return a server of a :class:`PlainService`.
 
@@ -302,6 +317,7 @@
     """
     app = web.Application()
     app["responses_to_drop"] = 0
+    app["responses_to_reset"] = 0
     record = service.record
     identity = f"{record.name}/{record.incarnation}"
 
@@ -322,6 +338,10 @@
             request.transport.abort()
             await asyncio.sleep(POLL_S)
             raise web.HTTPInternalServerError
+        if app["responses_to_reset"]:
+            app["responses_to_reset"] -= 1
+            await _reset_midway(request.transport, identity)
+            raise web.HTTPInternalServerError
         value = {
             "path": request.path,
             "served_by": record.name,
--- a/bluebellbeam/utils/tests/test_http_body.py
+++ b/bluebellbeam/utils/tests/test_http_body.py
@@ -1,11 +1,13 @@
 import asyncio
+import socket
+import struct
 import unittest
 
 import aiohttp
 from aiohttp import web
 
 from bluebellbeam.standins.http import StandinServer
-from bluebellbeam.utils.http_body import read_body
+from bluebellbeam.utils.http_body import CheckedResponse, read_body
 
 BLOCK = b"x" * 65_536
 
@@ -58,5 +60,38 @@
         await self.check_closed()
 
 
+class TestBodyWithoutLength(unittest.IsolatedAsyncioTestCase):
+    async def fetch(self, reset):
+        """Read a body without a length whose connection is closed or reset."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            if reset:
+                linger = struct.pack("ii", 1, 0)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        async with (
+            aiohttp.ClientSession(response_class=CheckedResponse) as session,
+            session.get(f"http://{host}:{port}/") as response,
+        ):
+            return await read_body(response, 1000)
+
+    async def test_close_ends_the_body(self):
+        self.assertEqual(await self.fetch(reset=False), b"part")
+
+    async def test_reset_within_the_body_is_an_error(self):
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await self.fetch(reset=True)
+
+
 if __name__ == "__main__":
     unittest.main()
