Log dropped origins, and forward streams whose servers here are evacuated

From reading the change: origins dropped for want of room left no line in the log; a stream whose only servers of its version in the region are in an evacuated failure domain waited for an offer of another region instead of being forwarded. The test of streams that are not reported sends one to a route that cannot be resumed; before, its request went to a service without servers and tested nothing. Tests of streams, origins and scripts pass.

--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -178,7 +178,9 @@
     A request without a stream may run at any of them.
     """
     return request.stream_origin is None or any(
-        may_continue_at(row, request.stream_origin) and not row.leaving
+        may_continue_at(row, request.stream_origin)
+        and not row.leaving
+        and row.failure_domain not in state.evacuated
         for row in state.replicas.rows.values()
     )
 
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -246,6 +246,12 @@
         Choices made so far by a baseline policy.
     entry_rankings : int
         Number of times that the entry VMs of a workspace have been ranked.
+    origins : OriginTable
+        Where streams began, as far as this daemon serves or keeps them.
+    origin_lookups : dict of int to OriginLookup
+        Lookups of origins that have not ended, by key of the stream.
+    versions : VersionTable
+        Software versions of the services.
     cache : dict
         See :meth:`cached`.
     decisions : OrderedDict
--- a/bluebellbeam/node/stream_origins.py
+++ b/bluebellbeam/node/stream_origins.py
@@ -1,9 +1,11 @@
 """Exchange of the origins of streams between daemons, and lookups for callers."""
 
 from bluebellbeam.membership import usable_members
+from bluebellbeam.node.command import Log
 from bluebellbeam.node.message import OriginQuery, StreamOrigins
 from bluebellbeam.node.peer_send import send_to_member
 from bluebellbeam.origins import (
+    MAX_ORIGINS,
     choose_holders,
     choose_sources,
     find_origin,
@@ -211,10 +213,17 @@
 
 
 def tick_versions(state, now_ms):
-    """Record the versions of the region's servers; remove outdated records."""
+    """Record the versions of the region's servers; remove outdated records.
+
+    Origins that were dropped for want of room are logged.
+    """
     _record_local_versions(state, now_ms)
     prune_versions(state.versions, now_ms)
     prune_origins(state.origins, now_ms)
+    if state.origins.dropped:
+        fields = {"dropped": state.origins.dropped, "limit": MAX_ORIGINS}
+        state.emit(Log("routing", "drop the oldest origins of streams", fields=fields))
+        state.origins.dropped = 0
 
 
 def _record_local_versions(state, now_ms):
--- a/bluebellbeam/node/tests/test_stream_origins.py
+++ b/bluebellbeam/node/tests/test_stream_origins.py
@@ -5,7 +5,7 @@
 from bluebellbeam.node.message import Envelope, OriginQuery, StreamOrigins
 from bluebellbeam.node.retry_after import START_MS
 from bluebellbeam.node.stream_origins import LOOKUP_TIMEOUT_MS
-from bluebellbeam.node.tests.harness import Harness, server
+from bluebellbeam.node.tests.harness import Harness, make_base, server
 from bluebellbeam.origins import stream_key
 
 KEY = stream_key("a.example:80", "first")
@@ -15,7 +15,12 @@
     """One daemon of region east with a peer in it and one in region west."""
 
     def setUp(self):
-        self.harness = Harness()
+        single = make_base()["routes"][2] | {
+            "name": "single",
+            "path_prefix": "/s/",
+            "resumable": False,
+        }
+        self.harness = Harness(base=make_base(routes=[single]))
         self.harness.announce_peer("vm-2", "east")
         self.harness.announce_peer("vm-w", "west")
         self.publish("v1", "v2")
@@ -150,8 +155,9 @@
         self.assertEqual(answer.messages, (StreamOrigins((row,), (7,)),))
 
     def test_stream_that_cannot_be_resumed_is_not_reported(self):
-        started = self.harness.send_request("/p/x", "first")
-        self.assertEqual([c for c in started if isinstance(c, cmd.StartAttempt)], [])
+        started = self.harness.send_request("/s/x", "first")
+        attempt = next(c for c in started if isinstance(c, cmd.StartAttempt))
+        self.harness.handle(ev.AttemptStarted(attempt.attempt_id))
         self.assertEqual(self.told(), {})
 
 
--- a/bluebellbeam/origins/__init__.py
+++ b/bluebellbeam/origins/__init__.py
@@ -8,6 +8,7 @@
 
 from bluebellbeam.origins.holders import choose_holders, choose_sources
 from bluebellbeam.origins.table import (
+    MAX_ORIGINS,
     OriginTable,
     find_origin,
     make_origin_table,
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    "MAX_ORIGINS",
     "OriginTable",
     "VersionTable",
     "choose_holders",
--- a/bluebellbeam/origins/table.py
+++ b/bluebellbeam/origins/table.py
@@ -5,6 +5,7 @@
 from bluebellbeam.utils.hashing import hash_text
 
 __all__ = [
+    "MAX_ORIGINS",
     "OriginTable",
     "find_origin",
     "make_origin_table",
@@ -17,8 +18,8 @@
 """Largest number of streams in the table; the oldest one is dropped beyond it."""
 
 ORIGIN_TTL_MS = 60_000
-"""Time for which a stream is kept after its last first event; callers give up a stream
-long before."""
+"""Time for which a stream is kept after the first event of a response to it; callers
+give up a stream long before."""
 
 
 class OriginTable:
@@ -29,7 +30,8 @@
     rows : OrderedDict of int to (StreamOrigin, int)
         Origin and time of recording in ms, by key of the stream.
     dropped : int
-        Number of origins dropped because the table was full.
+        Number of origins dropped because the table was full, since that was last
+        logged.
     """
 
     __slots__ = ("rows", "dropped")
@@ -58,19 +60,12 @@
 
 
 def record_origin(table, key, origin, now_ms):
-    """Record where a stream began, or that it is still known.
-
-    Returns
-    -------
-    bool
-        False if another origin of the stream was replaced.
-    """
-    before = table.rows.pop(key, None)
+    """Record where a stream began, or that it is still known."""
+    table.rows.pop(key, None)
     table.rows[key] = (origin, now_ms)
     if len(table.rows) > MAX_ORIGINS:
         table.rows.popitem(last=False)
         table.dropped += 1
-    return before is None or before[0] == origin
 
 
 def find_origin(table, key, now_ms):
