--- a/bluebellbeam/daemon/peers.py
+++ b/bluebellbeam/daemon/peers.py
@@ -20,7 +20,7 @@
     peer_header_factory,
     run_routed_request,
 )
-from bluebellbeam.daemon.routed_attempt import (
+from bluebellbeam.daemon.routed_forward import (
     FORWARD_HEADER,
     ROUTED_PATH,
     RoutedForward,
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -20,7 +20,7 @@
     RoutedExchange,
 )
 from bluebellbeam.daemon.listener import make_listener_app
-from bluebellbeam.daemon.routed_attempt import (
+from bluebellbeam.daemon.routed_forward import (
     CODE_HEADER,
     FORWARD_HEADER,
     OFFER_HEADER,
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -8,41 +8,26 @@
 import asyncio
 
 import msgspec
-from msgspec import Struct
 
-from bluebellbeam.daemon.auth import AUTH_HEADER
-from bluebellbeam.daemon.codec import HOP_BY_HOP_HEADERS, ResponseHead, UpstreamHead
+from bluebellbeam.daemon.codec import UpstreamHead
 from bluebellbeam.daemon.connection import UpstreamConnectionError, encode_request
 from bluebellbeam.daemon.exchange import Chunk, End, FullResponse, Head
 from bluebellbeam.daemon.response_buffers import read_full
+from bluebellbeam.daemon.routed_forward import (
+    CODE_HEADER,
+    OUTCOME_HEADER,
+    RETRY_AFTER_HEADER,
+    ROUTED_PATH,
+    forward_headers,
+    read_peer_head,
+    read_peer_headers,
+)
 from bluebellbeam.daemon.sse import make_event_splitter
 from bluebellbeam.exception import UpstreamError
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.errors import ERRORS, make_error
-from bluebellbeam.routing import StreamOrigin
-
-__all__ = [
-    "CODE_HEADER",
-    "FORWARD_HEADER",
-    "OFFER_HEADER",
-    "ORIGIN_HEADER",
-    "OUTCOME_HEADER",
-    "ROUTED_PATH",
-    "RETRY_AFTER_HEADER",
-    "SENDS_HEADER",
-    "RoutedForward",
-    "run_routed_attempt",
-]
-
-ROUTED_PATH = "/peer/v1/routed"
-FORWARD_HEADER = "x-bluebellbeam-forward"
-OUTCOME_HEADER = "x-bluebellbeam-outcome"
-CODE_HEADER = "x-bluebellbeam-code"
-RETRY_AFTER_HEADER = "x-bluebellbeam-retry-after-ms"
-OFFER_HEADER = "x-bluebellbeam-offer"
-SENDS_HEADER = "x-bluebellbeam-sends"
-ORIGIN_HEADER = "x-bluebellbeam-stream-origin"
-_GATEWAY_HEADER_PREFIX = "x-bluebellbeam-"
+
+__all__ = ["run_routed_attempt"]
 
 MAX_REFUSAL_BYTES = 64 * 1024
 """Largest body of a refusal that is read so that its connection can be reused."""
@@ -53,53 +38,6 @@
 EVENT_STREAM = "text/event-stream"
 
 
-class RoutedForward(Struct, frozen=True):
-    """Metadata of a routed request that is forwarded to another daemon.
-
-    Parameters
-    ----------
-    request_id, attempt_key : str
-        Id of the request at the sending daemon, and the id that the caller chose.
-    revision : int
-        Configuration revision of the sender.
-    left_ms : int
-        Time left for the whole response when the request was forwarded.
-    allowed : tuple of str
-        Regions that the sender's configuration allows.
-    sends : int
-        Number of servers to which the request may have been sent already.
-    method, host, target : str
-        Method, host, and path with query string of the caller's request.
-    prompt_tokens, max_output_tokens : int
-        Length of the prompt and limit of the output; 0 if unknown.
-    blocks, block_ends : tuple of int
-        Hash and number of tokens of each prefix of the prompt; see `chain_blocks`.
-    last_event_id : str
-        Id of the last event that the caller received; empty for a new stream.
-    passed : tuple of (str, str)
-        Headers forwarded to the backend server unchanged.
-    stream_origin : StreamOrigin or None
-        Where the stream that the request continues began; None for a new one.
-    """
-
-    request_id: str
-    attempt_key: str
-    revision: int
-    left_ms: int
-    allowed: tuple[str, ...]
-    sends: int
-    method: str
-    host: str
-    target: str
-    prompt_tokens: int = 0
-    max_output_tokens: int = 0
-    blocks: tuple[int, ...] = ()
-    block_ends: tuple[int, ...] = ()
-    last_event_id: str = ""
-    passed: tuple[tuple[str, str], ...] = ()
-    stream_origin: StreamOrigin | None = None
-
-
 class _Progress:
     """Progress of an attempt.
 
@@ -180,7 +118,7 @@
         await connection.read_head()
         response = _read_response_head(driver, command, connection)
         if command.peer:
-            _read_peer_headers(driver, command, connection, progress)
+            read_peer_headers(driver, command, connection, progress)
         _check_request_id(command, response)
         if command.server and not response.other_server:
             _report_limit(driver, command, response.limit, sent_ms)
@@ -202,7 +140,7 @@
     request = command.request
     left_ms = max(1, request.response_deadline_ms - driver.clock.now_ms())
     if command.peer:
-        pairs = _forward_headers(driver, command, exchange, left_ms)
+        pairs = forward_headers(driver, command, exchange, left_ms)
         return "POST", encode_request(
             "POST", ROUTED_PATH, command.peer_address, pairs, exchange.payload
         )
@@ -221,69 +159,10 @@
     )
 
 
-def _forward_headers(driver, command, exchange, left_ms):
-    request = command.request
-    forward = RoutedForward(
-        request_id=request.request_id,
-        attempt_key=request.attempt_key,
-        revision=driver.node.state.config.revision,
-        left_ms=left_ms,
-        allowed=tuple(sorted(request.allowed)),
-        sends=request.sends,
-        method=request.method,
-        host=request.host,
-        target=exchange.target,
-        prompt_tokens=request.prompt_tokens,
-        max_output_tokens=request.max_output_tokens,
-        blocks=request.blocks,
-        block_ends=request.block_ends,
-        last_event_id=exchange.last_event_id,
-        passed=exchange.head.passed,
-        stream_origin=request.stream_origin,
-    )
-    raw = msgspec.json.encode(forward)
-    signed = driver.auth.sign(ROUTED_PATH, driver.settings.vm, raw + exchange.payload)
-    return [(AUTH_HEADER, signed), (FORWARD_HEADER, raw.decode())]
-
-
 def _read_response_head(driver, command, connection):
     if not command.peer:
         return driver.codec.read_answer(connection.status, connection.headers)
-    first = dict(reversed(connection.headers))
-    passed = tuple(
-        pair
-        for pair in connection.headers
-        if pair[0] not in HOP_BY_HOP_HEADERS
-        and not pair[0].startswith(_GATEWAY_HEADER_PREFIX)
-    )
-    return ResponseHead(
-        request_id=first.get(FORWARD_HEADER),
-        not_run=first.get(OUTCOME_HEADER) == "not_run",
-        other_server=False,
-        load=None,
-        passed=passed,
-    )
-
-
-def _read_peer_headers(driver, command, connection, progress):
-    """Report the peer's offer; record its sends and where its stream began."""
-    first = dict(reversed(connection.headers))
-    _report_offer(driver, command, first.get(OFFER_HEADER, ""))
-    sends = first.get(SENDS_HEADER, "")
-    progress.sends = int(sends) if sends.isdecimal() else None
-    if ORIGIN_HEADER in first:
-        progress.origin = msgspec.json.decode(first[ORIGIN_HEADER], type=StreamOrigin)
-
-
-def _report_offer(driver, command, value):
-    spare, _, wait_ms = value.partition(" ")
-    try:
-        offer = (float(spare), float(wait_ms))
-    except ValueError:
-        # A peer without a configuration or without a pool for the request sends
-        # no offer.
-        return
-    driver.handle(ev.CapacityOfferReceived(command.peer, command.request.pool, *offer))
+    return read_peer_head(connection)
 
 
 def _report_limit(driver, command, limit, sent_ms):
