Log the shared parts of a prompt whose attempt failed

Nothing in the logs told which prompts a server was about to answer when it ended, so hypotheses about a part that ends servers could not be told apart. The line `attempt failed` now has the names of the parts that a prompt may share (all but the last, 64 at most) and how long the response had been running. A daemon that gets a forward decodes them from the headers that it passes on.

--- a/bluebellbeam/daemon/codec.py
+++ b/bluebellbeam/daemon/codec.py
@@ -24,8 +24,16 @@
     "chain_blocks",
     "make_native_codec",
     "parse_prompt_parts",
+    "shared_part_names",
 ]
 
+MAX_PART_NAMES = 64
+"""Largest number of parts of a prompt whose names are kept."""
+
+MAX_PART_NAME_LENGTH = 64
+"""Longest name of a part that is kept as it is; a longer one is replaced by its hash,
+so that the memory for names is bounded."""
+
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -189,6 +197,23 @@
     return tuple(blocks), ends
 
 
+def shared_part_names(parts):
+    """Return the names of the parts that a prompt may have in common with others.
+
+    These are all but the last one, which belongs to the request itself. At most
+    `MAX_PART_NAMES` are returned.
+
+    Parameters
+    ----------
+    parts : tuple of (str, int)
+        Name and number of tokens of each part, in order.
+    """
+    return tuple(
+        name if len(name) <= MAX_PART_NAME_LENGTH else f"{hash_text(name):x}"
+        for name, _ in parts[:-1][:MAX_PART_NAMES]
+    )
+
+
 def make_native_codec():
     """Return the codec of the native header names."""
     return Codec(_read_request, _write_request, _read_response, _own_response_headers)
--- a/bluebellbeam/daemon/peers.py
+++ b/bluebellbeam/daemon/peers.py
@@ -111,9 +111,7 @@
 async def _serve_routed(driver, request, vm, forwarded):
     """Serve a routed request forwarded by daemon `vm`."""
     request_id = driver.new_routed_id(forwarded.attempt_key)
-    node_request = make_forwarded_routed_request(
-        forwarded, vm, request_id, driver.clock.now_ms()
-    )
+    node_request = make_forwarded_routed_request(driver, forwarded, vm, request_id)
     head = RequestHead(
         forwarded.attempt_key,
         resume_after=forwarded.last_event_id,
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -10,7 +10,11 @@
 import msgspec
 from sanic import response
 
-from bluebellbeam.daemon.codec import HOP_BY_HOP_HEADERS, chain_blocks
+from bluebellbeam.daemon.codec import (
+    HOP_BY_HOP_HEADERS,
+    chain_blocks,
+    shared_part_names,
+)
 from bluebellbeam.daemon.exchange import (
     Chunk,
     End,
@@ -152,6 +156,7 @@
         max_output_tokens=head.max_output_tokens,
         blocks=blocks,
         block_ends=ends,
+        prompt_parts=shared_part_names(head.parts),
         resume_after=head.resume_after,
         resumes=head.resumes,
     )
@@ -161,8 +166,10 @@
     return raw_url.partition(b"?")[0].decode("latin-1")
 
 
-def make_forwarded_routed_request(forward, vm, request_id, now_ms):
+def make_forwarded_routed_request(driver, forward, vm, request_id):
     """Return the node's :class:`Request` for a forward from daemon `vm`."""
+    now_ms = driver.clock.now_ms()
+    parts = driver.codec.read_request(forward.passed).parts
     return Request(
         request_id,
         "",
@@ -176,6 +183,7 @@
         max_output_tokens=forward.max_output_tokens,
         blocks=forward.blocks,
         block_ends=forward.block_ends,
+        prompt_parts=shared_part_names(parts),
         allowed=frozenset(forward.allowed),
         revision=forward.revision,
         sends=forward.sends,
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -258,6 +258,7 @@
         reason=reason,
         not_run=not_run,
         took_ms=now_ms - attempt.started_ms,
+        **_start_fields(request, attempt, now_ms),
     )
     if has_target_left(state, request) and consume_retry(
         state, request, not_run, now_ms
@@ -276,6 +277,20 @@
     fail_request(state, request, error, now_ms)
 
 
+def _start_fields(request, attempt, now_ms):
+    """Return the log fields on how far a failed attempt of a prompt got.
+
+    They tell which prompts a server was about to answer when it ended.
+    """
+    if not request.prompt_parts or not attempt.server:
+        return {}
+    started_ms = attempt.response_started_ms
+    return {
+        "answered_for_ms": None if started_ms is None else now_ms - started_ms,
+        "prompt_parts": request.prompt_parts,
+    }
+
+
 def _requeue(state, request):
     """Return the request to the front of its workspace's queue."""
     request.state = "queued"
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -35,6 +35,8 @@
     block_ends : tuple of int
         Prompt tokens up to the end of each block; empty if all blocks have the
         same size.
+    prompt_parts : tuple of str
+        Names of the parts that the prompt may have in common with others, in order.
     expected_ms : float
         Expected duration of a service call in ms.
     host : str
@@ -121,6 +123,7 @@
         "max_output_tokens",
         "blocks",
         "block_ends",
+        "prompt_parts",
         "host",
         "route",
         "attempt_key",
@@ -167,6 +170,7 @@
         self.max_output_tokens = values.pop("max_output_tokens", 0)
         self.blocks = values.pop("blocks", ())
         self.block_ends = values.pop("block_ends", ())
+        self.prompt_parts = values.pop("prompt_parts", ())
         self.host = values.pop("host", "")
         self.route = None
         self.attempt_key = values.pop("attempt_key", "")
