--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -146,6 +146,8 @@
         Whether streams are sent in chunks; others end with their connection.
     runs : list of (str, dict)
         Id and headers of each request that was run.
+    runs_s : list of float
+        Time of the event loop at which each of them arrived.
     bodies : dict of str to (str, str, bytes)
         Method, target and body of each request that was run, by id.
     arrivals : list of float
@@ -166,6 +168,11 @@
         Number of connections that the daemon closed.
     connections : int
         Number of connections that were accepted.
+    crash_part : str
+        Name of a part of a prompt; the server ends when it begins to answer a prompt
+        with it. Empty for none.
+    on_crash : callable or None
+        Called with the server when it has ended in this way.
     """
 
     def __init__(self, name, events=0, response_delay_ms=2):
@@ -177,6 +184,7 @@
         self.version = "v1"
         self.framed = True
         self.runs = []
+        self.runs_s = []
         self.bodies = {}
         self.arrivals = []
         self.stated = []
@@ -187,6 +195,9 @@
         self.retry_after = ""
         self.disconnects = 0
         self.connections = 0
+        self.crash_part = ""
+        self.on_crash = None
+        self.writers = set()
         self.server = None
 
     async def start(self):
@@ -214,8 +225,17 @@
     def stop(self):
         self.server.close()
 
+    def crash(self):
+        """End at once: close every connection and accept none."""
+        self.stop()
+        for writer in self.writers:
+            writer.transport.abort()
+        if self.on_crash is not None:
+            self.on_crash(self)
+
     async def _serve(self, reader, writer):
         self.connections += 1
+        self.writers.add(writer)
         try:
             while await self._handle_request(reader, writer):
                 pass
@@ -223,6 +243,8 @@
             self.disconnects += 1
         except asyncio.CancelledError:
             return
+        finally:
+            self.writers.discard(writer)
         writer.close()
 
     async def _handle_request(self, reader, writer):
@@ -249,6 +271,7 @@
             return self._write(writer, 503, head, b"")
         key = headers["x-attempt-id"]
         self.runs.append((key, headers))
+        self.runs_s.append(self.arrivals[-1])
         self.bodies[key] = (method, target, body)
         return await self._respond(reader, writer, headers, behaviour)
 
@@ -297,6 +320,11 @@
             await reader.read(1)
             raise ConnectionResetError
         await asyncio.sleep(self.response_delay_ms / 1000.0)
+        if self.crash_part and f"{self.crash_part}:" in headers.get(
+            "x-prompt-prefix", ""
+        ):
+            self.crash()
+            return False
         if behaviour == "reset":
             writer.transport.abort()
             return False
--- a/bluebellbeam/platform/tests/loopback.py
+++ b/bluebellbeam/platform/tests/loopback.py
@@ -46,12 +46,14 @@
         if publish:
             await self.wait(lambda: all(self.is_ready(zone) for zone in daemons))
 
-    async def start_daemon(self, zone):
+    async def start_daemon(self, name):
+        """Start daemon `name`, which is its zone or ``ZONE_NUMBER``."""
+        zone = name.partition("_")[0]
         sockets = {name: bind_address("127.0.0.1:0") for name in LISTENERS}
         addresses = {name: bound_address(sock) for name, sock in sockets.items()}
         seeds = [d.address("peers") for d in self.daemons.values()]
         settings = Settings(
-            vm=f"vm-{zone}",
+            vm=f"vm-{name}",
             region=DOMAINS[zone],
             failure_domain=zone,
             site=zone,
@@ -67,8 +69,8 @@
                 retry_slack=56.0,
             ),
         )
-        self.daemons[zone] = make_daemon(settings, sockets, make_platform(settings))
-        await self.daemons[zone].start()
+        self.daemons[name] = make_daemon(settings, sockets, make_platform(settings))
+        await self.daemons[name].start()
 
     def state(self, zone="hall-e"):
         return self.daemons[zone].driver.node.state
