Quarantine prompt parts under which servers end

What callers saw: requests of one kind ended one server after the other.

Cause: nothing connected the end of a server with the prompt that it had just begun to answer. Each daemon took each end for a failure of that server and sent the next prompt with the same part to the next one; and each saw only its own share of the ends.

Change: an attempt whose connection is lost before its response has got under way is kept with the shared parts of its prompt until it shows whether the server ended (refused connections while others respond, or the list) or runs. Ends and what was served since are exchanged by all daemons.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -52,11 +52,14 @@
     lost : bool
         Whether the connection could not be opened, or was reset or closed; False if
         the response itself is invalid.
+    refused : bool
+        Whether nothing accepts connections at the address.
     """
 
-    def __init__(self, reason, lost=False):
+    def __init__(self, reason, lost=False, refused=False):
         super().__init__(reason)
         self.lost = lost
+        self.refused = refused
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -438,5 +441,6 @@
             )
     except (TimeoutError, OSError, ValueError) as error:
         text = f"no connection to {address}: {type(error).__name__}"
-        raise UpstreamConnectionError(text, lost=True) from error
+        refused = isinstance(error, ConnectionRefusedError)
+        raise UpstreamConnectionError(text, True, refused) from error
     return connection
--- a/bluebellbeam/daemon/native_provider.py
+++ b/bluebellbeam/daemon/native_provider.py
@@ -74,6 +74,9 @@
             if response.status != 200:
                 return _identity_event(command.server, identity)
             report = msgspec.json.decode(raw, type=LoadReport)
+        except aiohttp.ClientConnectorError as error:
+            refused = isinstance(error.os_error, ConnectionRefusedError)
+            return ev.LoadReadFailed(command.server, command.incarnation, refused)
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
             return ev.LoadReadFailed(command.server)
         return ev.LoadReported(command.server, report)
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -188,6 +188,7 @@
         revision=forward.revision,
         sends=forward.sends,
         stream_origin=forward.stream_origin,
+        trial_part=forward.trial_part,
     )
 
 
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -78,11 +78,11 @@
     if exchange is None:
         return
     progress = _Progress(None if command.peer else 1)
-    reason, lost = "failed", False
+    reason, lost, refused = "failed", False, False
     try:
         await _run(driver, command, exchange, progress)
     except UpstreamConnectionError as error:
-        reason, lost = str(error), error.lost
+        reason, lost, refused = str(error), error.lost, error.refused
     except (UpstreamError, ValueError, msgspec.DecodeError) as error:
         reason = str(error)
     except Exception:
@@ -100,6 +100,7 @@
             reason,
             lost,
             progress.sends,
+            refused,
         )
     )
 
@@ -255,7 +256,7 @@
     if not _report_start(driver, command, progress):
         return
     progress.settled = True
-    driver.handle(ev.AttemptFinished(command.attempt_id, 0, None, response.load))
+    _report_finish(driver, command, connection, 0, response.load)
     exchange.head_sent = True
     await exchange.put(full)
 
@@ -289,14 +290,20 @@
     if splitter.rest:
         await _put_events(exchange, connection.status, response, [("", splitter.rest)])
     progress.settled = True
-    load = response.load
-    driver.handle(ev.AttemptFinished(command.attempt_id, exchange.emitted, None, load))
+    _report_finish(driver, command, connection, exchange.emitted, response.load)
     if not exchange.head_sent:
         exchange.head_sent = True
         await exchange.put(Head(connection.status, response.passed))
     await exchange.put(End())
 
 
+def _report_finish(driver, command, connection, emitted, load):
+    delimited = connection.is_framed
+    driver.handle(
+        ev.AttemptFinished(command.attempt_id, emitted, None, load, delimited)
+    )
+
+
 def _check_stream_end(connection, splitter, exchange):
     """Raise an error if the end of the response shows that the stream is incomplete.
 
--- a/bluebellbeam/daemon/routed_forward.py
+++ b/bluebellbeam/daemon/routed_forward.py
@@ -61,6 +61,8 @@
         Headers forwarded to the backend server unchanged.
     stream_origin : StreamOrigin or None
         Where the stream that the request continues began; None for a new one.
+    trial_part : str
+        Part of the prompt in quarantine that the request is a trial of, or empty.
     """
 
     request_id: str
@@ -79,6 +81,7 @@
     last_event_id: str = ""
     passed: tuple[tuple[str, str], ...] = ()
     stream_origin: StreamOrigin | None = None
+    trial_part: str = ""
 
 
 def forward_headers(driver, command, exchange, left_ms):
@@ -101,6 +104,7 @@
         last_event_id=exchange.last_event_id,
         passed=exchange.head.passed,
         stream_origin=request.stream_origin,
+        trial_part=request.trial_part,
     )
     raw = msgspec.json.encode(forward)
     signed = driver.auth.sign(ROUTED_PATH, driver.settings.vm, raw + exchange.payload)
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -23,6 +23,7 @@
     workspace_active_count,
     workspace_role,
 )
+from bluebellbeam.node.prompt_quarantine import check_quarantine
 from bluebellbeam.node.retry_after import START_MS, start_retry_after_ms
 from bluebellbeam.node.routed import expected_routed_start_ms, resolve_route
 from bluebellbeam.node.server_limits import record_restricted_servers
@@ -107,6 +108,8 @@
     """
     if error is None and request.origin:
         error = _check_forwarded(state, request, now_ms)
+    if error is None:
+        error = check_quarantine(state, request, now_ms)
     if error is None and not request.origin:
         error = _check_limits(state, request, now_ms)
     if error is None:
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -14,6 +14,13 @@
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.forwarding import exclude_region
 from bluebellbeam.node.lending import LENDER_BACKOFF_MS
+from bluebellbeam.node.prompt_quarantine import (
+    ANSWERED_MS,
+    is_quarantined,
+    record_answered_prompt,
+    record_lost_prompt,
+    record_refused_connection,
+)
 from bluebellbeam.node.retries import REFUSED_RETRY_AFTER_MS, add_sends, consume_retry
 from bluebellbeam.node.server_checks import apply_response_load
 from bluebellbeam.node.stream_origins import tell_origin
@@ -57,7 +64,7 @@
 """Error codes of a peer whose region has no server for the request."""
 
 NON_RETRYABLE_CODES = frozenset(
-    {"not_permitted", "region_not_permitted", "bad_request"}
+    {"not_permitted", "region_not_permitted", "bad_request", "prompt_quarantined"}
 )
 """Error codes for which there is no retry, since every other backend server would
 return them as well."""
@@ -125,6 +132,8 @@
         _record_start(state, attempt, None, now_ms)
     request = attempt.request
     _confirm_server(state, attempt, now_ms)
+    if event.delimited or now_ms - attempt.response_started_ms >= ANSWERED_MS:
+        record_answered_prompt(state, attempt, now_ms)
     row = state.replicas.rows.get(attempt.server)
     if row is not None:
         record_success(row)
@@ -209,6 +218,11 @@
         record_failure(state.replicas, row, state.policy, now_ms, state.rng)
         if not event.sent or (row.listed and event.lost_connection):
             record_miss(state.replicas, row)
+    if event.lost_connection and event.sent:
+        record_lost_prompt(state, attempt, now_ms)
+    elif event.refused_connection:
+        key = (attempt.server, attempt.server_incarnation)
+        record_refused_connection(state, key, now_ms)
     if attempt.peer:
         drop_lender(state.borrower, attempt.peer)
     _retry_or_fail(
@@ -260,8 +274,10 @@
         took_ms=now_ms - attempt.started_ms,
         **_start_fields(request, attempt, now_ms),
     )
-    if has_target_left(state, request) and consume_retry(
-        state, request, not_run, now_ms
+    if (
+        has_target_left(state, request)
+        and not is_quarantined(state, request)
+        and consume_retry(state, request, not_run, now_ms)
     ):
         if not request.idempotent and not request.origin and not request.route:
             mark_not_run(state.ledger, request.operation_id)
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -306,6 +306,7 @@
     """
     request = attempt.request
     attempt.server = row.name
+    attempt.server_incarnation = row.incarnation
     attempt.server_version = row.version
     record_send(row, attempt.started_ms)
     record_request_start(state.replicas, row, attempt.expected_uncached_tokens)
--- a/bluebellbeam/node/dump.py
+++ b/bluebellbeam/node/dump.py
@@ -148,6 +148,20 @@
     left_ms: int
 
 
+class QuarantineRow(Struct):
+    """A prompt part in quarantine.
+
+    See :class:`bluebellbeam.quarantine.PartQuarantine`.
+    """
+
+    part: str
+    age_ms: int
+    ends: int
+    failed_trials: int
+    trial_in_ms: int
+    in_trial: bool
+
+
 class OperationsRow(Struct):
     """Number of recorded operations in one state, or of all ids issued."""
 
@@ -316,6 +330,20 @@
     return granted + held
 
 
+def _quarantine_rows(state, now_ms):
+    return [
+        QuarantineRow(
+            row.part,
+            now_ms - row.since_ms,
+            row.ends,
+            row.failed_trials,
+            row.retry_ms - now_ms,
+            row.trial_ms > 0,
+        )
+        for row in state.quarantines.rows.values()
+    ]
+
+
 def _operation_rows(state, now_ms):
     counts = {"issued": state.ledger.issued}
     for row in state.ledger.rows.values():
@@ -349,6 +377,7 @@
     "pools": _pool_rows,
     "requests": _request_rows,
     "leases": _lease_rows,
+    "quarantines": _quarantine_rows,
     "operations": _operation_rows,
     "counters": _counter_rows,
 }
--- a/bluebellbeam/node/errors.py
+++ b/bluebellbeam/node/errors.py
@@ -116,6 +116,12 @@
     "stream_version_gone": ErrorKind(
         503, "not_run", "No server of the stream's software version is left."
     ),
+    "prompt_quarantined": ErrorKind(
+        503,
+        "not_run",
+        "Servers have ended under prompts with a part of this one.",
+        retry=True,
+    ),
     "server_changed": ErrorKind(
         503, "not_run", "The backend server at the address has changed.", retry=True
     ),
--- a/bluebellbeam/node/event.py
+++ b/bluebellbeam/node/event.py
@@ -79,12 +79,16 @@
         Response recorded for repeats of a non-idempotent call, or None.
     load : LoadHeader or None
         Load that the backend server reported with its response.
+    delimited : bool
+        Whether a length or chunks delimited the response. Otherwise it ended with
+        its connection, as it also does when the server ends.
     """
 
     attempt_id: int
     output_tokens: int = 0
     answer: object = None
     load: LoadHeader | None = None
+    delimited: bool = True
 
 
 class AttemptFailed(Struct, frozen=True):
@@ -103,6 +107,8 @@
     sends : int or None
         Number of servers that may have received the request; None if the peer
         that it was forwarded to did not report it.
+    refused_connection : bool
+        Whether nothing accepts connections at the address.
     """
 
     attempt_id: int
@@ -111,6 +117,7 @@
     reason: str = "failed"
     lost_connection: bool = False
     sends: int | None = 1
+    refused_connection: bool = False
 
 
 class AttemptRefused(Struct, frozen=True):
@@ -202,9 +209,20 @@
 
 
 class LoadReadFailed(Struct, frozen=True):
-    """A load read or health check of a backend server has failed."""
+    """A load read or health check of a backend server has failed.
+
+    Parameters
+    ----------
+    server : str
+    incarnation : int
+        Incarnation that was expected.
+    refused_connection : bool
+        Whether nothing accepts connections at its address.
+    """
 
     server: str
+    incarnation: int = 0
+    refused_connection: bool = False
 
 
 class HealthCheckAnswered(Struct, frozen=True):
--- a/bluebellbeam/node/gossip.py
+++ b/bluebellbeam/node/gossip.py
@@ -25,6 +25,7 @@
 from bluebellbeam.node.lending import capacity_offers, local_demand
 from bluebellbeam.node.message import IndirectAck, IndirectProbe, Ping, Pong
 from bluebellbeam.node.peer_send import send_to_member
+from bluebellbeam.node.prompt_quarantine import known_evidence
 from bluebellbeam.node.state import backends_feed
 from bluebellbeam.node.stream_origins import live_local_versions
 from bluebellbeam.origins import record_live_versions
@@ -90,7 +91,8 @@
     for name in targets:
         start_probe(state.probe_schedule, state.members, name, now_ms)
         ping = make_probe_message(state, name, now_ms)
-        send_to_member(state, name, (*take_announcements(state), ping))
+        messages = (*take_announcements(state), *known_evidence(state, now_ms), ping)
+        send_to_member(state, name, messages)
     if not targets or not state.peers_responded:
         _ping_seeds(state, state.identity.seed_peers)
     elif state.probe_schedule.rounds % SEED_INTERVAL_ROUNDS == 0:
@@ -162,11 +164,8 @@
 def handle_ping(state, sender, ping, now_ms):
     """Apply the gossip of a probe and respond to it."""
     _apply_gossip(state, sender, ping, now_ms)
-    send_to_member(
-        state,
-        sender,
-        (make_probe_message(state, sender, now_ms, Pong, ping.on_behalf_of),),
-    )
+    pong = make_probe_message(state, sender, now_ms, Pong, ping.on_behalf_of)
+    send_to_member(state, sender, (*known_evidence(state, now_ms), pong))
 
 
 def handle_pong(state, sender, pong, now_ms):
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "Announce",
+    "EndOfServer",
     "Envelope",
     "FeedPull",
     "IndirectProbe",
@@ -19,8 +20,10 @@
     "LeaseResponse",
     "MemberPull",
     "OriginQuery",
+    "PromptEvidence",
     "Ping",
     "Pong",
+    "QuarantinedPart",
     "ServerLoads",
     "StreamOrigins",
     "decode_envelope",
@@ -170,6 +173,64 @@
     keys: tuple[int, ...]
 
 
+class EndOfServer(Struct, frozen=True, array_like=True):
+    """End of a backend server, as known to the sender.
+
+    Parameters
+    ----------
+    server, incarnation : str, int
+    age_ms : int
+    parts : dict of str to int
+        Position in its prompt of each part that the server may have ended under.
+    """
+
+    server: str
+    incarnation: int
+    age_ms: int
+    parts: dict[str, int]
+
+
+class QuarantinedPart(Struct, frozen=True, array_like=True):
+    """Part of prompts that the sender refuses.
+
+    Parameters
+    ----------
+    part : str
+    age_ms : int
+        Time since the start of the quarantine.
+    ends : int
+        Number of ends of servers that led to it.
+    failed_trials : int
+    retry_in_ms : int
+        Time to the next trial; negative if it is due.
+    trial_age_ms : int
+        Time since the start of the current trial; -1 if there is none.
+    """
+
+    part: str
+    age_ms: int
+    ends: int
+    failed_trials: int
+    retry_in_ms: int
+    trial_age_ms: int = -1
+
+
+class PromptEvidence(Struct, frozen=True, array_like=True, tag="pe"):
+    """What the sender knows of prompt parts that end backend servers.
+
+    Parameters
+    ----------
+    ends : tuple of EndOfServer
+    served : dict of str to int
+        Time in ms since a prompt with a part was last served, by part.
+    quarantines : tuple of QuarantinedPart
+    """
+
+    ends: tuple[EndOfServer, ...] = ()
+    served: dict[str, int] = {}
+    quarantines: tuple[QuarantinedPart, ...] = ()
+
+
 class LeaseRequest(Struct, frozen=True, array_like=True, tag="lw"):
     """Request for a lease on slots of a lender.
 
@@ -227,6 +288,7 @@
     | ServerLoads
     | StreamOrigins
     | OriginQuery
+    | PromptEvidence
     | Delta
     | Snapshot
 )
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -51,6 +51,11 @@
     tick_orders,
 )
 from bluebellbeam.node.pause import detect_pause
+from bluebellbeam.node.prompt_quarantine import (
+    handle_prompt_evidence,
+    record_refused_connection,
+    tick_quarantine,
+)
 from bluebellbeam.node.readiness import tick_readiness
 from bluebellbeam.node.reconfiguration import apply_config_to_queued
 from bluebellbeam.node.server_checks import (
@@ -116,6 +121,7 @@
             tick_server_checks(state, now_ms)
             tick_leases(state, now_ms)
             tick_load_exchange(state, now_ms)
+            tick_quarantine(state, now_ms)
             dispatch_all_pools(state, now_ms)
         tick_readiness(state, now_ms)
         tick_shutdown(state, now_ms)
@@ -200,6 +206,9 @@
             handle_pause_stated(state, event, now_ms)
         case ev.LoadReadFailed(server):
             handle_load_read_failed(state, server, now_ms)
+            if event.refused_connection:
+                key = (server, event.incarnation)
+                record_refused_connection(state, key, now_ms)
         case ev.CacheEventsReceived(events):
             apply_cache_events(state.prefixes, events)
         case ev.OrderAnswered():
@@ -262,6 +271,8 @@
         case msg.StreamOrigins():
             ended = handle_stream_origins(state, sender, message, now_ms)
             _admit_looked_up(state, ended, now_ms)
+        case msg.PromptEvidence():
+            handle_prompt_evidence(state, message, now_ms)
         case msg.OriginQuery():
             handle_origin_query(state, sender, message, now_ms)
         case msg.FeedPull():
--- /dev/null
+++ b/bluebellbeam/node/prompt_quarantine.py
@@ -0,0 +1,343 @@
+"""Quarantine of prompt parts that end servers: evidence, exchange and refusals."""
+
+from bluebellbeam.admission import remove_request
+from bluebellbeam.membership import usable_members
+from bluebellbeam.node.command import Log
+from bluebellbeam.node.dispatch import fail_request
+from bluebellbeam.node.errors import make_error
+from bluebellbeam.node.feed_sync import listed_backends
+from bluebellbeam.node.message import EndOfServer, PromptEvidence, QuarantinedPart
+from bluebellbeam.node.peer_send import send_to_member
+from bluebellbeam.node.state import backends_feed
+from bluebellbeam.quarantine import (
+    PartQuarantine,
+    ServerEnd,
+    add_end,
+    add_loss,
+    adopt_quarantine,
+    confirm_loss,
+    drop_loss,
+    find_quarantine,
+    is_trial_due,
+    record_served,
+    start_trial,
+    update_quarantines,
+)
+from bluebellbeam.utils.hashing import rendezvous_order
+
+__all__ = [
+    "check_quarantine",
+    "handle_prompt_evidence",
+    "is_quarantined",
+    "known_evidence",
+    "record_answered_prompt",
+    "record_lost_prompt",
+    "record_refused_connection",
+    "tick_quarantine",
+]
+
+ANSWERED_MS = 500
+"""Time for which a response has to run before its prompt counts as served: a server
+that ends under a prompt does so when it begins to answer it."""
+
+ALIVE_MARGIN_MS = 100
+"""A response that arrives this long after the loss of others shows that the server
+still runs; earlier ones may have been on their way when it ended."""
+
+LOSS_TTL_MS = 10_000
+"""Time after which a loss no longer counts if nothing shows that the server ended. The
+list drops a server some seconds after its end."""
+
+SHARE_INTERVAL_MS = 100
+"""Shortest time between two messages with new evidence."""
+
+SHARE_FANOUT = 8
+"""Number of members that new evidence is sent to. Each that learns something from it
+sends it on in turn."""
+
+MAX_SHARED_ENDS = 32
+"""Largest number of ends in one message, the latest ones."""
+
+RECENT_END_MS = 30_000
+"""Age up to which an end is repeated in probes."""
+
+
+def record_answered_prompt(state, attempt, now_ms):
+    """Record that a server has answered a prompt, or answers it since some time."""
+    request = attempt.request
+    if attempt.server and request.prompt_parts:
+        record_served(state.evidence, request.prompt_parts, now_ms)
+
+
+def record_lost_prompt(state, attempt, now_ms):
+    """Record an attempt whose connection was lost.
+
+    If its response had run for a while, its prompt counts as served. Else the server
+    may have ended under it.
+    """
+    parts = attempt.request.prompt_parts
+    if not attempt.server or not parts:
+        return
+    started_ms = attempt.response_started_ms
+    if started_ms is not None and now_ms - started_ms >= ANSWERED_MS:
+        record_served(state.evidence, parts, started_ms + ANSWERED_MS)
+        return
+    key = (attempt.server, attempt.server_incarnation)
+    add_loss(state.evidence, *key, parts, now_ms)
+
+
+def record_refused_connection(state, key, now_ms):
+    """Record that a server accepts no connection.
+
+    If requests were lost there before, it has ended, unless this daemon reaches no
+    server at all.
+
+    Parameters
+    ----------
+    state : NodeState
+    key : (str, int)
+        Name and incarnation of the server.
+    now_ms : int
+    """
+    loss = state.evidence.losses.get(key)
+    if loss is None:
+        return
+    if any(
+        row.name != key[0] and (row.confirmed_ms or 0) > loss.at_ms
+        for row in state.replicas.rows.values()
+    ):
+        _confirm(state, key, "refused connection", now_ms)
+
+
+def tick_quarantine(state, now_ms):
+    """Judge losses, update the quarantines and share what has changed."""
+    for key, loss in list(state.evidence.losses.items()):
+        _judge_loss(state, key, loss, now_ms)
+    _update(state, now_ms)
+    _share_changes(state, now_ms)
+
+
+def _judge_loss(state, key, loss, now_ms):
+    """Confirm a loss as the end of its server, drop it, or leave it open."""
+    name, incarnation = key
+    if _listed_incarnations(state).get(name) != incarnation:
+        _confirm(state, key, "not listed", now_ms)
+        return
+    row = state.replicas.rows.get(name)
+    responded_ms = row.confirmed_ms if row is not None else None
+    alive = responded_ms is not None and responded_ms > loss.at_ms + ALIVE_MARGIN_MS
+    if alive or now_ms - loss.at_ms > LOSS_TTL_MS:
+        drop_loss(state.evidence, key)
+
+
+def _listed_incarnations(state):
+    """Return the incarnation of each listed server of the region by name."""
+    feed = state.feeds[backends_feed(state.region)]
+    return state.cached(
+        "listed incarnations",
+        feed.version,
+        lambda: {item.name: item.incarnation for item in listed_backends(state)},
+    )
+
+
+def _confirm(state, key, reason, now_ms):
+    loss = confirm_loss(state.evidence, key)
+    fields = {"server": key[0], "incarnation": key[1], "reason": reason}
+    fields["prompt_parts"] = sorted(loss.parts)
+    fields["age_ms"] = now_ms - loss.at_ms
+    text = "a server ended before it had answered prompts"
+    state.emit(Log("routing", text, fields=fields))
+
+
+def _update(state, now_ms):
+    added, lifted, retried = update_quarantines(
+        state.quarantines, state.evidence, now_ms
+    )
+    for row in lifted:
+        fields = {"prompt_part": row.part, "lasted_ms": now_ms - row.since_ms}
+        state.emit(Log("routing", "use a prompt part again", fields=fields))
+    for row in retried:
+        _log_quarantine(state, row, "a trial of a prompt part has failed", now_ms)
+    for row in added:
+        state.counters.quarantines += 1
+        _log_quarantine(state, row, "quarantine a prompt part", now_ms)
+    if added:
+        _fail_quarantined(state, now_ms)
+
+
+def _log_quarantine(state, row, text, now_ms):
+    fields = {
+        "prompt_part": row.part,
+        "ends": row.ends,
+        "failed_trials": row.failed_trials,
+        "next_trial_in_ms": row.retry_ms - now_ms,
+    }
+    state.emit(Log("routing", text, fields=fields))
+
+
+def _fail_quarantined(state, now_ms):
+    """Fail the requests with a quarantined part whose response has not begun."""
+    for request in list(state.requests.values()):
+        if request.state == "waiting" or request.response_started:
+            continue
+        row = find_quarantine(state.quarantines, request.prompt_parts)
+        if row is None or request.trial_part == row.part:
+            continue
+        if request.state == "queued":
+            remove_request(state.queue(request.pool), request)
+        fail_request(state, request, _quarantine_error(row, now_ms), now_ms)
+
+
+def _quarantine_error(row, now_ms):
+    wait_ms = max(0, row.retry_ms - now_ms)
+    return make_error("prompt_quarantined", retry_after_ms=wait_ms)
+
+
+def is_quarantined(state, request):
+    """Return whether a request must not be sent to a server because of its prompt."""
+    row = find_quarantine(state.quarantines, request.prompt_parts)
+    return row is not None and request.trial_part != row.part
+
+
+def check_quarantine(state, request, now_ms):
+    """Return an error if a part of the request's prompt is in quarantine, else None.
+
+    A request that is chosen as a trial is admitted all the same, and marked as one.
+    """
+    row = find_quarantine(state.quarantines, request.prompt_parts)
+    if row is None:
+        return None
+    is_trial = request.origin and request.trial_part == row.part
+    if not is_trial and not _may_begin_trial(state, request, row, now_ms):
+        return _quarantine_error(row, now_ms)
+    request.trial_part = row.part
+    start_trial(state.quarantines, row, now_ms)
+    fields = {"prompt_part": row.part, "failed_trials": row.failed_trials}
+    state.log_request(request, "try a prompt part in quarantine", **fields)
+    return None
+
+
+def _may_begin_trial(state, request, row, now_ms):
+    if request.origin or now_ms < row.retry_ms:
+        return False
+    own = state.identity.vm
+    names = {member.name for member in _alive_members(state)} | {own}
+    rank = rendezvous_order(f"trial:{row.part}", names).index(own)
+    return is_trial_due(row, rank, now_ms)
+
+
+def _alive_members(state):
+    own = state.identity.vm
+    return [
+        row
+        for row in usable_members(state.members)
+        if row.status == "alive" and row.name != own
+    ]
+
+
+def _share_changes(state, now_ms):
+    evidence, quarantines = state.evidence, state.quarantines
+    changed = evidence.changed_ends or evidence.changed_served or quarantines.changed
+    if not changed or now_ms < state.next_evidence_ms:
+        return
+    state.next_evidence_ms = now_ms + SHARE_INTERVAL_MS
+    ends = [evidence.ends[key] for key in evidence.changed_ends]
+    rows = [quarantines.rows[part] for part in quarantines.changed]
+    message = _encode(state, ends, evidence.changed_served, rows, now_ms)
+    evidence.changed_ends.clear()
+    evidence.changed_served.clear()
+    quarantines.changed.clear()
+    names = [row.name for row in _alive_members(state)]
+    state.rng.shuffle(names)
+    for name in names[:SHARE_FANOUT]:
+        send_to_member(state, name, (message,))
+
+
+def known_evidence(state, now_ms):
+    """Return the messages with the evidence to repeat beside a probe; mostly none.
+
+    They reach daemons that have just started or have missed a message.
+    """
+    evidence = state.evidence
+    recent = [
+        end for end in evidence.ends.values() if now_ms - end.at_ms <= RECENT_END_MS
+    ]
+    rows = list(state.quarantines.rows.values())
+    if not recent and not rows:
+        return ()
+    return (_encode(state, recent, (), rows, now_ms),)
+
+
+def _encode(state, ends, served, rows, now_ms):
+    """Return the message with ends, quarantines, and when parts were served.
+
+    Parameters
+    ----------
+    state : NodeState
+    ends : list of ServerEnd
+    served : iterable of str
+        Parts to report beside those of `ends`.
+    rows : list of PartQuarantine
+    now_ms : int
+    """
+    ends = sorted(ends, key=lambda end: end.at_ms)[-MAX_SHARED_ENDS:]
+    names = {name for end in ends for name in end.parts}.union(served)
+    served_ms = state.evidence.served_ms
+    ages_ms = {name: now_ms - served_ms[name] for name in names if name in served_ms}
+    found = tuple(
+        EndOfServer(end.server, end.incarnation, now_ms - end.at_ms, dict(end.parts))
+        for end in ends
+    )
+    quarantined = tuple(
+        QuarantinedPart(
+            row.part,
+            now_ms - row.since_ms,
+            row.ends,
+            row.failed_trials,
+            row.retry_ms - now_ms,
+            now_ms - row.trial_ms if row.trial_ms else -1,
+        )
+        for row in rows
+    )
+    return PromptEvidence(found, ages_ms, quarantined)
+
+
+def handle_prompt_evidence(state, message, now_ms):
+    """Merge what another daemon knows of prompt parts that end servers."""
+    for item in message.ends:
+        at_ms = now_ms - item.age_ms
+        end = ServerEnd(item.server, item.incarnation, at_ms, item.parts)
+        add_end(state.evidence, end)
+    for name, age_ms in message.served.items():
+        _merge_served(state.evidence, name, now_ms - age_ms)
+    adopted = False
+    for item in message.quarantines:
+        row = _decode_quarantine(item, now_ms)
+        if adopt_quarantine(state.quarantines, state.evidence, row):
+            _log_quarantine(state, row, "learn of a prompt part in quarantine", now_ms)
+            adopted = True
+    if adopted:
+        _fail_quarantined(state, now_ms)
+    _update(state, now_ms)
+
+
+def _merge_served(evidence, name, at_ms):
+    """Record when a part was served elsewhere, unless that says nothing new.
+
+    The time of a message shifts what it reports, so times that are passed on and
+    back would otherwise rise without end.
+    """
+    known_ms = evidence.served_ms.get(name)
+    if known_ms is None or any(
+        name in end.parts and known_ms <= end.at_ms < at_ms
+        for end in evidence.ends.values()
+    ):
+        record_served(evidence, (name,), at_ms)
+
+
+def _decode_quarantine(item, now_ms):
+    row = PartQuarantine(item.part, now_ms - item.age_ms, item.ends, item.failed_trials)
+    row.retry_ms = now_ms + item.retry_in_ms
+    if item.trial_age_ms >= 0:
+        row.trial_ms = now_ms - item.trial_age_ms
+    return row
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -37,6 +37,8 @@
         same size.
     prompt_parts : tuple of str
         Names of the parts that the prompt may have in common with others, in order.
+    trial_part : str
+        Part in quarantine that the request is a trial of, or empty.
     expected_ms : float
         Expected duration of a service call in ms.
     host : str
@@ -124,6 +126,7 @@
         "blocks",
         "block_ends",
         "prompt_parts",
+        "trial_part",
         "host",
         "route",
         "attempt_key",
@@ -171,6 +174,7 @@
         self.blocks = values.pop("blocks", ())
         self.block_ends = values.pop("block_ends", ())
         self.prompt_parts = values.pop("prompt_parts", ())
+        self.trial_part = values.pop("trial_part", "")
         self.host = values.pop("host", "")
         self.route = None
         self.attempt_key = values.pop("attempt_key", "")
@@ -219,6 +223,8 @@
     request : Request
     server : str
         Backend server, or empty.
+    server_incarnation : int
+        Incarnation of that server that the request was sent to.
     server_version : str
         Software version of that server when the request was sent to it.
     peer : str
@@ -239,6 +245,7 @@
         "attempt_id",
         "request",
         "server",
+        "server_incarnation",
         "server_version",
         "peer",
         "lease_id",
@@ -252,6 +259,7 @@
         self.attempt_id = attempt_id
         self.request = request
         self.server = server
+        self.server_incarnation = 0
         self.server_version = ""
         self.peer = peer
         self.lease_id = ""
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -23,6 +23,7 @@
 from bluebellbeam.node.retry_after import make_refusal_table, record_refusal
 from bluebellbeam.operations import make_ledger
 from bluebellbeam.origins import make_origin_table, make_version_table
+from bluebellbeam.quarantine import make_evidence_table, make_quarantine_table
 from bluebellbeam.recovery import make_budget, set_burst
 from bluebellbeam.routing import make_prefix_index, make_replica_table
 
@@ -132,6 +133,8 @@
     turned_away : dict of str to int
         Requests forwarded or refused while a server of their service was limited,
         paused or leaving, by that restriction.
+    quarantines : int
+        Prompt parts put in quarantine by this daemon.
     pauses : int
         Suspensions of the process that were detected.
     orders : int
@@ -160,6 +163,7 @@
         "received",
         "refused",
         "turned_away",
+        "quarantines",
         "pauses",
         "orders",
         "identity_mismatches",
@@ -252,6 +256,12 @@
         Lookups of origins that have not ended, by key of the stream.
     versions : VersionTable
         Software versions of the services.
+    evidence : EvidenceTable
+        Ends of backend servers and the prompt parts that they may have ended under.
+    quarantines : QuarantineTable
+        Prompt parts whose prompts are refused.
+    next_evidence_ms : int
+        Time from which new evidence may be shared again.
     cache : dict
         See :meth:`cached`.
     decisions : OrderedDict
@@ -353,6 +363,9 @@
         "origin_lookups",
         "versions",
         "part_cache",
+        "evidence",
+        "quarantines",
+        "next_evidence_ms",
         "cache",
     )
 
@@ -422,6 +435,9 @@
         self.origin_lookups = {}
         self.versions = make_version_table()
         self.part_cache = make_part_cache()
+        self.evidence = make_evidence_table()
+        self.quarantines = make_quarantine_table()
+        self.next_evidence_ms = 0
         self.cache = {}
 
     @property
--- a/bluebellbeam/platform/health.py
+++ b/bluebellbeam/platform/health.py
@@ -52,6 +52,9 @@
             busy = response.status == 503 and NOT_RUN_HEADER in response.headers
             if not name or (response.status != 200 and not busy and not leaving):
                 return ev.LoadReadFailed(command.server)
+    except aiohttp.ClientConnectorError as error:
+        refused = isinstance(error.os_error, ConnectionRefusedError)
+        return ev.LoadReadFailed(command.server, command.incarnation, refused)
     except (TimeoutError, aiohttp.ClientError, OSError):
         return ev.LoadReadFailed(command.server)
     incarnation = command.incarnation
--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -197,7 +197,7 @@
         self.connections = 0
         self.crash_part = ""
         self.on_crash = None
-        self.writers = set()
+        self.calls = {}
         self.server = None
 
     async def start(self):
@@ -228,14 +228,16 @@
     def crash(self):
         """End at once: close every connection and accept none."""
         self.stop()
-        for writer in self.writers:
+        for task, writer in list(self.calls.items()):
             writer.transport.abort()
+            if task is not asyncio.current_task():
+                task.cancel()
         if self.on_crash is not None:
             self.on_crash(self)
 
     async def _serve(self, reader, writer):
         self.connections += 1
-        self.writers.add(writer)
+        self.calls[asyncio.current_task()] = writer
         try:
             while await self._handle_request(reader, writer):
                 pass
@@ -244,7 +246,7 @@
         except asyncio.CancelledError:
             return
         finally:
-            self.writers.discard(writer)
+            self.calls.pop(asyncio.current_task(), None)
         writer.close()
 
     async def _handle_request(self, reader, writer):
--- /dev/null
+++ b/bluebellbeam/quarantine/__init__.py
@@ -0,0 +1,41 @@
+"""Quarantine of prompt parts that end the servers that answer them."""
+
+from bluebellbeam.quarantine.evidence import (
+    EvidenceTable,
+    ServerEnd,
+    add_end,
+    add_loss,
+    confirm_loss,
+    drop_loss,
+    make_evidence_table,
+    record_served,
+)
+from bluebellbeam.quarantine.parts import (
+    PartQuarantine,
+    QuarantineTable,
+    adopt_quarantine,
+    find_quarantine,
+    is_trial_due,
+    make_quarantine_table,
+    start_trial,
+    update_quarantines,
+)
+
+__all__ = [
+    "EvidenceTable",
+    "PartQuarantine",
+    "QuarantineTable",
+    "ServerEnd",
+    "add_end",
+    "add_loss",
+    "adopt_quarantine",
+    "confirm_loss",
+    "drop_loss",
+    "find_quarantine",
+    "is_trial_due",
+    "make_evidence_table",
+    "make_quarantine_table",
+    "record_served",
+    "start_trial",
+    "update_quarantines",
+]
--- /dev/null
+++ b/bluebellbeam/quarantine/evidence.py
@@ -0,0 +1,192 @@
+"""Ends of servers, and the prompt parts that they were about to answer.
+
+A server that ends for reasons of its own takes down sound prompts as well. What tells
+a harmful part from its companions is that servers end under it again and again, while
+prompts with the companions are served in between.
+"""
+
+from collections import OrderedDict
+
+__all__ = [
+    "EvidenceTable",
+    "ServerEnd",
+    "add_end",
+    "add_loss",
+    "confirm_loss",
+    "drop_loss",
+    "make_evidence_table",
+    "record_served",
+]
+
+MAX_ENDS = 128
+"""Largest number of ends that are kept; the oldest one is dropped beyond it."""
+
+END_TTL_MS = 600_000
+"""Time for which an end is kept."""
+
+MAX_PARTS_OF_END = 128
+"""Largest number of parts that are kept with one end."""
+
+MAX_SERVED_PARTS = 20_000
+"""Largest number of parts of which it is known when they were last served; the one
+served longest ago is dropped beyond it."""
+
+
+class ServerEnd:
+    """End of a server, or the loss of requests there that may turn out to be one.
+
+    Attributes
+    ----------
+    server, incarnation : str, int
+    at_ms : int
+        Time at which the first request was lost.
+    parts : dict of str to int
+        Position in its prompt of each shared part of the prompts that the server had
+        not begun to answer, or only just.
+    """
+
+    __slots__ = ("server", "incarnation", "at_ms", "parts")
+
+    def __init__(self, server, incarnation, at_ms, parts):
+        self.server = server
+        self.incarnation = incarnation
+        self.at_ms = at_ms
+        self.parts = parts
+
+
+class EvidenceTable:
+    """What this daemon has seen and heard of ends of servers and of served parts.
+
+    Attributes
+    ----------
+    losses : dict of (str, int) to ServerEnd
+        Losses of requests at servers that may still run, by server and incarnation.
+    ends : OrderedDict of (str, int) to ServerEnd
+        Ends of servers, by server and incarnation.
+    served_ms : OrderedDict of str to int
+        Time at which a prompt with a part was last served, by part.
+    changed_ends : set of (str, int)
+        Ends not shared with other daemons yet.
+    changed_served : set of str
+        Parts that were served after an end that spoke against them, not shared yet.
+    """
+
+    __slots__ = ("losses", "ends", "served_ms", "changed_ends", "changed_served")
+
+    def __init__(self):
+        self.losses = {}
+        self.ends = OrderedDict()
+        self.served_ms = OrderedDict()
+        self.changed_ends = set()
+        self.changed_served = set()
+
+
+def make_evidence_table():
+    """Return an empty table."""
+    return EvidenceTable()
+
+
+def add_loss(table, server, incarnation, parts, now_ms):
+    """Record that a request was lost before its response had got under way.
+
+    Parameters
+    ----------
+    table : EvidenceTable
+    server, incarnation : str, int
+    parts : tuple of str
+        Shared parts of its prompt, in order.
+    now_ms : int
+    """
+    key = (server, incarnation)
+    positions = {name: position for position, name in enumerate(parts)}
+    end = table.ends.get(key)
+    if end is not None:
+        add_end(table, ServerEnd(server, incarnation, now_ms, positions))
+        return
+    loss = table.losses.get(key)
+    if loss is None:
+        loss = table.losses[key] = ServerEnd(server, incarnation, now_ms, {})
+    _add_parts(loss, positions)
+
+
+def drop_loss(table, key):
+    """Forget a loss, since the server turned out to run."""
+    table.losses.pop(key, None)
+
+
+def confirm_loss(table, key):
+    """Record that the server at which requests were lost has ended.
+
+    Returns
+    -------
+    ServerEnd or None
+        None if no request was lost there.
+    """
+    loss = table.losses.pop(key, None)
+    if loss is not None:
+        add_end(table, loss)
+    return loss
+
+
+def add_end(table, end):
+    """Record an end of a server; return whether anything of it is new."""
+    key = (end.server, end.incarnation)
+    known = table.ends.get(key)
+    if known is None:
+        known = ServerEnd(end.server, end.incarnation, end.at_ms, {})
+        table.ends[key] = known
+        if len(table.ends) > MAX_ENDS:
+            dropped, _ = table.ends.popitem(last=False)
+            table.changed_ends.discard(dropped)
+    elif not _add_parts(known, end.parts):
+        return False
+    known.at_ms = min(known.at_ms, end.at_ms)
+    _add_parts(known, end.parts)
+    table.changed_ends.add(key)
+    return True
+
+
+def _add_parts(end, positions):
+    """Add parts to an end; return whether any of them is new."""
+    added = False
+    for name, position in positions.items():
+        known = end.parts.get(name)
+        if known is None and len(end.parts) < MAX_PARTS_OF_END:
+            end.parts[name] = position
+            added = True
+    return added
+
+
+def record_served(table, parts, at_ms):
+    """Record that a prompt with `parts` was served at `at_ms`."""
+    served_ms = table.served_ms
+    for name in parts:
+        before_ms = served_ms.get(name)
+        if before_ms is not None and before_ms >= at_ms:
+            continue
+        served_ms[name] = at_ms
+        served_ms.move_to_end(name)
+        if _refutes_end(table, name, before_ms, at_ms):
+            table.changed_served.add(name)
+    while len(served_ms) > MAX_SERVED_PARTS:
+        served_ms.popitem(last=False)
+
+
+def _refutes_end(table, name, before_ms, at_ms):
+    """Return whether an end speaks against a part no longer, now that it was served."""
+    return any(
+        name in end.parts
+        and end.at_ms < at_ms
+        and (before_ms is None or before_ms <= end.at_ms)
+        for end in table.ends.values()
+    )
+
+
+def prune_evidence(table, now_ms):
+    """Remove outdated ends."""
+    while table.ends:
+        key, end = next(iter(table.ends.items()))
+        if now_ms - end.at_ms <= END_TTL_MS:
+            return
+        del table.ends[key]
+        table.changed_ends.discard(key)
