--- /dev/null
+++ b/bluebellbeam/node/tests/test_lost_servers.py
@@ -0,0 +1,116 @@
+import unittest
+
+from bluebellbeam.config import split_documents
+from bluebellbeam.node import event as ev
+from bluebellbeam.node.errors import make_error
+from bluebellbeam.node.tests.harness import (
+    Harness,
+    final_errors,
+    make_base,
+    server,
+    started_attempts,
+)
+
+
+def lose_servers(harness, *names):
+    """Let the health checks of servers fail; their rows stay in the list."""
+    for name in names:
+        harness.handle(ev.LoadReadFailed(name))
+
+
+class TestForwardedRequest(unittest.TestCase):
+    def setUp(self):
+        self.harness = Harness()
+        self.harness.publish_servers(server("s1"), server("s2"))
+        self.harness.announce_peer("w1")
+
+    def forward(self, key="f1"):
+        return self.harness.send_request(
+            request_id=key, origin="w1", allowed=frozenset({"east"}), revision=1
+        )
+
+    def test_it_is_refused_at_once_by_a_daemon_that_reaches_no_server(self):
+        lose_servers(self.harness, "s1", "s2")
+        error = final_errors(self.forward())[0]
+        self.assertEqual(
+            (error.code, error.outcome), ("servers_unreachable", "not_run")
+        )
+
+    def test_it_is_refused_once_the_last_server_is_lost(self):
+        lose_servers(self.harness, "s1")
+        attempt = started_attempts(self.forward())[0]
+        commands = self.harness.handle(
+            ev.AttemptFailed(attempt.attempt_id, False, lost_connection=True)
+        )
+        codes = [error.code for error in final_errors(commands)]
+        self.assertEqual(codes, ["servers_unreachable"])
+
+    def test_it_is_served_while_one_server_is_reached(self):
+        lose_servers(self.harness, "s1")
+        self.assertEqual(started_attempts(self.forward())[0].server, "s2")
+
+
+class TestRequestOfACaller(unittest.TestCase):
+    def setUp(self):
+        self.harness = Harness()
+        self.harness.publish_servers(server("s1"), server("s2"))
+        self.harness.announce_peer("e2", region="east", others=("e3",))
+
+    def test_a_neighbour_gets_it_while_no_server_is_reached(self):
+        lose_servers(self.harness, "s1", "s2")
+        attempt = started_attempts(self.harness.send_request())[0]
+        self.assertIn(attempt.peer, ("e2", "e3"))
+
+    def test_a_neighbour_gets_it_after_every_server_was_tried(self):
+        attempt = started_attempts(self.harness.send_request())[0]
+        for _ in range(2):
+            self.assertIn(attempt.server, ("s1", "s2"))
+            event = ev.AttemptFailed(attempt.attempt_id, False, lost_connection=True)
+            attempt = started_attempts(self.harness.handle(event))[0]
+        self.assertIn(attempt.peer, ("e2", "e3"))
+
+    def test_the_other_neighbour_gets_it_if_the_first_reaches_none_either(self):
+        lose_servers(self.harness, "s1", "s2")
+        first = started_attempts(self.harness.send_request())[0]
+        event = ev.AttemptRefused(first.attempt_id, make_error("servers_unreachable"))
+        second = started_attempts(self.harness.handle(event))[0]
+        self.assertEqual({first.peer, second.peer}, {"e2", "e3"})
+        for number in range(3):
+            key = f"n{number}"
+            attempt = started_attempts(self.harness.send_request(request_id=key))[0]
+            self.assertEqual(attempt.peer, second.peer)
+
+    def test_no_neighbour_gets_it_while_a_server_is_reached(self):
+        lose_servers(self.harness, "s1")
+        attempt = started_attempts(self.harness.send_request())[0]
+        self.assertEqual(attempt.server, "s2")
+
+    def test_a_daemon_of_another_region_gets_it_without_an_offer(self):
+        harness = Harness()
+        harness.publish_servers(server("s1"))
+        harness.announce_peer("w1")
+        lose_servers(harness, "s1")
+        attempt = started_attempts(harness.send_request())[0]
+        self.assertEqual(attempt.peer, "w1")
+
+    def test_it_stays_in_its_region_if_the_route_allows_no_other(self):
+        base = make_base()
+        base["routes"][0]["home_regions"] = ["east"]
+        self.harness.publish("config", split_documents(base, {}))
+        self.harness.announce_peer("w1")
+        lose_servers(self.harness, "s1", "s2")
+        attempt = started_attempts(self.harness.send_request())[0]
+        self.assertIn(attempt.peer, ("e2", "e3"))
+
+    def test_no_neighbour_gets_it_if_the_region_is_not_allowed(self):
+        base = make_base()
+        base["routes"][0]["home_regions"] = ["west"]
+        self.harness.publish("config", split_documents(base, {}))
+        self.harness.announce_peer("w1")
+        lose_servers(self.harness, "s1", "s2")
+        attempt = started_attempts(self.harness.send_request())[0]
+        self.assertEqual(attempt.peer, "w1")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/bluebellbeam/platform/tests/loopback.py
+++ b/bluebellbeam/platform/tests/loopback.py
@@ -80,6 +80,9 @@
         usable = sum(row.identified for row in state.replicas.rows.values())
         return state.ready and usable == 4
 
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
     async def wait(self, test, limit_s=8.0):
         async with asyncio.timeout(limit_s):
             while not test():
