Refuse forwarded requests at once at a daemon that reaches no server

Cause: servers whose health check is pending count as usable when a request is admitted, for as long as it is pending, and a queued request waits for them until its deadline.

Change: a forwarded request is refused as servers_unreachable (503, not run) when it arrives, or while it waits, at a daemon that reaches none of the servers that may serve it. Its sender, which still has time, asks another daemon, also of the same region: unlike no_backend the refusal says nothing of the others.

--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -24,6 +24,7 @@
     workspace_role,
 )
 from bluebellbeam.node.prompt_quarantine import check_quarantine
+from bluebellbeam.node.reachability import has_lost_servers
 from bluebellbeam.node.retry_after import START_MS, start_retry_after_ms
 from bluebellbeam.node.routed import expected_routed_start_ms, resolve_route
 from bluebellbeam.node.server_limits import record_restricted_servers
@@ -323,6 +324,8 @@
         return make_error("region_not_permitted")
     request.allowed = frozenset((state.region,))
     state.counters.received += 1
+    if request.route is not None and has_lost_servers(state, request):
+        return make_error("servers_unreachable")
     if request.route is not None or is_baseline(state.routing_policy):
         return None
     lease = find_granted_lease(
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -15,6 +15,7 @@
 from bluebellbeam.node.forwarding import choose_faster_peer, choose_forward_peer
 from bluebellbeam.node.lending import may_run_locally, remote_score
 from bluebellbeam.node.load_exchange import announce_long_prompt
+from bluebellbeam.node.reachability import has_lost_servers
 from bluebellbeam.node.request import Attempt
 from bluebellbeam.node.server_checks import check_unconfirmed
 from bluebellbeam.node.server_limits import record_restricted_servers
@@ -188,6 +189,10 @@
             return _start_at_server(state, queue, request, local, now_ms), False
     else:
         member = choose_forward_peer(state, request, now_ms)
+    if member is None and not local and _is_stranded(state, request):
+        remove_request(queue, request)
+        fail_request(state, request, make_error("servers_unreachable"), now_ms)
+        return True, False
     if member is not None:
         pop_request(queue, request)
         attempt = _new_attempt(state, request, now_ms)
@@ -209,6 +214,14 @@
     return False, no_room and not may_be_passed(state, request)
 
 
+def _is_stranded(state, request):
+    """Return whether a forwarded request waits at a daemon that reaches no server.
+
+    The daemon that forwarded it can try others.
+    """
+    return bool(request.origin) and has_lost_servers(state, request)
+
+
 def _prefers_lease(state, request, local, lease):
     """Return whether a held lease suits the request better than the local region.
 
--- a/bluebellbeam/node/errors.py
+++ b/bluebellbeam/node/errors.py
@@ -110,6 +110,12 @@
     "no_backend": ErrorKind(
         503, "not_run", "No backend server can take the request now.", retry=True
     ),
+    "servers_unreachable": ErrorKind(
+        503,
+        "not_run",
+        "This entry VM reaches no backend server that can take the request.",
+        retry=True,
+    ),
     "stream_origin_unknown": ErrorKind(
         503, "not_run", "It is not known at which software version the stream began."
     ),
--- /dev/null
+++ b/bluebellbeam/node/reachability.py
@@ -0,0 +1,33 @@
+"""Which servers of its region a daemon reaches.
+
+All daemons of a region know the same servers, but one may be cut off from those that
+its neighbours still reach.
+"""
+
+from bluebellbeam.routing import may_continue_at
+
+__all__ = ["has_lost_servers", "may_serve"]
+
+
+def has_lost_servers(state, request):
+    """Return whether servers of this region may serve a request, but none is reached.
+
+    Servers at which it was tried do not count as reached. A server without a response
+    to its last health check or connection is not reached.
+    """
+    rows = [
+        row for row in state.replicas.rows.values() if may_serve(state, row, request)
+    ]
+    return bool(rows) and not any(
+        row.identified and row.name not in request.tried_targets for row in rows
+    )
+
+
+def may_serve(state, row, request):
+    """Return whether a server may serve a routed request, whether reached or not."""
+    return (
+        row.service == request.service
+        and may_continue_at(row, request.stream_origin)
+        and not row.leaving
+        and row.failure_domain not in state.evacuated
+    )
