Forward requests to a neighbour while no server is reached

Cause: requests were forwarded to other regions only, and without a need to only on an offer: all daemons of a region know the same servers. Knowing them is not reaching them.

Change: while none of the servers that may serve a request responds to health checks or connections, it is forwarded to a daemon of the same region, unless that has just refused or what the neighbours report leaves no free slot; else to one of another allowed region, also without an offer. Peers that are as good are taken in random order instead of by name, since all daemons of a zone may choose at the same time.

--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -1,7 +1,8 @@
-"""Forwarding of routed requests to daemons of other regions."""
+"""Forwarding of routed requests to other daemons, mostly of other regions."""
 
 from bluebellbeam.borrowing import record_offer, usable_offers
 from bluebellbeam.membership import usable_members
+from bluebellbeam.node.reachability import has_lost_servers, may_serve
 from bluebellbeam.origins import live_versions
 from bluebellbeam.routing import cached_tokens, may_continue_at, prefill_speed
 
@@ -105,15 +106,20 @@
 
 
 def forward_targets(state, request):
-    """Return the daemons of other allowed regions to which a request can be forwarded.
+    """Return the daemons to which a request can be forwarded.
 
-    Those at which an attempt of it has already failed are left out, and those of a
-    region that is known to have no server that may continue its stream.
+    These are the ones of other allowed regions and, while this daemon reaches no server
+    for the request, those of its own region. Those at which an attempt of it has
+    already failed are left out, and those of a region that is known to have no server
+    that may continue its stream.
     """
+    own = state.identity.vm
+    lost = has_lost_servers(state, request)
     return [
         row
         for row in usable_members(state.members)
-        if row.region != state.region
+        if row.name != own
+        and (lost or row.region != state.region)
         and row.region in request.allowed
         and row.status == "alive"
         and row.name not in request.tried_targets
@@ -147,31 +153,65 @@
 
 
 def choose_forward_peer(state, request, now_ms):
-    """Return the daemon of another region to forward `request` to, or None.
+    """Return the daemon to forward `request` to, or None.
 
     A request that may run locally is forwarded only to a daemon that has
-    offered a free slot. One that may run only in other regions, or whose stream no
-    server of this region may continue, is forwarded to one of their daemons even
-    without an offer.
+    offered a free slot. One that may run only in other regions, whose stream no
+    server of this region may continue, or for which this daemon reaches no server, is
+    forwarded even without an offer.
     """
     if request.origin:
         return None
     peers = forward_targets(state, request)
     offers = _usable_offers_by_lender(state, request, now_ms)
-    remote_only = state.region not in request.allowed or not is_continued_locally(
-        state, request
-    )
-    with_slot = [row for row in peers if _has_free_slot(state, offers.get(row.name))]
+    with_slot = [
+        row
+        for row in peers
+        if _has_free_slot(state, offers.get(row.name))
+        or (row.region == state.region and _may_have_room(state, request, row, now_ms))
+    ]
     if with_slot:
         peers = with_slot
-    elif not remote_only:
+    elif _is_served_locally(state, request):
         return None
+    else:
+        rested = [row for row in peers if not _has_refused(state, request, row, now_ms)]
+        peers = rested or peers
     if not peers:
         return None
     delays = state.base.regions[state.region].one_way_delay_ms
     return min(peers, key=lambda row: _peer_sort_key(state, row, offers, delays))
 
 
+def _is_served_locally(state, request):
+    """Return whether this daemon can expect to send a request to a server."""
+    return (
+        state.region in request.allowed
+        and is_continued_locally(state, request)
+        and not has_lost_servers(state, request)
+    )
+
+
+def _has_refused(state, request, row, now_ms):
+    """Return whether a daemon has refused a request for the same pool lately."""
+    until_ms = state.borrower.refused_until_ms.get((row.name, request.pool), 0)
+    return until_ms > now_ms
+
+
+def _may_have_room(state, request, row, now_ms):
+    """Return whether a daemon of this region may reach a server with a free slot.
+
+    This daemon reaches none, but learns from its neighbours what they send there.
+    """
+    if _has_refused(state, request, row, now_ms):
+        return False
+    return any(
+        server.free_slots() >= 1.0
+        for server in state.replicas.rows.values()
+        if may_serve(state, server, request)
+    )
+
+
 def is_continued_locally(state, request):
     """Return whether some server of this region may continue the request's stream.
 
@@ -205,9 +245,11 @@
     """Return a sort key by expected delay, then by requests in flight at the peer.
 
     The delay is that of the network plus the offered wait. It is rounded to 10 ms,
-    so that peers at about the same delay share the load.
+    so that peers at about the same delay share the load. Those at which as many run
+    are taken in random order, so that several daemons do not choose the same one.
     """
     offer = offers.get(row.name)
     wait_ms = offer.wait_ms if offer is not None else 0.0
     running = sum(1 for item in state.attempts.values() if item.peer == row.name)
-    return (round(delays.get(row.region, 0.0) + wait_ms, -1), running, row.name)
+    delay_ms = round(delays.get(row.region, 0.0) + wait_ms, -1)
+    return (delay_ms, running, state.rng.random(), row.name)
--- a/bluebellbeam/node/reachability.py
+++ b/bluebellbeam/node/reachability.py
@@ -12,15 +12,15 @@
 def has_lost_servers(state, request):
     """Return whether servers of this region may serve a request, but none is reached.
 
-    Servers at which it was tried do not count as reached. A server without a response
-    to its last health check or connection is not reached.
+    A server without a response to its last health check or connection is not reached.
     """
-    rows = [
-        row for row in state.replicas.rows.values() if may_serve(state, row, request)
-    ]
-    return bool(rows) and not any(
-        row.identified and row.name not in request.tried_targets for row in rows
-    )
+    found = False
+    for row in state.replicas.rows.values():
+        if may_serve(state, row, request):
+            if row.identified:
+                return False
+            found = True
+    return found
 
 
 def may_serve(state, row, request):
