Let neighbours reach servers with room that a daemon does not

A daemon that reaches some of its servers, all of them full, kept requests in its queue or refused them while the servers that it does not reach stood idle; its neighbours could have sent them there.

Change: if nothing that is reached can take a request now, and a server that is not reached has a free slot by what the neighbours report, the request goes to a neighbour that has not just refused one; admission counts that as no wait.

Two of the three new tests failed before.

--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -2,7 +2,7 @@
 
 from bluebellbeam.borrowing import record_offer, usable_offers
 from bluebellbeam.membership import usable_members
-from bluebellbeam.node.reachability import has_lost_servers, may_serve
+from bluebellbeam.node.reachability import has_lost_servers, has_room_at_lost_servers
 from bluebellbeam.origins import live_versions
 from bluebellbeam.routing import cached_tokens, may_continue_at, prefill_speed
 
@@ -26,13 +26,19 @@
 
 
 def expected_forward_start_ms(state, request, now_ms):
-    """Return the expected time in ms until a request starts in another region.
+    """Return the expected time in ms until a request starts at another daemon.
 
-    Without a usable offer it is 0 for a request that may run only in other
+    It is 0 if a neighbour may reach a free server that this daemon does not. Without
+    that and a usable offer it is 0 for a request that may run only in other
     regions, since it is forwarded in any case. For one that may run locally it
     is a time beyond every deadline, so that the local wait decides.
     """
     offers = _usable_offers_by_lender(state, request, now_ms)
+    if has_room_at_lost_servers(state, request) and any(
+        row.region == state.region and not _has_refused(state, request, row, now_ms)
+        for row in forward_targets(state, request)
+    ):
+        return 0.0
     if not offers:
         return (
             0.0
@@ -80,7 +86,7 @@
         or local_ms <= FORWARD_THRESHOLD_SHARE * request.route.objective_ms
     ):
         return None
-    member = choose_forward_peer(state, request, now_ms)
+    member = choose_forward_peer(state, request, now_ms, neighbours=False)
     if member is None:
         return None
     offer = _usable_offers_by_lender(state, request, now_ms).get(member.name)
@@ -105,21 +111,30 @@
         record_offer(state.borrower, *offer, now_ms)
 
 
-def forward_targets(state, request):
+def forward_targets(state, request, neighbours=True):
     """Return the daemons to which a request can be forwarded.
 
-    These are the ones of other allowed regions and, while this daemon reaches no server
-    for the request, those of its own region. Those at which an attempt of it has
-    already failed are left out, and those of a region that is known to have no server
-    that may continue its stream.
+    These are the ones of other allowed regions and, while this daemon does not reach
+    every server for the request, those of its own region. Those at which an attempt of
+    it has already failed are left out, and those of a region that is known to have no
+    server that may continue its stream.
+
+    Parameters
+    ----------
+    state : NodeState
+    request : Request
+    neighbours : bool
+        Whether daemons of the own region are considered.
     """
     own = state.identity.vm
-    lost = has_lost_servers(state, request)
+    neighbours = neighbours and (
+        has_lost_servers(state, request) or has_room_at_lost_servers(state, request)
+    )
     return [
         row
         for row in usable_members(state.members)
         if row.name != own
-        and (lost or row.region != state.region)
+        and (neighbours or row.region != state.region)
         and row.region in request.allowed
         and row.status == "alive"
         and row.name not in request.tried_targets
@@ -152,23 +167,29 @@
     )
 
 
-def choose_forward_peer(state, request, now_ms):
+def choose_forward_peer(state, request, now_ms, neighbours=True):
     """Return the daemon to forward `request` to, or None.
 
     A request that may run locally is forwarded only to a daemon that has
-    offered a free slot. One that may run only in other regions, whose stream no
-    server of this region may continue, or for which this daemon reaches no server, is
-    forwarded even without an offer.
+    offered a free slot, or to one of this region if a server has one that this daemon
+    does not reach. One that may run only in other regions, whose stream no server of
+    this region may continue, or for which this daemon reaches no server, is forwarded
+    even without an offer. Parameters are as for :func:`forward_targets`.
     """
     if request.origin:
         return None
-    peers = forward_targets(state, request)
+    peers = forward_targets(state, request, neighbours)
     offers = _usable_offers_by_lender(state, request, now_ms)
+    near = neighbours and has_room_at_lost_servers(state, request)
     with_slot = [
         row
         for row in peers
         if _has_free_slot(state, offers.get(row.name))
-        or (row.region == state.region and _may_have_room(state, request, row, now_ms))
+        or (
+            near
+            and row.region == state.region
+            and not _has_refused(state, request, row, now_ms)
+        )
     ]
     if with_slot:
         peers = with_slot
@@ -198,20 +219,6 @@
     return until_ms > now_ms
 
 
-def _may_have_room(state, request, row, now_ms):
-    """Return whether a daemon of this region may reach a server with a free slot.
-
-    This daemon reaches none, but learns from its neighbours what they send there.
-    """
-    if _has_refused(state, request, row, now_ms):
-        return False
-    return any(
-        server.free_slots() >= 1.0
-        for server in state.replicas.rows.values()
-        if may_serve(state, server, request)
-    )
-
-
 def is_continued_locally(state, request):
     """Return whether some server of this region may continue the request's stream.
 
--- a/bluebellbeam/node/reachability.py
+++ b/bluebellbeam/node/reachability.py
@@ -6,7 +6,7 @@
 
 from bluebellbeam.routing import may_continue_at
 
-__all__ = ["has_lost_servers", "may_serve"]
+__all__ = ["has_lost_servers", "has_room_at_lost_servers"]
 
 
 def has_lost_servers(state, request):
@@ -16,14 +16,27 @@
     """
     found = False
     for row in state.replicas.rows.values():
-        if may_serve(state, row, request):
+        if _may_serve(state, row, request):
             if row.identified:
                 return False
             found = True
     return found
 
 
-def may_serve(state, row, request):
+def has_room_at_lost_servers(state, request):
+    """Return whether a server that this daemon does not reach has a free slot.
+
+    What the neighbours send there is known from them.
+    """
+    return any(
+        not row.identified
+        and row.free_slots() >= 1.0
+        and _may_serve(state, row, request)
+        for row in state.replicas.rows.values()
+    )
+
+
+def _may_serve(state, row, request):
     """Return whether a server may serve a routed request, whether reached or not."""
     return (
         row.service == request.service
--- a/bluebellbeam/node/tests/test_lost_servers.py
+++ b/bluebellbeam/node/tests/test_lost_servers.py
@@ -3,6 +3,7 @@
 from bluebellbeam.config import split_documents
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.errors import make_error
+from bluebellbeam.node.message import Envelope, ServerLoads
 from bluebellbeam.node.tests.harness import (
     Harness,
     final_errors,
@@ -80,11 +81,39 @@
             attempt = started_attempts(self.harness.send_request(request_id=key))[0]
             self.assertEqual(attempt.peer, second.peer)
 
-    def test_no_neighbour_gets_it_while_a_server_is_reached(self):
+    def test_no_neighbour_gets_it_while_a_server_with_room_is_reached(self):
         lose_servers(self.harness, "s1")
         attempt = started_attempts(self.harness.send_request())[0]
         self.assertEqual(attempt.server, "s2")
 
+    def fill_reached_server(self):
+        """Lose one server, and send requests to the other one until it is full."""
+        lose_servers(self.harness, "s1")
+        for number in range(20):
+            key = f"full{number}"
+            sent = started_attempts(self.harness.send_request(request_id=key))
+            if not sent or sent[0].server != "s2":
+                return sent
+        return []
+
+    def test_a_neighbour_gets_it_if_only_lost_servers_have_room(self):
+        attempt = self.fill_reached_server()[0]
+        self.assertIn(attempt.peer, ("e2", "e3"))
+
+    def test_no_neighbour_gets_it_if_lost_servers_have_no_room_either(self):
+        loads = ServerLoads({"s1": (9, 0)})
+        envelope = Envelope("e2", 5, (loads,))
+        self.harness.handle(ev.PeerMessagesReceived(envelope))
+        self.assertEqual(self.fill_reached_server(), [])
+
+    def test_neighbour_that_refused_is_not_asked_again_at_once(self):
+        for _ in range(2):
+            attempt = self.fill_reached_server()[0]
+            error = make_error("deadline_unreachable", retry_after_ms=2000)
+            self.harness.handle(ev.AttemptRefused(attempt.attempt_id, error))
+        self.harness.commands.clear()
+        self.assertEqual(started_attempts(self.harness.send_request("/p/x", "r9")), [])
+
     def test_a_daemon_of_another_region_gets_it_without_an_offer(self):
         harness = Harness()
         harness.publish_servers(server("s1"))
