Keep connections to servers that are silent for two seconds

What callers see: a stream that waits for its first event, or for the next one, is lost when its server falls silent for little more than a second and goes on afterwards.

Cause: with TCP_USER_TIMEOUT set (2 s), Linux does not count keepalive probes. It closes an idle connection at the first probe after that time if the one before was not answered: three seconds after the last byte, with one lost probe, not after four as the comment said. Sent bytes were given up after 2 s as well.

Change: a user timeout of 4.5 s, so that a silence of 2 s at any moment is outlived and a host that is gone is detected after 5 s. The idle time before the first probe stays, as each idle connection to a peer costs a probe in it.

Two of the three new tests, which apply the kernel's rules to the options of a real connection, failed before. No packets were dropped in them.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -30,14 +30,16 @@
 number of bytes received in a row that add nothing to a body, such as a status line, a
 header, interim responses, a chunk extension or trailers."""
 
-TCP_USER_TIMEOUT_MS = 2000
-"""Time for which sent bytes may stay unacknowledged before the connection is closed."""
+TCP_USER_TIMEOUT_MS = 4500
+"""Time for which sent bytes may stay unacknowledged before the connection is closed.
+Linux also closes an idle connection by it, at the first probe after this time without
+a byte if the one before was not answered, whatever the number of probes."""
 
 TCP_KEEPALIVE_IDLE_S = 2
 TCP_KEEPALIVE_INTERVAL_S = 1
-TCP_KEEPALIVE_PROBES = 2
-"""Keepalive probes detect a remote host that disappeared without a reset after about
-four seconds, before the caller of a stalled stream gives up."""
+TCP_KEEPALIVE_PROBES = 3
+"""With the user timeout, a remote host that disappeared without a reset is detected
+five seconds after its last byte, and one that is silent for two seconds is kept."""
 
 BODILESS_STATUSES = frozenset({204, 304})
 
--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 import unittest
 
 from bluebellbeam.daemon.connection import (
@@ -32,6 +33,62 @@
         writer.close()
 
 
+def survives_silence(options, start_ms, silence_ms):
+    """Return whether an idle connection outlives a silence of its remote host.
+
+    By the rules of the Linux kernel: with a user timeout, the number of probes does
+    not matter.
+
+    Parameters
+    ----------
+    options : tuple of int
+        Idle time before the first probe, interval of the probes and user timeout, in
+        ms.
+    start_ms, silence_ms : int
+        Start of the silence after the last byte, and its length.
+    """
+    idle_ms, interval_ms, user_timeout_ms = options
+    received_ms = unanswered = 0
+    now_ms = idle_ms
+    while now_ms <= start_ms + silence_ms + idle_ms:
+        if unanswered and now_ms - received_ms >= user_timeout_ms:
+            return False
+        if start_ms <= now_ms < start_ms + silence_ms:
+            unanswered += 1
+            now_ms += interval_ms
+        else:
+            received_ms, unanswered = now_ms, 0
+            now_ms += idle_ms
+    return True
+
+
+class TestSilentServer(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        scripted = ScriptedServer([])
+        server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        connection = await open_upstream_connection("s", f"{host}:{port}", 1000)
+        self.addCleanup(connection.close)
+        sock = connection._transport.get_extra_info("socket")
+        names = (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_USER_TIMEOUT)
+        idle_s, interval_s, timeout_ms = (
+            sock.getsockopt(socket.IPPROTO_TCP, name) for name in names
+        )
+        self.options = (1000 * idle_s, 1000 * interval_s, timeout_ms)
+
+    async def test_connection_outlives_a_silence_of_two_seconds(self):
+        for start_ms in range(0, 10_000, 50):
+            survives = survives_silence(self.options, start_ms, 2000)
+            self.assertTrue(survives, start_ms)
+
+    async def test_connection_to_a_host_that_is_gone_ends_after_five_seconds(self):
+        self.assertFalse(survives_silence(self.options, 1, 5000))
+
+    async def test_sent_bytes_may_stay_unacknowledged_for_two_seconds(self):
+        self.assertGreater(self.options[2], 2000)
+
+
 class TestUpstreamConnection(unittest.IsolatedAsyncioTestCase):
     async def start(self, responses):
         scripted = ScriptedServer(responses)
