Keep brittle servers from having to refuse requests

New on the users' pages: the servers of a service may state (Server-Brittle) how many requests one of them may refuse in a second; beyond that it ends. Nothing read it, and what makes a server refuse is what daemons do together: each sends up to its slots and a queue by its own count and by reports of the others that are up to 400 ms old.

Change: the statement is decoded once, holds for the whole service in the region, is passed on with the loads and ends with a later response without it.

--- a/bluebellbeam/daemon/codec.py
+++ b/bluebellbeam/daemon/codec.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from bluebellbeam.provider.records import (
+    BrittleStatement,
     LimitStatement,
     LoadHeader,
     parse_load_header,
@@ -130,6 +131,8 @@
         Headers forwarded to the caller.
     limit : LimitStatement or None
         Limit that the server stated or did not state; None if that cannot be read.
+    brittle : BrittleStatement or None
+        How many refusals the server bears, or None if that cannot be read.
     leaving : bool
         Whether the server stated that it is leaving.
     pause_ms : int
@@ -142,6 +145,7 @@
     load: LoadHeader | None
     passed: tuple[tuple[str, str], ...]
     limit: LimitStatement | None = LimitStatement()
+    brittle: BrittleStatement | None = BrittleStatement()
     leaving: bool = False
     pause_ms: int = 0
 
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -123,6 +123,7 @@
         _check_request_id(command, response)
         if command.server and not response.other_server:
             _report_limit(driver, command, response.limit, sent_ms)
+            _report_brittle(driver, command, response.brittle, sent_ms)
             _report_leaving_and_pause(driver, command, response)
         if response.not_run:
             await _report_refusal(driver, command, connection, response, progress)
@@ -176,6 +177,15 @@
     driver.handle(ev.LimitStated(command.server, incarnation, limit, sent_ms))
 
 
+def _report_brittle(driver, command, statement, sent_ms):
+    """Report that a server is brittle, or that its service may no longer be."""
+    sound = statement is not None and statement.refusals_per_s is None
+    if sound and not driver.node.state.brittle:
+        return
+    incarnation = command.incarnation
+    driver.handle(ev.BrittleStated(command.server, incarnation, statement, sent_ms))
+
+
 def _report_leaving_and_pause(driver, command, response):
     server, incarnation = command.server, command.incarnation
     if response.leaving:
--- a/bluebellbeam/node/event.py
+++ b/bluebellbeam/node/event.py
@@ -5,6 +5,7 @@
 from bluebellbeam.feeds.feed import Snapshot
 from bluebellbeam.node.errors import CallerError
 from bluebellbeam.provider.records import (
+    BrittleStatement,
     CacheEvents,
     LimitStatement,
     LoadHeader,
@@ -17,6 +18,7 @@
     "AttemptFinished",
     "AttemptRefused",
     "AttemptStarted",
+    "BrittleStated",
     "CacheEventsReceived",
     "CallerDisconnected",
     "CapacityOfferReceived",
@@ -242,6 +244,8 @@
         Time at which the health check was sent.
     leaving : bool
         Whether it states that it is leaving.
+    brittle : BrittleStatement or None
+        How many refusals it states to bear; None if that cannot be read.
     """
 
     server: str
@@ -251,6 +255,25 @@
     limit: LimitStatement | None = None
     sent_ms: int = 0
     leaving: bool = False
+    brittle: BrittleStatement | None = BrittleStatement()
+
+
+class BrittleStated(Struct, frozen=True):
+    """A response of a backend server has stated that it is brittle, or no longer.
+
+    Parameters
+    ----------
+    server, incarnation : str, int
+    statement : BrittleStatement or None
+        None if it cannot be read.
+    sent_ms : int
+        Time at which the request was sent to which the server responded.
+    """
+
+    server: str
+    incarnation: int
+    statement: BrittleStatement | None
+    sent_ms: int
 
 
 class LeavingStated(Struct, frozen=True):
--- a/bluebellbeam/node/load_exchange.py
+++ b/bluebellbeam/node/load_exchange.py
@@ -6,6 +6,7 @@
 still to be computed.
 """
 
+from bluebellbeam.node.brittle_services import known_brittle, merge_brittle_services
 from bluebellbeam.node.command import SendToPeer
 from bluebellbeam.node.message import ServerLoads
 from bluebellbeam.node.peer_send import send_to_member
@@ -68,10 +69,12 @@
     names = [name for name in state.region_members() if name != state.identity.vm]
     loads = _own_loads(state)
     limits = known_limits(state, now_ms)
+    brittle = known_brittle(state, now_ms)
     if len(names) > MAX_DIRECT_MEMBERS:
         _relay_loads(state, names, loads, now_ms)
-    elif names and (loads or limits or state.last_loads_nonempty):
-        _send_loads(state, names, ServerLoads(loads, limits=limits))
+    elif names and (loads or limits or brittle or state.last_loads_nonempty):
+        message = ServerLoads(loads, limits=limits, brittle=brittle)
+        _send_loads(state, names, message)
     state.last_loads_nonempty = bool(loads)
 
 
@@ -110,7 +113,8 @@
         name: (age_ms, state.peer_loads[name][1])
         for age_ms, name in recent[:MAX_RELAYED_MEMBERS]
     }
-    return ServerLoads(loads, relayed, reply, known_limits(state, now_ms))
+    limits = known_limits(state, now_ms)
+    return ServerLoads(loads, relayed, reply, limits, known_brittle(state, now_ms))
 
 
 def _own_loads(state):
@@ -129,6 +133,7 @@
     The limits of servers that the sender knows are recorded too.
     """
     merge_limits(state, sender, message.limits, now_ms)
+    merge_brittle_services(state, sender, message.brittle, now_ms)
     state.peer_loads[sender] = (now_ms, message.servers)
     for name, (age_ms, servers) in message.relayed.items():
         known = state.peer_loads.get(name)
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -144,12 +144,16 @@
     limits : dict of str to (int, float or None, int, int)
         Incarnation, limit in requests per second or None, round and age in ms of
         what the sender knows about limits, by server.
+    brittle : dict of str to (float, int)
+        Refusals per second that a server bears, and age of that statement in ms, by
+        service whose servers are brittle.
     """
 
     servers: dict[str, tuple[int, int]]
     relayed: dict[str, tuple[int, dict[str, tuple[int, int]]]] = {}
     reply: bool = False
     limits: dict[str, tuple[int, float | None, int, int]] = {}
+    brittle: dict[str, tuple[float, int]] = {}
 
 
 class StreamOrigins(Struct, frozen=True, array_like=True, tag="so"):
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -17,6 +17,7 @@
     handle_caller_disconnect,
     tick_requests,
 )
+from bluebellbeam.node.brittle_services import handle_brittle_stated
 from bluebellbeam.node.command import Log
 from bluebellbeam.node.discovery import handle_announce, handle_member_pull
 from bluebellbeam.node.dispatch import dispatch_all_pools, dispatch_server_pools
@@ -198,6 +199,8 @@
         case ev.HealthCheckAnswered(server):
             handle_health_check(state, event, now_ms)
             dispatch_server_pools(state, server, now_ms)
+        case ev.BrittleStated():
+            handle_brittle_stated(state, event, now_ms)
         case ev.LeavingStated():
             handle_leaving_stated(state, event)
         case ev.LimitStated():
--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -1,6 +1,7 @@
 """Choice of the backend servers to use, their health checks and reported load."""
 
 from bluebellbeam.membership import StatusUpdate, queue_update
+from bluebellbeam.node.brittle_services import apply_brittle
 from bluebellbeam.node.command import Log, ReadLoad
 from bluebellbeam.node.feed_sync import listed_backends
 from bluebellbeam.node.server_limits import apply_limit
@@ -202,6 +203,7 @@
     record_warm_up(row, event.warm_up_left_ms, now_ms)
     if (event.name, event.incarnation) == (row.name, row.incarnation):
         apply_limit(state, row, event.limit, event.sent_ms, now_ms)
+        apply_brittle(state, row, event.brittle, event.sent_ms, now_ms)
         if event.leaving:
             mark_server_leaving(state, row)
     was_used = row.identified
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -256,6 +256,8 @@
         Lookups of origins that have not ended, by key of the stream.
     versions : VersionTable
         Software versions of the services.
+    brittle : dict of str to BrittleService
+        Services whose servers have stated that they are brittle.
     evidence : EvidenceTable
         Ends of backend servers and the prompt parts that they may have ended under.
     quarantines : QuarantineTable
@@ -363,6 +365,7 @@
         "origin_lookups",
         "versions",
         "part_cache",
+        "brittle",
         "evidence",
         "quarantines",
         "next_evidence_ms",
@@ -435,6 +438,7 @@
         self.origin_lookups = {}
         self.versions = make_version_table()
         self.part_cache = make_part_cache()
+        self.brittle = {}
         self.evidence = make_evidence_table()
         self.quarantines = make_quarantine_table()
         self.next_evidence_ms = 0
--- a/bluebellbeam/node/tests/limited_region.py
+++ b/bluebellbeam/node/tests/limited_region.py
@@ -114,9 +114,7 @@
         self.cut = set()
         self.answered = self.refused = self.requests = 0
         self.servers = {
-            f"s{number}": LimitedServer(
-                server(f"s{number}", address=f"10.0.0.{number}:80", slots=64)
-            )
+            f"s{number}": self.make_server(f"s{number}")
             for number in range(1, servers + 1)
         }
         self.names = [f"vm-{number}" for number in range(count)]
@@ -126,9 +124,17 @@
             self.start(name)
         self.schedule(1, self.send_request)
 
+    def make_server(self, name):
+        """Return a server of the region."""
+        return LimitedServer(server(name, slots=64))
+
+    def make_config(self):
+        """Return the base document of the configuration."""
+        return make_base()
+
     def start(self, vm, incarnation=1):
         """Start a daemon that knows all others."""
-        harness = Harness(vm=vm, base=make_base(), incarnation=incarnation)
+        harness = Harness(vm=vm, base=self.make_config(), incarnation=incarnation)
         harness.publish_servers(*(item.record for item in self.servers.values()))
         harness.node.state.rng.seed(self.rng.random())
         others = [name for name in self.names if name != vm]
--- a/bluebellbeam/platform/headers.py
+++ b/bluebellbeam/platform/headers.py
@@ -9,13 +9,15 @@
     ResponseHead,
     parse_prompt_parts,
 )
-from bluebellbeam.provider.records import LimitStatement, LoadHeader
+from bluebellbeam.provider.records import BrittleStatement, LimitStatement, LoadHeader
 
 __all__ = [
+    "BRITTLE_HEADER",
     "LEAVING_HEADER",
     "LIMIT_HEADER",
     "MAX_PAUSE_MS",
     "make_platform_codec",
+    "read_brittle",
     "read_limit",
     "states_leaving",
 ]
@@ -38,6 +40,9 @@
 LOAD_HEADER = "x-server-load"
 # Requests per second that the server accepts from all daemons together.
 LIMIT_HEADER = "server-limit"
+# Refusals in a second beyond which the server ends, in all responses of the servers of
+# a service while that holds.
+BRITTLE_HEADER = "server-brittle"
 # "1" in all responses of a server that is leaving.
 LEAVING_HEADER = "server-leaving"
 # Seconds, possibly with a fraction, in which a server that refuses a request with
@@ -73,6 +78,7 @@
 """Longest pause that a server gets; one that asks for more is tried again then."""
 
 _NO_LIMIT = LimitStatement()
+_NOT_BRITTLE = BrittleStatement()
 
 MIN_URGENCY = 1
 MAX_URGENCY = 9
@@ -129,13 +135,21 @@
         load=_read_load(first.get(LOAD_HEADER, "")),
         passed=tuple(p for p in pairs if p[0] not in _CONSUMED_HEADERS),
         limit=_read_limit_header(first, pairs),
+        brittle=_NOT_BRITTLE
+        if BRITTLE_HEADER not in first
+        else read_brittle([v for name, v in pairs if name == BRITTLE_HEADER]),
         pause_ms=_read_pause_ms(status, pairs) if RETRY_AFTER_HEADER in first else 0,
         leaving=LEAVING_HEADER in first
         and states_leaving([v for name, v in pairs if name == LEAVING_HEADER]),
     )
 
 
-_CONSUMED_HEADERS = HOP_BY_HOP_HEADERS | {LOAD_HEADER, LIMIT_HEADER, LEAVING_HEADER}
+_CONSUMED_HEADERS = HOP_BY_HOP_HEADERS | {
+    LOAD_HEADER,
+    LIMIT_HEADER,
+    BRITTLE_HEADER,
+    LEAVING_HEADER,
+}
 """Headers of a response that are not passed on to the caller."""
 
 
@@ -171,6 +185,20 @@
     return None if limit_per_s is None else LimitStatement(limit_per_s)
 
 
+def read_brittle(values):
+    """Return the :class:`BrittleStatement` of a response, or None if it is malformed.
+
+    Parameters
+    ----------
+    values : list of str
+        Values of the header `BRITTLE_HEADER`, one for each time that it is present.
+    """
+    if not values:
+        return _NOT_BRITTLE
+    refusals_per_s = _read_decimal(values)
+    return None if refusals_per_s is None else BrittleStatement(refusals_per_s)
+
+
 def _read_decimal(values):
     """Return the number in the only one of `values`, or None if it is malformed."""
     text = values[0].strip()
--- a/bluebellbeam/platform/health.py
+++ b/bluebellbeam/platform/health.py
@@ -4,8 +4,10 @@
 
 from bluebellbeam.node import event as ev
 from bluebellbeam.platform.headers import (
+    BRITTLE_HEADER,
     LEAVING_HEADER,
     LIMIT_HEADER,
+    read_brittle,
     read_limit,
     states_leaving,
 )
@@ -48,6 +50,7 @@
             name = response.headers.get(INSTANCE_HEADER, "")
             warm_up = response.headers.get(WARM_UP_HEADER, "0").partition(".")[0]
             limit = read_limit(response.headers.getall(LIMIT_HEADER, []))
+            brittle = read_brittle(response.headers.getall(BRITTLE_HEADER, []))
             leaving = states_leaving(response.headers.getall(LEAVING_HEADER, []))
             busy = response.status == 503 and NOT_RUN_HEADER in response.headers
             if not name or (response.status != 200 and not busy and not leaving):
@@ -67,4 +70,5 @@
         limit,
         command.sent_ms,
         leaving,
+        brittle,
     )
--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -160,6 +160,8 @@
         Whether health checks succeed.
     limit : str
         Limit stated in responses; none is stated if it is empty.
+    brittle : str
+        Number of refusals that it states to bear; none is stated if it is empty.
     leaving : str
         Value of the header that states that the server leaves; absent if empty.
     retry_after : str
@@ -191,6 +193,7 @@
         self.warm_up_ms = 0
         self.healthy = True
         self.limit = ""
+        self.brittle = ""
         self.leaving = ""
         self.retry_after = ""
         self.disconnects = 0
@@ -285,6 +288,7 @@
     def _statements(self):
         """Return the headers in which the server states something about itself."""
         head = {"Server-Limit": self.limit, "Server-Leaving": self.leaving}
+        head["Server-Brittle"] = self.brittle
         head = {name: value for name, value in head.items() if value}
         for name, value in head.items():
             self._record(name, value)
--- a/bluebellbeam/platform/tests/test_server_statements.py
+++ b/bluebellbeam/platform/tests/test_server_statements.py
@@ -9,7 +9,8 @@
     read_limit,
 )
 from bluebellbeam.platform.tests.loopback import PlatformCase
-from bluebellbeam.provider.records import LimitStatement
+from bluebellbeam.provider.records import BrittleStatement, LimitStatement
+from bluebellbeam.routing import is_brittle
 
 READ = make_platform_codec().read_answer
 
@@ -43,6 +44,21 @@
         self.assertEqual(response.passed, (("x-other", "1"),))
 
 
+class TestBrittleHeader(unittest.TestCase):
+    def test_number_is_read_and_not_passed_on(self):
+        response = READ(200, [("server-brittle", "3"), ("x-other", "1")])
+        self.assertEqual(response.brittle, BrittleStatement(3.0))
+        self.assertEqual(response.passed, (("x-other", "1"),))
+
+    def test_malformed_values_state_nothing(self):
+        for values in (("",), ("-1",), ("nan",), ("1e3",), ("9" * 40,), ("1", "1")):
+            pairs = [("server-brittle", value) for value in values]
+            self.assertIsNone(READ(200, pairs).brittle, values)
+
+    def test_response_without_the_header_states_nothing(self):
+        self.assertEqual(READ(200, []).brittle, BrittleStatement())
+
+
 class TestRetryAfterHeader(unittest.TestCase):
     def read_pause_ms(self, *values, status=503):
         return READ(status, [("retry-after", value) for value in values]).pause_ms
@@ -102,5 +118,27 @@
         self.run_with(step)
 
 
+class TestBrittleServer(PlatformCase):
+    def test_statement_in_a_response_holds_until_one_without(self):
+        async def step(deployment):
+            brittle = deployment.state().brittle
+            for name, replica in deployment.replicas.items():
+                if name.startswith("portal"):
+                    replica.brittle = "3"
+            await deployment.fetch("/unsafe/1", "b1")
+            self.assertEqual(brittle["portal"].refusals_per_s, 3.0)
+            self.assertTrue(is_brittle(brittle, "portal", self.now_ms(deployment)))
+            for replica in deployment.replicas.values():
+                replica.brittle = ""
+            await asyncio.sleep(0.1)
+            await deployment.fetch("/unsafe/1", "b2")
+            self.assertFalse(is_brittle(brittle, "portal", self.now_ms(deployment)))
+
+        self.run_with(step)
+
+    def now_ms(self, deployment):
+        return deployment.daemons["hall-e"].driver.clock.now_ms()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/bluebellbeam/provider/records.py
+++ b/bluebellbeam/provider/records.py
@@ -7,6 +7,7 @@
 __all__ = [
     "EVACUATED_PREFIX",
     "CacheEvents",
+    "BrittleStatement",
     "LimitStatement",
     "LoadHeader",
     "LoadReport",
@@ -85,6 +86,19 @@
     limit_per_s: float | None = None
 
 
+class BrittleStatement(Struct, frozen=True):
+    """What a response of a server says about how many refusals it bears.
+
+    Parameters
+    ----------
+    refusals_per_s : float or None
+        Requests per second beyond which the server ends when it has to refuse them
+        for want of room; None if it states nothing.
+    """
+
+    refusals_per_s: float | None = None
+
+
 class LoadHeader(Struct, frozen=True):
     """Load in a header of each response; fields as in :class:`LoadReport`."""
 
--- a/bluebellbeam/routing/__init__.py
+++ b/bluebellbeam/routing/__init__.py
@@ -1,5 +1,11 @@
 """Selection of entry VMs and backend servers, with prefix-cache estimates."""
 
+from bluebellbeam.routing.brittle import (
+    BrittleService,
+    is_brittle,
+    merge_brittle,
+    record_brittle,
+)
 from bluebellbeam.routing.entry import (
     active_entry_count,
     entry_role,
@@ -65,6 +71,10 @@
 from bluebellbeam.routing.warmup import is_cold, record_send
 
 __all__ = [
+    "BrittleService",
+    "is_brittle",
+    "merge_brittle",
+    "record_brittle",
     "Candidate",
     "Estimate",
     "PrefixIndex",
--- a/bluebellbeam/routing/replica_ranking.py
+++ b/bluebellbeam/routing/replica_ranking.py
@@ -11,6 +11,7 @@
 
 from bluebellbeam.routing.affinity import server_preference
 from bluebellbeam.routing.batch import has_batch_room, should_defer_batch
+from bluebellbeam.routing.brittle import has_brittle_room, is_brittle
 from bluebellbeam.routing.estimate import (
     estimate_local,
     prefill_speed,
@@ -112,7 +113,9 @@
         return False
     if not may_send_limited(state, replica, now_ms):
         return False
-    if request.priority == "batch":
+    if is_brittle(state.brittle, replica.service, now_ms):
+        room = has_brittle_room(state, replica)
+    elif request.priority == "batch":
         room = has_batch_room(replica)
     else:
         room = replica.free_slots(state.queue_slack) >= 1.0
