Review ends of servers only after one was added, and keep one list of alive peers

Two clean-ups after the quarantine of prompt parts. The decision ran on all kept ends in every tick, for ten minutes after an end; now only while an end has not been taken into account. The list of alive peers stood twice; it is alive_peers of membership now.

--- a/bluebellbeam/membership/table.py
+++ b/bluebellbeam/membership/table.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 __all__ = [
+    "alive_peers",
     "Member",
     "MemberTable",
     "StatusUpdate",
@@ -269,6 +270,15 @@
     ]
 
 
+def alive_peers(table, own):
+    """Return the usable members that are not suspected, without member `own`."""
+    return [
+        row
+        for row in usable_members(table)
+        if row.status == "alive" and row.name != own
+    ]
+
+
 def _apply_leaving(table, row, update):
     if row.leaving:
         return False
--- a/bluebellbeam/node/prompt_quarantine.py
+++ b/bluebellbeam/node/prompt_quarantine.py
@@ -1,7 +1,7 @@
 """Quarantine of prompt parts that end servers: evidence, exchange and refusals."""
 
 from bluebellbeam.admission import remove_request
-from bluebellbeam.membership import usable_members
+from bluebellbeam.membership import alive_peers
 from bluebellbeam.node.command import Log
 from bluebellbeam.node.dispatch import fail_request
 from bluebellbeam.node.errors import make_error
@@ -221,20 +221,11 @@
     if request.origin or now_ms < row.retry_ms:
         return False
     own = state.identity.vm
-    names = {member.name for member in _alive_members(state)} | {own}
+    names = {member.name for member in alive_peers(state.members, own)} | {own}
     rank = rendezvous_order(f"trial:{row.part}", names).index(own)
     return is_trial_due(row, rank, now_ms)
 
 
-def _alive_members(state):
-    own = state.identity.vm
-    return [
-        row
-        for row in usable_members(state.members)
-        if row.status == "alive" and row.name != own
-    ]
-
-
 def _share_changes(state, now_ms):
     evidence, quarantines = state.evidence, state.quarantines
     changed = evidence.changed_ends or evidence.changed_served or quarantines.changed
@@ -247,7 +238,7 @@
     evidence.changed_ends.clear()
     evidence.changed_served.clear()
     quarantines.changed.clear()
-    names = [row.name for row in _alive_members(state)]
+    names = [row.name for row in alive_peers(state.members, state.identity.vm)]
     state.rng.shuffle(names)
     for name in names[:SHARE_FANOUT]:
         send_to_member(state, name, (message,))
--- a/bluebellbeam/node/stream_origins.py
+++ b/bluebellbeam/node/stream_origins.py
@@ -1,6 +1,6 @@
 """Exchange of the origins of streams between daemons, and lookups for callers."""
 
-from bluebellbeam.membership import usable_members
+from bluebellbeam.membership import alive_peers
 from bluebellbeam.node.command import Log
 from bluebellbeam.node.message import OriginQuery, StreamOrigins
 from bluebellbeam.node.peer_send import send_to_member
@@ -79,7 +79,8 @@
     origin = request.stream_origin
     record_origin(state.origins, key, origin, now_ms)
     message = StreamOrigins(((key, origin.service, origin.version),))
-    for name in choose_holders(key, _alive_members(state), state.identity):
+    peers = alive_peers(state.members, state.identity.vm)
+    for name in choose_holders(key, peers, state.identity):
         send_to_member(state, name, (message,))
 
 
@@ -104,7 +105,8 @@
     if lookup is not None:
         lookup.requests.append(request)
         return False, None
-    sources = choose_sources(key, _alive_members(state), state.identity)
+    peers = alive_peers(state.members, state.identity.vm)
+    sources = choose_sources(key, peers, state.identity)
     if not sources:
         return True, _assumed_origin(state, request, 0, now_ms)
     for name in sources:
@@ -113,15 +115,6 @@
     return False, None
 
 
-def _alive_members(state):
-    own = state.identity.vm
-    return [
-        row
-        for row in usable_members(state.members)
-        if row.status == "alive" and row.name != own
-    ]
-
-
 def handle_origin_query(state, sender, message, now_ms):
     """Send a member the origins that it asks for, as far as they are known."""
     found, unknown = [], []
--- a/bluebellbeam/quarantine/evidence.py
+++ b/bluebellbeam/quarantine/evidence.py
@@ -69,9 +69,18 @@
         Ends not shared with other daemons yet.
     changed_served : set of str
         Parts that were served after an end that spoke against them, not shared yet.
+    needs_review : bool
+        Whether ends have been added that no decision has taken into account yet.
     """
 
-    __slots__ = ("losses", "ends", "served_ms", "changed_ends", "changed_served")
+    __slots__ = (
+        "losses",
+        "ends",
+        "served_ms",
+        "changed_ends",
+        "changed_served",
+        "needs_review",
+    )
 
     def __init__(self):
         self.losses = {}
@@ -79,6 +88,7 @@
         self.served_ms = OrderedDict()
         self.changed_ends = set()
         self.changed_served = set()
+        self.needs_review = False
 
 
 def make_evidence_table():
@@ -143,6 +153,7 @@
     known.at_ms = min(known.at_ms, end.at_ms)
     _add_parts(known, end.parts)
     table.changed_ends.add(key)
+    table.needs_review = True
     return True
 
 
--- a/bluebellbeam/quarantine/parts.py
+++ b/bluebellbeam/quarantine/parts.py
@@ -194,11 +194,21 @@
         row.trial_ms = 0
         row.retry_ms = now_ms + trial_interval_ms(row.failed_trials)
         table.changed.add(row.part)
+    return _add_worst_parts(table, evidence, now_ms), lifted, retried
+
+
+def _add_worst_parts(table, evidence, now_ms):
+    """Put the parts with enough ends in quarantine; return the new rows."""
     added = []
+    if not evidence.needs_review:
+        return added
     while (found := _worst_part(table, evidence, now_ms)) is not None:
         added.append(PartQuarantine(found[0], now_ms, found[1]))
         _add_row(table, evidence, added[-1])
-    return added, lifted, retried
+    evidence.needs_review = any(
+        now_ms - end.at_ms < SETTLE_MS for end in evidence.ends.values()
+    )
+    return added
 
 
 def _add_row(table, evidence, row):
