--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -170,6 +170,13 @@
         Number of connections that the daemon closed.
     connections : int
         Number of connections that were accepted.
+    room : int
+        Number of requests that it holds at most, of which `slots` run; it refuses
+        others. 0 for no limit.
+    slots : int
+    refusals_s : list of float
+        Times at which it refused requests for want of room in the last second. If
+        `brittle` is set, it ends when there are more of them.
     crash_part : str
         Name of a part of a prompt; the server ends when it begins to answer a prompt
         with it. Empty for none.
@@ -198,6 +205,11 @@
         self.retry_after = ""
         self.disconnects = 0
         self.connections = 0
+        self.room = 0
+        self.slots = 8
+        self.held = 0
+        self.running = asyncio.Semaphore(self.slots)
+        self.refusals_s = []
         self.crash_part = ""
         self.on_crash = None
         self.calls = {}
@@ -266,6 +278,9 @@
             head = {"X-Instance-Id": self.name}
             return self._write(writer, 421, head, b"")
         behaviour = self.behaviours.pop(0) if self.behaviours else "ok"
+        if self.room and self.held >= self.room:
+            behaviour = "full"
+            self._count_refusal()
         if behaviour.startswith("full"):
             head = {"X-Not-Executed": "1"} | self._statements()
             if self.retry_after:
@@ -278,7 +293,22 @@
         self.runs.append((key, headers))
         self.runs_s.append(self.arrivals[-1])
         self.bodies[key] = (method, target, body)
-        return await self._respond(reader, writer, headers, behaviour)
+        if not self.room:
+            return await self._respond(reader, writer, headers, behaviour)
+        self.held += 1
+        try:
+            async with self.running:
+                return await self._respond(reader, writer, headers, behaviour)
+        finally:
+            self.held -= 1
+
+    def _count_refusal(self):
+        now_s = asyncio.get_running_loop().time()
+        recent = [at_s for at_s in self.refusals_s if at_s > now_s - 1.0]
+        self.refusals_s = [*recent, now_s]
+        if self.brittle and len(self.refusals_s) > int(self.brittle):
+            self.refusals_s = []
+            self.crash()
 
     def _health(self, writer):
         head = {"X-Instance-Id": self.name, "X-Warmup-Ms": str(self.warm_up_ms)}
