--- a/bluebellbeam/demo.py
+++ b/bluebellbeam/demo.py
@@ -200,6 +200,14 @@
         self.rows.setdefault(kind, []).append((ok, took_ms, detail))
 
 
+async def _describe(response):
+    """Return the status of a response and, if it is an error, its code."""
+    if response.status == 200:
+        return "200"
+    error = msgspec.json.decode(await response.read())
+    return f"{response.status} {error.get('code', 'without a code')}"
+
+
 async def _send_chat(session, deployment, vm, workspace, model, prompt, results, kind):
     address = deployment.fleet.entry_vms[vm].caller_address
     body = {
@@ -217,12 +225,12 @@
         async with session.post(
             f"http://{address}/v1/chat/completions", json=body, headers=headers
         ) as response:
-            detail = str(response.status)
+            detail = await _describe(response)
             async for line in response.content:
                 if first_ms is None:
                     first_ms = (time.monotonic() - start_s) * 1000.0
                 complete = complete or line.startswith(b"data: [DONE]")
-    except aiohttp.ClientError as error:
+    except (aiohttp.ClientError, msgspec.DecodeError) as error:
         detail = type(error).__name__
     results.add(kind, complete, first_ms or 0.0, detail)
 
@@ -242,8 +250,8 @@
                 headers["x-operation-id"] = found.get("operation_id", "")
         url = f"http://{address}/v1/services/{service}/{path}"
         async with session.request(method, url, headers=headers) as response:
+            ok, detail = response.status == 200, await _describe(response)
             await response.read()
-            ok, detail = response.status == 200, str(response.status)
     except (aiohttp.ClientError, msgspec.DecodeError) as error:
         ok, detail = False, type(error).__name__
     results.add(kind, ok, (time.monotonic() - start_s) * 1000.0, detail)
