--- a/bluebellbeam/quarantine/evidence.py
+++ b/bluebellbeam/quarantine/evidence.py
@@ -15,6 +15,7 @@
     "confirm_loss",
     "drop_loss",
     "make_evidence_table",
+    "prune_evidence",
     "record_served",
 ]
 
