Read server statements in one function, and use plain terms for prompt parts

From a read-through of the whole change: the two decoders of numeric statements were the same but for their type, the virtual regions sent requests in two copies of one method, and comments and tests used figurative words. No behaviour changes but one log line, "pause requests to a brittle server".

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -2,7 +2,7 @@
 
 from bluebellbeam.admission import push_request, remove_request
 from bluebellbeam.borrowing import drop_lender
-from bluebellbeam.node.brittle_services import rest_brittle_server
+from bluebellbeam.node.brittle_services import pause_brittle_server
 from bluebellbeam.node.command import CancelAttempt
 from bluebellbeam.node.dispatch import (
     dispatch_pool,
@@ -193,7 +193,7 @@
     if event.error.code == "server_changed":
         record_miss(state.replicas, row)
         return
-    rest_brittle_server(state, row, now_ms)
+    pause_brittle_server(state, row, now_ms)
     if event.load is not None:
         apply_response_load(state, row, event.load, now_ms)
         return
--- a/bluebellbeam/node/brittle_services.py
+++ b/bluebellbeam/node/brittle_services.py
@@ -1,4 +1,4 @@
-"""Statements of servers that they are brittle, and what daemons tell each other."""
+"""Statements of servers that they are brittle, and their exchange between daemons."""
 
 from bluebellbeam.node.command import Log
 from bluebellbeam.routing import (
@@ -13,10 +13,10 @@
     "handle_brittle_stated",
     "known_brittle",
     "merge_brittle_services",
-    "rest_brittle_server",
+    "pause_brittle_server",
 ]
 
-REST_MS = 1000
+REFUSAL_PAUSE_MS = 1000
 """Time for which a brittle server that refused a request is sent no other one: it
 counts its refusals by the second."""
 
@@ -77,9 +77,11 @@
     state.emit(Log("routing", text, fields=fields))
 
 
-def rest_brittle_server(state, row, now_ms):
+def pause_brittle_server(state, row, now_ms):
     """Send nothing for a while to a brittle server that has refused a request."""
     if is_brittle(state.brittle, row.service, now_ms) and pause_replica(
-        state.replicas, row, now_ms + REST_MS
+        state.replicas, row, now_ms + REFUSAL_PAUSE_MS
     ):
-        state.log_server(row, "let a brittle server rest", pause_ms=REST_MS)
+        state.log_server(
+            row, "pause requests to a brittle server", pause_ms=REFUSAL_PAUSE_MS
+        )
--- a/bluebellbeam/node/tests/crashing_region.py
+++ b/bluebellbeam/node/tests/crashing_region.py
@@ -38,7 +38,7 @@
         Time and daemon of each request with a bad part that reached a server.
     disturbed_ms : dict of str to int
         Time of the last disturbance of a daemon.
-    sound_refused : int
+    harmless_refused : int
         Requests without a bad part that were refused because of their prompt.
     """
 
@@ -49,7 +49,7 @@
         self.ends_ms = []
         self.bad_arrivals = []
         self.disturbed_ms = {}
-        self.sound_refused = 0
+        self.harmless_refused = 0
         super().__init__(count, servers, rate_per_s, seed)
         self.up = {name: [] for name in self.servers}
         self.next_server = servers + 1
@@ -61,10 +61,10 @@
         return ("first", *dict.fromkeys(middle))
 
     def send_request(self):
-        """Send a sound request to a random daemon and schedule the next one."""
+        """Send a harmless request to a random daemon and schedule the next one."""
         delay_ms = max(1, round(1000 * self.rng.expovariate(self.rate_per_s)))
         self.schedule(delay_ms, self.send_request)
-        self.send("s", self.parts())
+        self.send("s", prompt_parts=self.parts())
 
     def send_bad(self):
         """Send a request with a bad part and schedule the next one."""
@@ -75,25 +75,14 @@
             parts = list(self.parts())
             bad = self.rng.choice(sorted(self.bad_parts))
             parts.insert(self.rng.randrange(len(parts) + 1), bad)
-            self.send("b", tuple(parts))
-
-    def send(self, kind, parts):
-        """Send a request to a random daemon."""
-        self.requests += 1
-        running = [name for name in self.callers if name in self.daemons]
-        if not running:
-            return
-        harness = self.daemons[self.rng.choice(running)]
-        harness.now_ms = self.now_ms
-        key = f"{kind}{self.requests}"
-        self.execute(harness, harness.send_request("/p/x", key, prompt_parts=parts))
+            self.send("b", prompt_parts=tuple(parts))
 
     def execute(self, harness, commands):
-        """Execute the commands of a daemon, and count refusals of sound prompts."""
+        """Execute the commands of a daemon, and count refusals of harmless prompts."""
         for command in commands:
             error = getattr(command, "error", None)
             if error is not None and error.code == "prompt_quarantined":
-                self.sound_refused += command.request_id.startswith("s")
+                self.harmless_refused += command.request_id.startswith("s")
         super().execute(harness, commands)
 
     def arrival(self, harness, command, sent_ms):
--- a/bluebellbeam/node/tests/limited_region.py
+++ b/bluebellbeam/node/tests/limited_region.py
@@ -182,14 +182,26 @@
             max(1, round(1000 * self.rng.expovariate(self.rate_per_s))),
             self.send_request,
         )
+        self.send("r")
+
+    def send(self, prefix, **values):
+        """Send a request to a random daemon.
+
+        Parameters
+        ----------
+        prefix : str
+            Prefix of its id.
+        **values
+            Fields of the request.
+        """
         self.requests += 1
         running = [name for name in self.callers if name in self.daemons]
         if not running:
             return
         harness = self.daemons[self.rng.choice(running)]
         harness.now_ms = self.now_ms
-        commands = harness.send_request("/p/x", f"r{self.requests}")
-        self.execute(harness, commands)
+        key = f"{prefix}{self.requests}"
+        self.execute(harness, harness.send_request("/p/x", key, **values))
 
     def execute(self, harness, commands):
         """Execute the commands of a daemon, except those for its store and log."""
--- a/bluebellbeam/node/tests/test_prompt_quarantine.py
+++ b/bluebellbeam/node/tests/test_prompt_quarantine.py
@@ -69,20 +69,20 @@
         self.assertEqual((error.code, error.status), ("prompt_quarantined", 503))
         self.assertEqual(error.outcome, "not_run")
         self.assertGreater(error.retry_after_ms, 30_000)
-        self.assertIsNotNone(self.send("sound", ("first", "other")))
+        self.assertIsNotNone(self.send("harmless", ("first", "other")))
 
     def test_two_ends_are_taken_for_coincidence(self):
         self.end_servers(2)
         self.assertEqual(self.quarantined(), [])
         self.assertIsNotNone(self.send("next", ("first", "bad")))
 
-    def test_part_that_is_served_in_between_is_sound(self):
+    def test_part_that_is_served_in_between_is_harmless(self):
         for _ in range(3):
             self.end_servers(2)
             self.answer("served", ("first", "bad"))
         self.assertEqual(self.quarantined(), [])
 
-    def test_first_part_is_sound_though_no_prompt_is_served_in_between(self):
+    def test_first_part_is_harmless_though_no_prompt_is_served_in_between(self):
         self.answer("before", ("first", "other"))
         for number in range(3):
             self.end_server(self.send(f"bad{number}", ("first", "bad")))
@@ -129,7 +129,7 @@
             self.harness.tick(700)
         self.assertEqual(self.quarantined(), ["b"])
 
-    def test_stream_that_ran_for_a_while_speaks_for_its_prompt(self):
+    def test_prompt_whose_stream_ran_for_a_while_counts_as_served(self):
         for number in range(4):
             attempt = self.send(f"bad{number}", ("a", "b"))
             self.harness.handle(ev.AttemptStarted(attempt.attempt_id))
@@ -137,7 +137,7 @@
             self.end_server(attempt)
         self.assertEqual(self.quarantined(), [])
 
-    def test_unframed_response_that_ends_at_once_does_not_speak_for_its_prompt(self):
+    def test_unframed_response_that_ends_at_once_does_not_count_as_served(self):
         for number in range(3):
             self.answer(f"ok{number}", ("a",))
             self.end_server(self.send(f"bad{number}", ("a", "b")))
@@ -209,7 +209,7 @@
         self.harness.publish_servers(server("s1"))
         self.harness.announce_peer("w1")
 
-    def tell(self, message, sender="w1"):
+    def receive(self, message, sender="w1"):
         envelope = Envelope(sender, 5, (message,))
         return self.harness.handle(ev.PeerMessagesReceived(envelope))
 
@@ -220,42 +220,42 @@
 
     def test_ends_seen_by_several_daemons_add_up(self):
         for age_ms in (3000, 2000):
-            self.tell(PromptEvidence(self.ends(age_ms), {"first": 10}))
+            self.receive(PromptEvidence(self.ends(age_ms), {"first": 10}))
         self.assertEqual(self.harness.state.quarantines.rows, {})
-        self.tell(PromptEvidence(self.ends(1000)))
+        self.receive(PromptEvidence(self.ends(1000)))
         self.assertEqual(list(self.harness.state.quarantines.rows), ["bad"])
 
-    def test_same_end_told_by_many_daemons_counts_once(self):
+    def test_same_end_reported_by_many_daemons_counts_once(self):
         for age_ms in (1000, 1020, 1900, 4000):
             end = EndOfServer("s9", 1, age_ms, {"bad": 0})
-            self.tell(PromptEvidence((end,)))
+            self.receive(PromptEvidence((end,)))
         self.assertEqual(self.harness.state.quarantines.rows, {})
 
-    def test_part_that_another_daemon_served_is_sound(self):
-        self.tell(PromptEvidence(self.ends(3000, 2000)))
-        self.tell(PromptEvidence((), {"bad": 500, "first": 500}))
-        self.tell(PromptEvidence(self.ends(400)))
+    def test_part_that_another_daemon_served_is_harmless(self):
+        self.receive(PromptEvidence(self.ends(3000, 2000)))
+        self.receive(PromptEvidence((), {"bad": 500, "first": 500}))
+        self.receive(PromptEvidence(self.ends(400)))
         self.assertEqual(self.harness.state.quarantines.rows, {})
 
     def test_starting_daemon_learns_of_a_quarantine_from_a_probe(self):
         item = QuarantinedPart("bad", 20_000, 3, 1, 90_000)
-        self.tell(PromptEvidence((), {}, (item,)))
+        self.receive(PromptEvidence((), {}, (item,)))
         commands = self.harness.send_request(prompt_parts=("bad",))
         self.assertEqual(final_errors(commands)[0].retry_after_ms, 90_000)
 
     def test_quarantine_that_has_ended_is_not_adopted_again(self):
         item = QuarantinedPart("bad", 20_000, 3, 0, 40_000)
-        self.tell(PromptEvidence((), {}, (item,)))
-        self.tell(PromptEvidence((), {"bad": 100}))
+        self.receive(PromptEvidence((), {}, (item,)))
+        self.receive(PromptEvidence((), {"bad": 100}))
         self.harness.tick()
         self.assertEqual(self.harness.state.quarantines.rows, {})
-        self.tell(PromptEvidence((), {}, (item,)))
+        self.receive(PromptEvidence((), {}, (item,)))
         self.assertEqual(self.harness.state.quarantines.rows, {})
 
-    def test_news_is_passed_on_once(self):
+    def test_evidence_is_relayed_once(self):
         for expected in (1, 0, 0):
             self.harness.commands.clear()
-            self.tell(PromptEvidence(self.ends(1000)))
+            self.receive(PromptEvidence(self.ends(1000)))
             self.harness.tick(100)
             sent = [
                 command.messages
@@ -295,10 +295,10 @@
                 late = region.late_arrivals()
                 self.assertLessEqual(len(late), MAX_LATE_ARRIVALS, late)
 
-    def test_no_sound_prompt_is_refused(self):
+    def test_no_harmless_prompt_is_refused(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                self.assertEqual(self.play(seed).sound_refused, 0)
+                self.assertEqual(self.play(seed).harmless_refused, 0)
 
 
 if __name__ == "__main__":
--- a/bluebellbeam/platform/headers.py
+++ b/bluebellbeam/platform/headers.py
@@ -179,10 +179,7 @@
     values : list of str
         Values of the header `LIMIT_HEADER`, one for each time that it is present.
     """
-    if not values:
-        return _NO_LIMIT
-    limit_per_s = _read_decimal(values)
-    return None if limit_per_s is None else LimitStatement(limit_per_s)
+    return _read_statement(values, LimitStatement)
 
 
 def read_brittle(values):
@@ -193,10 +190,18 @@
     values : list of str
         Values of the header `BRITTLE_HEADER`, one for each time that it is present.
     """
+    return _read_statement(values, BrittleStatement)
+
+
+def _read_statement(values, make_statement):
+    """Return the statement in the only one of `values`, an empty one if there is none.
+
+    Returns None if it is malformed.
+    """
     if not values:
-        return _NOT_BRITTLE
-    refusals_per_s = _read_decimal(values)
-    return None if refusals_per_s is None else BrittleStatement(refusals_per_s)
+        return make_statement()
+    number = _read_decimal(values)
+    return None if number is None else make_statement(number)
 
 
 def _read_decimal(values):
--- a/bluebellbeam/platform/tests/test_crashing_prompts.py
+++ b/bluebellbeam/platform/tests/test_crashing_prompts.py
@@ -21,7 +21,7 @@
 RESTART_S = 2.5
 """Time after which a server that ended is replaced."""
 
-SOUND_INTERVAL_S = 0.06
+HARMLESS_INTERVAL_S = 0.06
 BAD_INTERVAL_S = 0.4
 
 
@@ -36,8 +36,8 @@
         Times of the ends.
     bad_arrivals_s : list of float
         Times at which requests with the part reached a server.
-    sound : list of (float, bool)
-        Time at which each sound request was sent, and whether its response began.
+    harmless : list of (float, bool)
+        Time at which each harmless request was sent, and whether its response began.
     """
 
     def __init__(self, deployment, seed):
@@ -45,7 +45,7 @@
         self.rng = random.Random(seed)
         self.ends_s = []
         self.bad_arrivals_s = []
-        self.sound = []
+        self.harmless = []
         self.tasks = []
         self.numbers = iter(range(3, 1000))
         for name, replica in deployment.replicas.items():
@@ -83,17 +83,17 @@
         self.tasks.append(asyncio.ensure_future(coroutine))
 
     async def run(self, duration_s, with_bad=True):
-        """Send sound requests, and such with the part, for `duration_s`."""
+        """Send harmless requests, and such with the part, for `duration_s`."""
         end_s = self.now_s() + duration_s
         last_bad_s = self.now_s()
         number = 0
         while self.now_s() < end_s:
             number += 1
-            self.spawn(self.send_sound(f"s{self.now_s()}-{number}"))
+            self.spawn(self.send_harmless(f"s{self.now_s()}-{number}"))
             if with_bad and self.now_s() - last_bad_s >= BAD_INTERVAL_S:
                 last_bad_s = self.now_s()
                 self.spawn(self.send_bad(f"b{self.now_s()}-{number}"))
-            await asyncio.sleep(SOUND_INTERVAL_S)
+            await asyncio.sleep(HARMLESS_INTERVAL_S)
 
     async def finish(self):
         await asyncio.gather(*self.tasks)
@@ -102,11 +102,11 @@
         text = ",".join(f"{name}:20" for name in parts)
         return {"X-Prompt-Prefix": text, "X-Token-Count": "80,6", "X-Model": "m"}
 
-    async def send_sound(self, key):
+    async def send_harmless(self, key):
         sent_s = self.now_s()
         companion = f"c{self.rng.randrange(4)}"
         begun = await self.send(key, ("shared", companion, f"own-{key}"))
-        self.sound.append((sent_s, begun))
+        self.harmless.append((sent_s, begun))
 
     async def send_bad(self, key):
         companion = f"c{self.rng.randrange(4)}"
@@ -136,7 +136,7 @@
                     self.bad_arrivals_s.append(at_s)
 
     def share_begun(self, from_s, to_s):
-        found = [begun for sent_s, begun in self.sound if from_s <= sent_s < to_s]
+        found = [begun for sent_s, begun in self.harmless if from_s <= sent_s < to_s]
         return len(found), sum(found) / max(1, len(found))
 
 
--- a/bluebellbeam/quarantine/evidence.py
+++ b/bluebellbeam/quarantine/evidence.py
@@ -1,8 +1,8 @@
 """Ends of servers, and the prompt parts that they were about to answer.
 
-A server that ends for reasons of its own takes down sound prompts as well. What tells
-a harmful part from its companions is that servers end under it again and again, while
-prompts with the companions are served in between.
+A server that ends for reasons of its own loses harmless prompts as well. A harmful part
+differs from its companions in that servers end under it repeatedly, while prompts with
+the companions are served in between.
 """
 
 from collections import OrderedDict
@@ -69,7 +69,7 @@
     changed_ends : set of (str, int)
         Ends not shared with other daemons yet.
     changed_served : set of str
-        Parts that were served after an end that spoke against them, not shared yet.
+        Parts that were served after an end that counted against them, not shared yet.
     needs_review : bool
         Whether ends have been added that no decision has taken into account yet.
     """
@@ -185,7 +185,7 @@
 
 
 def _refutes_end(table, name, before_ms, at_ms):
-    """Return whether an end speaks against a part no longer, now that it was served."""
+    """Return whether an end no longer counts against a part that was just served."""
     return any(
         name in end.parts
         and end.at_ms < at_ms
--- a/bluebellbeam/quarantine/parts.py
+++ b/bluebellbeam/quarantine/parts.py
@@ -26,7 +26,7 @@
 
 SETTLE_MS = 600
 """Age from which an end of a server counts: by then the daemons that had sent it
-prompts have told each other which ones."""
+prompts have exchanged which ones."""
 
 FIRST_TRIAL_MS = 60_000
 """Time after which one prompt with a part in quarantine is tried again. It doubles with
@@ -54,7 +54,7 @@
     since_ms : int
         Start of the quarantine.
     ends : int
-        Number of ends of servers that spoke against the part then.
+        Number of ends of servers that counted against the part then.
     failed_trials : int
         Number of trials in which a server has ended.
     retry_ms : int
@@ -239,7 +239,7 @@
 def _worst_part(table, evidence, now_ms):
     """Return the part that has to be put in quarantine next, and its ends, or None.
 
-    Ends under a part in quarantine are explained by it and speak against no other
+    Ends under a part in quarantine are explained by it and count against no other
     one. Of the parts with enough ends the one served longest ago is chosen, then the
     one with most ends, then the one that stands last in its prompts, since the first
     parts are those that most prompts share.
