Describe tenants, quotas and competing load, and add their configuration fields

Cause: the platform's configuration has tenants with keys and quotas, which the product does not know, and two deployments have more load than capacity at times.

--- a/bluebellbeam/config/model.py
+++ b/bluebellbeam/config/model.py
@@ -182,6 +182,19 @@
         Models, including adapters, and services that the workspace may request.
     rate_tokens_per_s : float
         Long-run limit on tokens per second over all daemons; 0 for no limit.
+    burst_tokens : float
+        Tokens that may be used at once beyond the rate. Above 0, the limit is kept by
+        ledgers that the daemons of a region share; see `admission/quota.py`.
+    plain_request_tokens : int
+        Tokens charged for a request that does not state its number of tokens.
+    key_digests : tuple of str
+        SHA-256 digest of each caller key, in lower-case hexadecimal.
+    urgency : int or None
+        Rank of its requests, which takes precedence over the urgency of their route; 0
+        is the most urgent. None leaves the rank to the route.
+    home_regions : tuple of str
+        Regions that may serve routed requests of the workspace; empty for every allowed
+        region.
     priority : {"interactive", "batch"}
         ``batch`` applies to all its requests for models; with ``interactive``, a
         request may still select ``batch``.
@@ -195,6 +208,11 @@
     models: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     rate_tokens_per_s: float = 0.0
+    burst_tokens: float = 0.0
+    plain_request_tokens: int = 0
+    key_digests: tuple[str, ...] = ()
+    urgency: int | None = None
+    home_regions: tuple[str, ...] = ()
     priority: Priority = "interactive"
     deadlines: Deadlines = field(default_factory=Deadlines)
 
--- a/bluebellbeam/config/route.py
+++ b/bluebellbeam/config/route.py
@@ -40,7 +40,10 @@
     services : tuple of WeightedService
         Requests are distributed over them by weight.
     workspace : str
-        Workspace whose regions and weight apply.
+        Workspace whose regions and weight apply; empty for the workspace that the key
+        of the caller belongs to.
+    anonymous : bool
+        Whether callers need no key, although the configuration has keys.
     kind : {"idempotent", "non_idempotent", "stream"}
     resumable : bool
         Whether an interrupted stream may be resumed at another backend server.
@@ -65,7 +68,8 @@
     host: str
     path_prefix: str
     services: tuple[WeightedService, ...]
-    workspace: str
+    workspace: str = ""
+    anonymous: bool = False
     kind: RouteKind = "non_idempotent"
     resumable: bool = False
     timeout_ms: int = 30_000
