Limit requests to unchecked servers until the server list has settled

Cause: the list counts as current again as soon as its source responds, up to two seconds before servers have written that they restarted with a cold cache. Change: for 2.2 s after an outage of the source, a server that may have become cold is limited and checked as during it, if requests are sent to it. No other server gets health checks. Result: the new test failed before (20 requests sent instead of 4) and passes.

--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -15,6 +15,7 @@
     end_pause,
     mark_leaving,
     may_send_limited,
+    needs_check,
     pause_replica,
     record_miss,
     record_warm_up,
@@ -64,13 +65,17 @@
     policy = state.policy
     interval_ms = poll_interval_ms(policy, len(state.replicas.rows))
     stale = state.is_list_stale(now_ms)
+    if stale:
+        state.list_stale_ms = now_ms
+    settling = state.is_list_settling(now_ms)
     for row in state.replicas.rows.values():
         age_peer_load(state.replicas, row, state.queue_slack, now_ms)
         if row.paused_until_ms:
             if now_ms < row.paused_until_ms:
                 continue
             end_pause(state.replicas, row)
-        if row.listed and row.identified and not stale:
+        is_checked = stale or (settling and needs_check(state, row))
+        if row.listed and row.identified and not is_checked:
             continue
         max_age_ms = policy.stale_check_ms if row.listed else interval_ms
         last_ms = max(row.checked_ms, row.reported_ms or -max_age_ms)
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -43,6 +43,10 @@
 BLOCK_TOKENS = 64
 """Number of prompt tokens in one block of the prefix index."""
 
+LIST_SETTLE_MS = 2200
+"""Time after the source of the server list responds again for which the list may
+still miss changes. Servers write theirs within two seconds of its return."""
+
 RETRY_SLACK_SHARE = 0.7
 """Share of `policy.retry_slack` that is divided among the known daemons. The rest is
 a margin for daemons that do not know each other yet and divide it among too few."""
@@ -210,6 +214,8 @@
     source_response_ms : int or None
         Time at which the source of the feeds last responded to this daemon or,
         as learned by gossip, to any other.
+    list_stale_ms : int or None
+        Time at which the list of backend servers was last out of date; None if never.
     next_exchange_ms : int
         Time of the next load exchange.
     exchange_offset : int
@@ -316,6 +322,7 @@
         "evacuated",
         "unlisted_since_ms",
         "source_response_ms",
+        "list_stale_ms",
         "next_exchange_ms",
         "exchange_offset",
         "last_loads_nonempty",
@@ -386,6 +393,7 @@
         self.evacuated = frozenset()
         self.unlisted_since_ms = {}
         self.source_response_ms = None
+        self.list_stale_ms = None
         self.next_exchange_ms = 0
         self.exchange_offset = 0
         self.last_loads_nonempty = False
@@ -517,6 +525,17 @@
         last_ms = self.source_response_ms
         return bool(limit_ms and last_ms is not None and now_ms - last_ms > limit_ms)
 
+    def is_list_settling(self, now_ms):
+        """Return whether the list was out of date until `LIST_SETTLE_MS` ago or is now.
+
+        Its source responds again before the servers have written to it what changed
+        in the meantime, for example that one has restarted with a cold cache.
+        """
+        last_ms = self.list_stale_ms
+        return self.is_list_stale(now_ms) or (
+            last_ms is not None and now_ms - last_ms <= LIST_SETTLE_MS
+        )
+
     def retry_after_ms(self, request, wait_ms, now_ms):
         """Return the retry delay in ms for a request refused for lack of capacity.
 
--- a/bluebellbeam/node/tests/test_listed_servers.py
+++ b/bluebellbeam/node/tests/test_listed_servers.py
@@ -169,6 +169,29 @@
         harness.tick(300)
         self.assertGreaterEqual(len(started_attempts(harness.commands)), 2)
 
+    def test_server_that_may_have_become_cold_is_limited_until_it_is_checked(self):
+        """Guards against a flood of a server that restarted during an outage.
+
+        The source of the list responds before the server has written that it is cold.
+        """
+        harness = self.make_harness()
+        harness.tick(3500)
+        harness.handle(ev.FeedSourceResponded())
+        sent = sum(
+            len(started_attempts(harness.send_request("/c/x", f"c{i}")))
+            for i in range(20)
+        )
+        self.assertEqual(sent, 4)
+        self.assertGreater(self.count_checks(harness, 200), 0)
+        commands = harness.handle(ev.HealthCheckAnswered("e1", "e1", 1))
+        self.assertEqual(len(started_attempts(commands)), 4)
+        harness.tick(2500)
+        sent = sum(
+            len(started_attempts(harness.send_request("/c/x", f"d{i}")))
+            for i in range(20)
+        )
+        self.assertEqual(sent, 20)
+
 
 class TestServerLoads(unittest.TestCase):
     """Daemons of a region take each other's requests at a server into account.
--- a/bluebellbeam/routing/__init__.py
+++ b/bluebellbeam/routing/__init__.py
@@ -68,7 +68,7 @@
     spend_limit,
 )
 from bluebellbeam.routing.stream_origin import StreamOrigin, may_continue_at
-from bluebellbeam.routing.warmup import is_cold, record_send
+from bluebellbeam.routing.warmup import is_cold, needs_check, record_send
 
 __all__ = [
     "BrittleService",
@@ -107,6 +107,7 @@
     "may_continue_at",
     "may_send_limited",
     "merge_limit",
+    "needs_check",
     "pause_replica",
     "prefill_speed",
     "prefix_source",
--- a/bluebellbeam/routing/warmup.py
+++ b/bluebellbeam/routing/warmup.py
@@ -10,7 +10,13 @@
 from bluebellbeam.routing.server_limit import spend_limit
 from bluebellbeam.utils.hashing import rendezvous_order
 
-__all__ = ["is_cold", "may_send_cold", "may_send_unchecked", "record_send"]
+__all__ = [
+    "is_cold",
+    "may_send_cold",
+    "may_send_unchecked",
+    "needs_check",
+    "record_send",
+]
 
 START_DELAY_MS = 1000
 """Time after its start during which a process sends nothing to cold servers. By
@@ -59,18 +65,26 @@
 def may_send_unchecked(state, replica, now_ms):
     """Return whether `replica`, which may have become cold, may be sent a request now.
 
-    While the server list is stale, only a health check shows that a listed server
-    has become cold, so the number of requests between two checks is limited.
+    While the server list is stale or settles, only a health check shows that a listed
+    server has become cold, so the number of requests between two checks is limited.
     """
-    if not replica.listed or not state.is_list_stale(now_ms):
+    if not replica.listed or not state.is_list_settling(now_ms):
         return True
+    if not needs_check(state, replica):
+        return True
+    return now_ms - replica.last_sent_ms >= UNCHECKED_SEND_INTERVAL_MS
+
+
+def needs_check(state, replica):
+    """Return whether this daemon has sent `replica` all that it may unchecked.
+
+    That is limited for a service whose servers need a warm-up.
+    """
     service = state.base.services.get(replica.service)
     if service is None or service.warm_up_per_s <= 0:
-        return True
+        return False
     daemons = max(1, len(state.region_members()))
-    if replica.unchecked_sends < max(1, MAX_UNCHECKED_SENDS // daemons):
-        return True
-    return now_ms - replica.last_sent_ms >= UNCHECKED_SEND_INTERVAL_MS
+    return replica.unchecked_sends >= max(1, MAX_UNCHECKED_SENDS // daemons)
 
 
 def record_send(replica, now_ms):
