Decode four load figures, and keep nothing of a server's previous incarnation

A load header with a fourth figure, the duration of work on the server's machine, was not decoded at all, so such servers appeared to report no load. Other forms were accepted too loosely (digits other than ASCII, any magnitude).

The end of an attempt at a previous incarnation of a server changed the row of the new one: its requests in flight fell below 0, and failures, misses, durations and a load report of the old process were recorded there. So did a failed health check sent to the old one. Attempts and health checks now count only for the incarnation that they were sent to.

Entries of the server list with an implausible start time or number of slots, or without a service, are skipped; an unreadable load header is logged once per incarnation.

--- a/bluebellbeam/daemon/codec.py
+++ b/bluebellbeam/daemon/codec.py
@@ -137,6 +137,8 @@
         Whether the server stated that it is leaving.
     pause_ms : int
         Time in which the server wants no request of this daemon; 0 for none.
+    malformed_load : str
+        Beginning of a load header that cannot be read; empty otherwise.
     """
 
     request_id: str | None
@@ -148,6 +150,7 @@
     brittle: BrittleStatement | None = BrittleStatement()
     leaving: bool = False
     pause_ms: int = 0
+    malformed_load: str = ""
 
 
 class Codec(Struct, frozen=True):
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -124,7 +124,7 @@
         if command.server and not response.other_server:
             _report_limit(driver, command, response.limit, sent_ms)
             _report_brittle(driver, command, response.brittle, sent_ms)
-            _report_leaving_and_pause(driver, command, response)
+            _report_statements(driver, command, response)
         if response.not_run:
             await _report_refusal(driver, command, connection, response, progress)
         elif _is_stream(connection):
@@ -186,10 +186,12 @@
     driver.handle(ev.BrittleStated(command.server, incarnation, statement, sent_ms))
 
 
-def _report_leaving_and_pause(driver, command, response):
+def _report_statements(driver, command, response):
     server, incarnation = command.server, command.incarnation
     if response.leaving:
         driver.handle(ev.LeavingStated(server, incarnation))
+    if response.malformed_load:
+        driver.handle(ev.LoadMalformed(server, incarnation, response.malformed_load))
     if response.pause_ms:
         driver.handle(ev.PauseStated(server, incarnation, response.pause_ms))
 
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -5,6 +5,7 @@
 from bluebellbeam.node.brittle_services import pause_brittle_server
 from bluebellbeam.node.command import CancelAttempt
 from bluebellbeam.node.dispatch import (
+    attempt_replica,
     dispatch_pool,
     end_attempt,
     end_request,
@@ -89,7 +90,7 @@
         if other is not attempt:
             state.emit(CancelAttempt(other.attempt_id))
             end_attempt(state, other, now_ms, completed=False)
-    row = state.replicas.rows.get(attempt.server)
+    row = attempt_replica(state, attempt)
     if row is None:
         return
     row.inflight_tokens = max(0, row.inflight_tokens - attempt.expected_uncached_tokens)
@@ -119,7 +120,7 @@
 
 def _confirm_server(state, attempt, now_ms):
     """Record that the backend server of the attempt has responded."""
-    row = state.replicas.rows.get(attempt.server)
+    row = attempt_replica(state, attempt)
     if row is not None:
         record_response(row, now_ms)
 
@@ -135,7 +136,7 @@
     _confirm_server(state, attempt, now_ms)
     if event.delimited or now_ms - attempt.response_started_ms >= ANSWERED_MS:
         record_answered_prompt(state, attempt, now_ms)
-    row = state.replicas.rows.get(attempt.server)
+    row = attempt_replica(state, attempt)
     if row is not None:
         record_success(row)
     end_attempt(state, attempt, now_ms, completed=True)
@@ -176,7 +177,7 @@
         state.borrower.rows.pop(attempt.lease_id, None)
         if error.code in UNSERVED_CODES and request.route is not None:
             exclude_region(state, request, attempt.peer)
-    row = state.replicas.rows.get(attempt.server)
+    row = attempt_replica(state, attempt)
     if row is not None:
         _record_server_refusal(state, row, event, now_ms)
     if not not_run:
@@ -215,7 +216,7 @@
     if event.sent:
         add_sends(request, event.sends)
     request.emitted_tokens = max(request.emitted_tokens, event.emitted_tokens)
-    row = state.replicas.rows.get(attempt.server)
+    row = attempt_replica(state, attempt)
     if row is not None:
         record_failure(state.replicas, row, state.policy, now_ms, state.rng)
         if not event.sent or (row.listed and event.lost_connection):
@@ -373,7 +374,7 @@
     if waited_ms < due_ms or request.stalled or not attempt.server:
         return
     request.stalled = True
-    row = state.replicas.rows.get(attempt.server)
+    row = attempt_replica(state, attempt)
     if row is not None:
         update_slowness(state.replicas, row, waited_ms, attempt.expected_ms)
         record_failure(state.replicas, row, state.policy, now_ms, state.rng)
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -40,6 +40,7 @@
 from bluebellbeam.routing.policies import choose_baseline_target, is_baseline
 
 __all__ = [
+    "attempt_replica",
     "dispatch_all_pools",
     "dispatch_pool",
     "dispatch_server_pools",
@@ -485,6 +486,22 @@
     return attempt
 
 
+def attempt_replica(state, attempt):
+    """Return the server of an attempt, or None if it has ended or was replaced.
+
+    A server may be started again under the same name while an attempt at its previous
+    incarnation runs; the end of that attempt says nothing about the new one.
+
+    Returns
+    -------
+    Replica or None
+    """
+    row = state.replicas.rows.get(attempt.server)
+    if row is None or row.incarnation != attempt.server_incarnation:
+        return None
+    return row
+
+
 def end_attempt(state, attempt, now_ms, completed):
     """Remove an attempt and release the capacity that it used.
 
@@ -505,7 +522,7 @@
             lease.used -= 1
         return
     _count_inflight(state, request, -1)
-    row = state.replicas.rows.get(attempt.server)
+    row = attempt_replica(state, attempt)
     if row is None:
         return
     if attempt.response_started_ms is None:
--- a/bluebellbeam/node/event.py
+++ b/bluebellbeam/node/event.py
@@ -227,6 +227,22 @@
     refused_connection: bool = False
 
 
+class LoadMalformed(Struct, frozen=True):
+    """A response of a backend server has a load header that cannot be read.
+
+    Parameters
+    ----------
+    server, incarnation : str, int
+        The server that the request was sent to.
+    text : str
+        Beginning of the value of the header.
+    """
+
+    server: str
+    incarnation: int
+    text: str
+
+
 class HealthCheckAnswered(Struct, frozen=True):
     """The address of a backend server has responded without a load report.
 
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -64,6 +64,7 @@
     handle_leaving_stated,
     handle_load_read_failed,
     handle_load_report,
+    handle_malformed_load,
     handle_pause_stated,
     tick_server_checks,
 )
@@ -205,10 +206,12 @@
             handle_leaving_stated(state, event)
         case ev.LimitStated():
             handle_limit_stated(state, event, now_ms)
+        case ev.LoadMalformed():
+            handle_malformed_load(state, event)
         case ev.PauseStated():
             handle_pause_stated(state, event, now_ms)
         case ev.LoadReadFailed(server):
-            handle_load_read_failed(state, server, now_ms)
+            handle_load_read_failed(state, server, event.incarnation, now_ms)
             if event.refused_connection:
                 key = (server, event.incarnation)
                 record_refused_connection(state, key, now_ms)
--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -33,6 +33,7 @@
     "handle_leaving_stated",
     "handle_load_read_failed",
     "handle_load_report",
+    "handle_malformed_load",
     "handle_pause_stated",
     "poll_interval_ms",
     "tick_server_checks",
@@ -186,6 +187,15 @@
         mark_server_leaving(state, row)
 
 
+def handle_malformed_load(state, event):
+    """Log that the load header of a server cannot be read, once per incarnation."""
+    row = state.replicas.rows.get(event.server)
+    if row is None or row.incarnation != event.incarnation or row.malformed_load:
+        return
+    row.malformed_load = True
+    state.log_server(row, "ignore a load header that cannot be read", value=event.text)
+
+
 def handle_pause_stated(state, event, now_ms):
     """Send nothing to a server that has asked for a pause until its end."""
     row = state.replicas.rows.get(event.server)
@@ -198,7 +208,7 @@
 def handle_health_check(state, event, now_ms):
     """Apply the response of a server that does not report its load."""
     row = state.replicas.rows.get(event.server)
-    if row is None:
+    if row is None or event.incarnation < row.incarnation:
         return
     record_warm_up(row, event.warm_up_left_ms, now_ms)
     if (event.name, event.incarnation) == (row.name, row.incarnation):
@@ -283,12 +293,15 @@
     return now_ms - row.confirmed_ms <= RECENT_RESPONSE_MS
 
 
-def handle_load_read_failed(state, server, now_ms):
+def handle_load_read_failed(state, server, incarnation, now_ms):
     """Count a failed load read or health check as a failure of the server.
 
-    It is ignored if the server has recently responded to a request.
+    It is ignored if the server has recently responded to a request, or if the check
+    was sent to another incarnation. An `incarnation` of 0 is that of the table.
     """
     row = state.replicas.rows.get(server)
+    if row is not None and incarnation not in (0, row.incarnation):
+        return
     if row is not None and not _has_just_responded(row, now_ms):
         if row.identified:
             state.log_server(row, "load read or health check failed", misses=row.misses)
--- a/bluebellbeam/platform/headers.py
+++ b/bluebellbeam/platform/headers.py
@@ -36,7 +36,8 @@
 RESUMES_HEADER = "resumes"
 # Name of the only server that may run the request.
 TARGET_HEADER = "x-target-instance"
-# "RUNNING,WAITING,SLOTS" of the responding server.
+# "RUNNING,WAITING,SLOTS" of the responding server, and optionally the current duration
+# of work on its machine in percent of the usual one.
 LOAD_HEADER = "x-server-load"
 # Requests per second that the server accepts from all daemons together.
 LIMIT_HEADER = "server-limit"
@@ -74,9 +75,21 @@
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 """Form of a number; more digits than these do not come from a working server."""
 
+MAX_REPORTED_COUNT = 100_000
+"""Largest plausible number of requests or slots in a load header."""
+
+DURATION_PERCENT_RANGE = (10, 10_000)
+"""Bounds of the reported duration of work in percent; figures beyond are clamped."""
+
+MAX_LOGGED_CHARACTERS = 64
+"""Length at which a malformed header value is cut off for the log."""
+
 MAX_PAUSE_MS = 60_000
 """Longest pause that a server gets; one that asks for more is tried again then."""
 
+_LOAD = re.compile(r" *[0-9]{1,9} *(, *[0-9]{1,9} *){2,3}")
+"""Form of a load header: three or four whole numbers without a sign."""
+
 _NO_LIMIT = LimitStatement()
 _NOT_BRITTLE = BrittleStatement()
 
@@ -128,11 +141,14 @@
 
 def _read_response(status, pairs):
     first = dict(reversed(pairs))
+    text = first.get(LOAD_HEADER, "")
+    load = _read_load(text) if text else None
     return ResponseHead(
         request_id=first.get(REQUEST_ID_HEADER),
         not_run=NOT_RUN_HEADER in first or status == 421,
         other_server=status == 421,
-        load=_read_load(first.get(LOAD_HEADER, "")),
+        load=load,
+        malformed_load=text[:MAX_LOGGED_CHARACTERS] if text and load is None else "",
         passed=tuple(p for p in pairs if p[0] not in _CONSUMED_HEADERS),
         limit=_read_limit_header(first, pairs),
         brittle=_NOT_BRITTLE
@@ -213,10 +229,17 @@
 
 
 def _read_load(text):
-    fields = text.split(",")
-    if len(fields) != 3 or not all(item.strip().isdecimal() for item in fields):
+    """Return the :class:`LoadHeader` of a header value, or None if it is malformed."""
+    if not _LOAD.fullmatch(text):
+        return None
+    counts = [int(item) for item in text.split(",")]
+    if max(counts[:3]) > MAX_REPORTED_COUNT:
         return None
-    return LoadHeader(int(fields[0]), int(fields[1]), 0)
+    percent = counts[3] if len(counts) == 4 else 0
+    if percent:
+        lowest, highest = DURATION_PERCENT_RANGE
+        percent = min(highest, max(lowest, percent))
+    return LoadHeader(counts[0], counts[1], 0, duration_percent=percent)
 
 
 def _own_response_headers(request_id):
--- a/bluebellbeam/platform/health.py
+++ b/bluebellbeam/platform/health.py
@@ -54,12 +54,12 @@
             leaving = states_leaving(response.headers.getall(LEAVING_HEADER, []))
             busy = response.status == 503 and NOT_RUN_HEADER in response.headers
             if not name or (response.status != 200 and not busy and not leaving):
-                return ev.LoadReadFailed(command.server)
+                return ev.LoadReadFailed(command.server, command.incarnation)
     except aiohttp.ClientConnectorError as error:
         refused = isinstance(error.os_error, ConnectionRefusedError)
         return ev.LoadReadFailed(command.server, command.incarnation, refused)
     except (TimeoutError, aiohttp.ClientError, OSError):
-        return ev.LoadReadFailed(command.server)
+        return ev.LoadReadFailed(command.server, command.incarnation)
     incarnation = command.incarnation
     warm_up_left_ms = int(warm_up) if warm_up.isdecimal() else 0
     return ev.HealthCheckAnswered(
--- a/bluebellbeam/platform/records.py
+++ b/bluebellbeam/platform/records.py
@@ -127,6 +127,14 @@
     cold_ms: float = field(default=0.0, name="warmupLeftMs")
 
 
+MAX_BORN_MS = 2**53
+"""Largest start time of a server, the largest whole number that JSON keeps exact."""
+
+MAX_SLOTS = 100_000
+"""Largest plausible number of slots of a server."""
+
+_PORT = re.compile(r"[0-9]{1,5}")
+
 VM_STATES = {"ready": "live", "draining": "leaving"}
 
 
@@ -144,17 +152,25 @@
     ------
     PlatformError
         If the entry is malformed, or has an unknown state or failure domain, no
-        version, less than one slot or an address without a port.
+        name, service or version, less than one slot, an implausible start time or
+        number of slots, or an address without a port.
     """
     found = _decode(value, _Server)
     if found.state not in VM_STATES or found.zone not in domains or found.slots < 1:
         raise PlatformError(
             f"entry {key} has an unknown state or zone, or less than one slot"
         )
+    if not (key.removeprefix(SERVERS_PREFIX) and found.service):
+        raise PlatformError(f"entry {key} has no name or no service")
+    if not 0 < found.born <= MAX_BORN_MS or found.slots > MAX_SLOTS:
+        raise PlatformError(
+            f"entry {key} has an implausible start time {found.born} or number of "
+            f"slots {found.slots}; the limits are {MAX_BORN_MS} and {MAX_SLOTS}"
+        )
     if not found.version:
         raise PlatformError(f"entry {key} has no version")
     host, _, port = found.address.rpartition(":")
-    if not host or not port.isdecimal():
+    if not host or not _PORT.fullmatch(port):
         raise PlatformError(f"entry {key} has no address of the form ip:port")
     return VmRecord(
         name=key.removeprefix(SERVERS_PREFIX),
--- a/bluebellbeam/provider/records.py
+++ b/bluebellbeam/provider/records.py
@@ -100,12 +100,22 @@
 
 
 class LoadHeader(Struct, frozen=True):
-    """Load in a header of each response; fields as in :class:`LoadReport`."""
+    """Load in a header of each response.
+
+    Parameters
+    ----------
+    running, waiting, waiting_tokens, leaving
+        As in :class:`LoadReport`.
+    duration_percent : int
+        Current duration of work on the machine of the server, in percent of the
+        usual one; 0 if the server does not report it.
+    """
 
     running: int
     waiting: int
     waiting_tokens: int
     leaving: bool = False
+    duration_percent: int = 0
 
 
 def format_load_header(load):
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -119,6 +119,8 @@
     service_ms : float
         Moving average of the time for which a request holds a slot; 0 until the
         first one has completed.
+    malformed_load : bool
+        Whether it has sent a load header that cannot be read.
     misses : int
         Consecutive health checks and connections without a response.
     failures : int
@@ -176,6 +178,7 @@
         "checked_ms",
         "slowness",
         "service_ms",
+        "malformed_load",
         "misses",
         "failures",
         "ejections",
@@ -225,6 +228,7 @@
         self.checked_ms = -1
         self.slowness = 1.0
         self.service_ms = 0.0
+        self.malformed_load = False
         self.misses = 0
         self.failures = 0
         self.ejections = 0
