Authenticate callers by key, and keep requests to the regions of their tenant

Cause: the platform's configuration can have tenants with keys, home regions and urgencies, which the daemon ignored: any caller could use any route. The key and a caller's X-Tenant are removed, the daemon sets its own X-Tenant, and forwards carry the workspace. Home regions of workspace and route both apply. Requests are counted by workspace, rejected keys by reason. Nothing changes without tenants; the new fields are not sent then.

--- a/bluebellbeam/config/check.py
+++ b/bluebellbeam/config/check.py
@@ -1,9 +1,13 @@
 """Validation of a configuration beyond the types of its fields."""
 
+import re
+
 from bluebellbeam.config.fault import Fault, nearest_name
 
 __all__ = ["check_base", "check_deployment", "check_overlay", "check_workspaces"]
 
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+
 
 def check_base(base):
     """Return the faults of `base` that decoding does not detect.
@@ -147,6 +151,17 @@
                 "add it to allowed_regions or choose another home",
             )
         )
+    for i, region in enumerate(workspace.home_regions):
+        where = f"{path}.home_regions[{i}]"
+        _check_name(region, base.regions, where, "region", faults)
+    _check_minimum(workspace.burst_tokens, 0, f"{path}.burst_tokens", faults)
+    where = f"{path}.plain_request_tokens"
+    _check_minimum(workspace.plain_request_tokens, 0, where, faults)
+    for i, digest in enumerate(workspace.key_digests):
+        if not _DIGEST.fullmatch(digest):
+            text = "not a SHA-256 digest in lower-case hexadecimal"
+            fix = "give the digest of the key, never the key"
+            faults.append(Fault(f"{path}.key_digests[{i}]", text, fix))
     callable_names = base.models.keys() | base.adapters.keys()
     for i, model in enumerate(workspace.models):
         where = f"{path}.models[{i}]"
--- a/bluebellbeam/config/effective.py
+++ b/bluebellbeam/config/effective.py
@@ -5,18 +5,21 @@
 it; an objective in the overlay replaces the whole objective.
 """
 
+import hmac
+
 import msgspec
 from msgspec import Struct
 from returns.result import Failure, Success
 
 from bluebellbeam.config.check import check_base, check_overlay
-from bluebellbeam.config.fault import decode_document
+from bluebellbeam.config.fault import Fault, decode_document
 from bluebellbeam.config.model import Base, Overlay
 from bluebellbeam.routing.route_table import RouteTable, make_route_table
 
 __all__ = [
     "Effective",
     "decode_effective",
+    "find_workspace",
     "merge_overlay",
     "merge_site",
     "resolve_model",
@@ -38,6 +41,13 @@
         Sum of the weights of all workspaces.
     routes : RouteTable
         Routes of `base`, indexed by host.
+    keys : dict of str to (str, str)
+        Digest and workspace of each key, by its digest.
+    has_keys : bool
+        Whether any workspace has a key or any route needs one.
+    engine_urgencies : dict of (int, int) to int
+        Urgency at an engine, by the urgencies of workspace and route; empty unless
+        workspaces differ in theirs.
     """
 
     revision: int
@@ -45,6 +55,9 @@
     base: Base
     total_weight: float
     routes: RouteTable
+    keys: dict[str, tuple[str, str]] = {}
+    has_keys: bool = False
+    engine_urgencies: dict[tuple[int, int], int] = {}
 
 
 def merge_overlay(base, overlay):
@@ -115,9 +128,89 @@
                     merged = merge_overlay(base, overlay)
     if found:
         return Failure(tuple(found))
+    keys, found = _index_keys(merged)
+    if found:
+        return Failure(tuple(found))
+    merged = _rank_workspaces(merged)
     total_weight = sum(item.weight for item in merged.workspaces.values())
     routes = make_route_table(merged.routes)
-    return Success(Effective(revision, digest, merged, total_weight, routes))
+    effective = Effective(
+        revision,
+        digest,
+        merged,
+        total_weight,
+        routes,
+        keys,
+        has_keys=bool(keys) or any(not item.workspace for item in merged.routes),
+        engine_urgencies=_engine_urgencies(merged),
+    )
+    return Success(effective)
+
+
+def find_workspace(config, key_digest):
+    """Return the name of the workspace that a key belongs to; empty if none.
+
+    Parameters
+    ----------
+    config : Effective
+    key_digest : str
+        SHA-256 digest of the key, in lower-case hexadecimal.
+    """
+    digest, workspace = config.keys.get(key_digest, ("", ""))
+    # The lookup compares hashes of the digest first, and its duration depends on them.
+    # The final comparison takes the same time for every digest.
+    return workspace if hmac.compare_digest(digest, key_digest) else ""
+
+
+def _index_keys(base):
+    """Return the index of the keys, and the faults of keys in two workspaces."""
+    keys = {}
+    found = []
+    for name, workspace in base.workspaces.items():
+        for digest in workspace.key_digests:
+            _, owner = keys.setdefault(digest, (digest, name))
+            if owner != name:
+                path = f"$.workspaces.{name}.key_digests"
+                text = f"a key also belongs to workspace '{owner}'"
+                found.append(("base", Fault(path, text, "give each its own keys")))
+    return keys, found
+
+
+def _rank_workspaces(base):
+    """Return `base` with an urgency for every workspace if any of them has one.
+
+    Workspaces without one rank after all others.
+    """
+    stated = [w.urgency for w in base.workspaces.values() if w.urgency is not None]
+    if not stated:
+        return base
+    last = max(stated) + 1
+    workspaces = {
+        name: item
+        if item.urgency is not None
+        else msgspec.structs.replace(item, urgency=last)
+        for name, item in base.workspaces.items()
+    }
+    return msgspec.structs.replace(base, workspaces=workspaces)
+
+
+ENGINE_URGENCIES = 9
+"""Number of urgencies that engines distinguish."""
+
+
+def _engine_urgencies(base):
+    """Return the urgency at an engine of each pair of workspace and route urgency.
+
+    Pairs are numbered in their order. If there are more than `ENGINE_URGENCIES`, some
+    neighbours share a number, but no two pairs change places.
+    """
+    ranks = {item.urgency or 0 for item in base.workspaces.values()}
+    if len(ranks) < 2:
+        return {}
+    pairs = sorted((r, route.urgency) for r in ranks for route in base.routes)
+    pairs = list(dict.fromkeys(pairs))
+    width = max(ENGINE_URGENCIES, len(pairs))
+    return {pair: i * ENGINE_URGENCIES // width for i, pair in enumerate(pairs)}
 
 
 def resolve_model(base, name):
--- a/bluebellbeam/config/model.py
+++ b/bluebellbeam/config/model.py
@@ -187,6 +187,8 @@
         ledgers that the daemons of a region share; see `admission/quota.py`.
     plain_request_tokens : int
         Tokens charged for a request that does not state its number of tokens.
+    quota_unit : {"token", "request"}
+        What the rate and the burst count.
     key_digests : tuple of str
         SHA-256 digest of each caller key, in lower-case hexadecimal.
     urgency : int or None
@@ -210,6 +212,7 @@
     rate_tokens_per_s: float = 0.0
     burst_tokens: float = 0.0
     plain_request_tokens: int = 0
+    quota_unit: Literal["token", "request"] = "token"
     key_digests: tuple[str, ...] = ()
     urgency: int | None = None
     home_regions: tuple[str, ...] = ()
--- a/bluebellbeam/daemon/codec.py
+++ b/bluebellbeam/daemon/codec.py
@@ -74,6 +74,10 @@
         Id of the request that brought the first event of that stream, or empty.
     passed : tuple of (str, str)
         Headers forwarded to the backend server unchanged.
+    key_digest : str
+        SHA-256 digest of the key of the caller, in hexadecimal; empty without one.
+    key_fault : {"", "missing", "repeated", "empty", "oversized"}
+        Why there is no `key_digest`.
     """
 
     request_id: str
@@ -84,6 +88,8 @@
     resume_after: str = ""
     resumes: str = ""
     passed: tuple[tuple[str, str], ...] = ()
+    key_digest: str = ""
+    key_fault: str = ""
 
 
 class UpstreamHead(Struct, frozen=True):
@@ -98,11 +104,13 @@
     left_ms : int
         Time until the deadline.
     urgency : int
-        Urgency of the route; 0 is the most urgent.
+        Urgency of the request; 0 is the most urgent.
     resume_after : str
         Id of the last event that the caller received; empty for a new stream.
     prefix_source : str
         Address of a server to copy the cached prompt prefix from, or empty.
+    tenant : str
+        Workspace that the key of the caller belongs to; empty if it needs no key.
     """
 
     server: str
@@ -111,6 +119,7 @@
     urgency: int
     resume_after: str = ""
     prefix_source: str = ""
+    tenant: str = ""
 
 
 class ResponseHead(Struct, frozen=True):
@@ -165,12 +174,16 @@
     own_answer : callable
         Maps a request id to the list of pairs of a response that the daemon itself
         generates.
+    without_credentials : callable
+        Maps a tuple of pairs to those that are neither the key of the caller nor the
+        name of its workspace.
     """
 
     read_request: object
     write_request: object
     read_answer: object
     own_answer: object
+    without_credentials: object
 
 
 def chain_blocks(parts):
@@ -220,7 +233,9 @@
 
 def make_native_codec():
     """Return the codec of the native header names."""
-    return Codec(_read_request, _write_request, _read_response, _own_response_headers)
+    return Codec(
+        _read_request, _write_request, _read_response, _own_response_headers, tuple
+    )
 
 
 _RESERVED_HEADERS = frozenset(
--- a/bluebellbeam/daemon/metrics.py
+++ b/bluebellbeam/daemon/metrics.py
@@ -1,7 +1,7 @@
 """Prometheus metrics of a daemon, read from its state at each scrape.
 
-The number of label values is bounded: error codes, kinds of request and pools. No
-metric is labelled by workspace, since the number of workspaces is not bounded.
+The number of label values is bounded: error codes, kinds of request, pools, and the
+`MAX_WORKSPACE_LABELS` workspaces with most requests; those of others are summed.
 
 prometheus_client is imported at the first scrape: its import takes a tenth of the
 start of a daemon, and most processes are not scraped while they start.
@@ -10,6 +10,7 @@
 from bisect import bisect_left
 from itertools import accumulate
 
+from bluebellbeam.node.caller_keys import largest_workspaces
 from bluebellbeam.node.wait_estimates import local_wait_ms, pool_slots
 
 __all__ = ["Metrics", "make_metrics"]
@@ -17,6 +18,9 @@
 MAX_POOL_LABELS = 100
 """Largest number of pools that are exported, in order of their names."""
 
+MAX_WORKSPACE_LABELS = 32
+"""Largest number of workspaces that are exported by name."""
+
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 2.5, 5, 10, 30, 120)
 
 
@@ -35,7 +39,7 @@
         state = self.driver.node.state
         counters = state.counters
         for name in sorted(counters.__slots__):
-            if name in ("errors", "turned_away"):
+            if name in ("errors", "turned_away", "rejected_keys"):
                 continue
             family = CounterMetricFamily(
                 f"bluebellbeam_{name}", f"Total of {name} since the start."
@@ -56,10 +60,43 @@
         for restriction, count in sorted(counters.turned_away.items()):
             turned.add_metric([restriction], count)
         yield turned
+        yield from _workspaces(state)
         yield from _gauges(self.driver, state)
         yield from _pools(state)
 
 
+def _workspaces(state):
+    """Yield the requests by workspace and the rejected keys, if there are keys."""
+    from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+    if state.config is None or not state.config.has_keys:
+        return
+    rejected = CounterMetricFamily(
+        "bluebellbeam_rejected_keys",
+        "Requests without an accepted key.",
+        labels=["reason"],
+    )
+    for reason, count in sorted(state.counters.rejected_keys.items()):
+        rejected.add_metric([reason], count)
+    yield rejected
+    largest, others = largest_workspaces(state, MAX_WORKSPACE_LABELS)
+    requests = CounterMetricFamily(
+        "bluebellbeam_workspace_requests",
+        "Requests of callers, of the workspaces with most of them.",
+        labels=["workspace"],
+    )
+    for name, count in largest:
+        requests.add_metric([name], count)
+    yield requests
+    # Falls when a workspace becomes one of the largest, so it is no counter.
+    rest = GaugeMetricFamily(
+        "bluebellbeam_other_workspaces_requests",
+        "Requests of callers, of all other workspaces together.",
+    )
+    rest.add_metric([], others)
+    yield rest
+
+
 def _gauges(driver, state):
     from prometheus_client.core import GaugeMetricFamily
 
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -32,6 +32,7 @@
     OUTCOME_HEADER,
     RETRY_AFTER_HEADER,
     SENDS_HEADER,
+    without_credentials,
 )
 from bluebellbeam.daemon.wire import encode_error
 from bluebellbeam.node import Request, current_offer, make_error
@@ -95,6 +96,10 @@
         callers do not identify a workspace.
     """
     head = driver.codec.read_request(_header_pairs(request))
+    # Removed on arrival as well as before each attempt: the configuration may lose
+    # its keys while the request waits.
+    passed = without_credentials(driver, head.passed)
+    head = msgspec.structs.replace(head, passed=passed)
     request_id = head.request_id
     if not _is_well_formed(request.head):
         request.stream.keep_alive = False
@@ -159,6 +164,8 @@
         prompt_parts=shared_part_names(head.parts),
         resume_after=head.resume_after,
         resumes=head.resumes,
+        key_digest=head.key_digest,
+        key_fault=head.key_fault,
     )
 
 
@@ -172,7 +179,7 @@
     parts = driver.codec.read_request(forward.passed).parts
     return Request(
         request_id,
-        "",
+        forward.workspace or "",
         origin=vm,
         host=forward.host,
         method=forward.method,
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -21,11 +21,14 @@
     forward_headers,
     read_peer_head,
     read_peer_headers,
+    without_credentials,
 )
 from bluebellbeam.daemon.sse import make_event_splitter
 from bluebellbeam.exception import UpstreamError
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.errors import ERRORS, make_error
+from bluebellbeam.node.routed import key_workspace
+from bluebellbeam.node.urgency import engine_urgency
 
 __all__ = ["run_routed_attempt"]
 
@@ -150,11 +153,14 @@
         server=command.server,
         incarnation=command.incarnation,
         left_ms=left_ms,
-        urgency=request.route.urgency,
+        urgency=engine_urgency(driver.node.state.config, request),
         resume_after=exchange.last_event_id,
         prefix_source=command.prefix_source,
+        tenant=key_workspace(request),
     )
-    pairs = driver.codec.write_request(exchange.head, upstream)
+    passed = without_credentials(driver, exchange.head.passed)
+    head = msgspec.structs.replace(exchange.head, passed=passed)
+    pairs = driver.codec.write_request(head, upstream)
     method = request.method
     return method, encode_request(
         method, exchange.target, request.host, pairs, exchange.payload
--- a/bluebellbeam/daemon/routed_forward.py
+++ b/bluebellbeam/daemon/routed_forward.py
@@ -1,11 +1,12 @@
 """Headers between daemons for a routed request that one forwards to another."""
 
 import msgspec
-from msgspec import Struct
+from msgspec import UNSET, Struct, UnsetType
 
 from bluebellbeam.daemon.auth import AUTH_HEADER
 from bluebellbeam.daemon.codec import HOP_BY_HOP_HEADERS, ResponseHead
 from bluebellbeam.node import event as ev
+from bluebellbeam.node.routed import key_workspace
 from bluebellbeam.routing import StreamOrigin
 
 __all__ = [
@@ -21,6 +22,7 @@
     "forward_headers",
     "read_peer_head",
     "read_peer_headers",
+    "without_credentials",
 ]
 
 ROUTED_PATH = "/peer/v1/routed"
@@ -63,6 +65,8 @@
         Where the stream that the request continues began; None for a new one.
     trial_part : str
         Part of the prompt in quarantine that the request is a trial of, or empty.
+    workspace : str
+        Workspace that the key of the caller belongs to; not sent if there is none.
     """
 
     request_id: str
@@ -82,6 +86,22 @@
     passed: tuple[tuple[str, str], ...] = ()
     stream_origin: StreamOrigin | None = None
     trial_part: str = ""
+    workspace: str | UnsetType = UNSET
+
+
+def without_credentials(driver, passed):
+    """Return the headers to pass on, without keys if the configuration has keys.
+
+    Parameters
+    ----------
+    driver : Driver
+    passed : tuple of (str, str)
+        Headers of the caller's request.
+    """
+    config = driver.node.state.config
+    if config is None or not config.has_keys:
+        return passed
+    return driver.codec.without_credentials(passed)
 
 
 def forward_headers(driver, command, exchange, left_ms):
@@ -102,9 +122,10 @@
         blocks=request.blocks,
         block_ends=request.block_ends,
         last_event_id=exchange.last_event_id,
-        passed=exchange.head.passed,
+        passed=without_credentials(driver, exchange.head.passed),
         stream_origin=request.stream_origin,
         trial_part=request.trial_part,
+        workspace=key_workspace(request) or UNSET,
     )
     raw = msgspec.json.encode(forward)
     signed = driver.auth.sign(ROUTED_PATH, driver.settings.vm, raw + exchange.payload)
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -11,6 +11,7 @@
 from bluebellbeam.borrowing import find_granted_lease, fresh_offers
 from bluebellbeam.config.effective import resolve_model
 from bluebellbeam.membership import usable_members
+from bluebellbeam.node.caller_keys import count_workspace_request, record_rejected_key
 from bluebellbeam.node.command import SendErrorResponse, SendRecordedResponse
 from bluebellbeam.node.dispatch import dispatch_pool
 from bluebellbeam.node.errors import make_error
@@ -63,6 +64,8 @@
     error = _check_daemon(state, request, now_ms)
     if error is None:
         error = _resolve(state, request, now_ms)
+        if error is None:
+            count_workspace_request(state, request, now_ms)
     if error is None and is_continued(request):
         found, origin = start_lookup(state, request, now_ms)
         if found:
@@ -143,6 +146,8 @@
     restricted = record_restricted_servers(state, request, now_ms)
     errors = state.counters.errors
     errors[error.code] = errors.get(error.code, 0) + 1
+    if error.code == "unknown_key":
+        restricted |= record_rejected_key(state, request)
     state.record_decision(
         request.request_id, ("error", now_ms, error.code, error.outcome)
     )
@@ -253,7 +258,10 @@
         The error if the configuration does not permit the request.
     """
     if request.host:
-        return resolve_route(state, request, now_ms)
+        error = resolve_route(state, request, now_ms)
+        if error is not None and error.code == "unknown_key":
+            return _check_unknown_key(state, request, error)
+        return error
     workspace = state.base.workspaces.get(request.workspace)
     if workspace is None:
         return make_error("not_permitted")
@@ -265,6 +273,17 @@
     return _resolve_model(state, request, workspace, now_ms)
 
 
+def _check_unknown_key(state, request, error):
+    """Return the error of a request without a known key.
+
+    A forwarded request may be of a workspace that this daemon does not know yet.
+    """
+    if request.origin and request.revision > state.config.revision:
+        request_config(state, request.origin)
+        return make_error("config_behind")
+    return error
+
+
 def _resolve_service(state, request, workspace, now_ms):
     service = state.base.services.get(request.service)
     if service is None:
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -312,7 +312,9 @@
 def _requeue(state, request):
     """Return the request to the front of its workspace's queue."""
     request.state = "queued"
-    weight = state.base.workspaces[request.workspace].weight
+    # The workspace may have been removed since the request was admitted.
+    workspace = state.base.workspaces.get(request.workspace)
+    weight = workspace.weight if workspace is not None else 1.0
     push_request(state.queue(request.pool), request, weight, front=True)
 
 
--- a/bluebellbeam/node/dump.py
+++ b/bluebellbeam/node/dump.py
@@ -1,5 +1,7 @@
 """State dump of a node as tables of typed rows, for operators and golden files."""
 
+from collections import Counter
+
 from msgspec import Struct
 
 from bluebellbeam.membership import usable_members
@@ -162,6 +164,35 @@
     in_trial: bool
 
 
+class WorkspaceRow(Struct):
+    """A workspace, if the configuration has keys.
+
+    Parameters
+    ----------
+    workspace : str
+    weight : float
+    urgency : int or None
+    rate_per_s : float
+        Quota per second in `quota_unit`; 0 for none.
+    quota_unit : {"token", "request"}
+    keys : int
+        Number of its keys.
+    requests : int
+        Requests of callers since the start.
+    open : int
+        Requests without a final response, also those forwarded by peers.
+    """
+
+    workspace: str
+    weight: float
+    urgency: int | None
+    rate_per_s: float
+    quota_unit: str
+    keys: int
+    requests: int
+    open: int
+
+
 class OperationsRow(Struct):
     """Number of recorded operations in one state, or of all ids issued."""
 
@@ -344,6 +375,25 @@
     ]
 
 
+def _workspace_rows(state, now_ms):
+    if state.config is None or not state.config.has_keys:
+        return []
+    opened = Counter(request.workspace for request in state.requests.values())
+    return [
+        WorkspaceRow(
+            name,
+            item.weight,
+            item.urgency,
+            item.rate_tokens_per_s,
+            item.quota_unit,
+            len(item.key_digests),
+            state.workspace_requests.get(name, 0),
+            opened[name],
+        )
+        for name, item in sorted(state.base.workspaces.items())
+    ]
+
+
 def _operation_rows(state, now_ms):
     counts = {"issued": state.ledger.issued}
     for row in state.ledger.rows.values():
@@ -356,7 +406,7 @@
     rows = [
         CounterRow(name, getattr(counters, name))
         for name in sorted(counters.__slots__)
-        if name not in ("errors", "turned_away")
+        if name not in ("errors", "turned_away", "rejected_keys")
     ]
     rows.append(CounterRow("lease_switches", state.borrower.switches))
     rows.append(CounterRow("leases_granted", state.lender.granted))
@@ -364,6 +414,8 @@
     rows.append(CounterRow("usable_members", len(usable_members(state.members))))
     for reason, count in sorted(counters.turned_away.items()):
         rows.append(CounterRow(f"turned_away_{reason}", count))
+    for reason, count in sorted(counters.rejected_keys.items()):
+        rows.append(CounterRow(f"rejected_key_{reason}", count))
     for code, count in sorted(counters.errors.items()):
         rows.append(CounterRow(f"error_{code}", count))
     return rows
@@ -378,6 +430,7 @@
     "requests": _request_rows,
     "leases": _lease_rows,
     "quarantines": _quarantine_rows,
+    "workspaces": _workspace_rows,
     "operations": _operation_rows,
     "counters": _counter_rows,
 }
@@ -411,7 +464,9 @@
 
     Parameters
     ----------
-    kind : {"server", "peer", "hedge", "restricted", "failed", "error", "answered"}
+    kind : str
+        ``workspace``, ``server``, ``peer``, ``hedge``, ``restricted``, ``failed``,
+        ``error`` or ``answered``.
     at_ms : int
     detail : tuple of str
         Values that depend on `kind`, such as the peer or the error code.
--- a/bluebellbeam/node/errors.py
+++ b/bluebellbeam/node/errors.py
@@ -65,6 +65,9 @@
 ERRORS = {
     "bad_request": ErrorKind(400, "not_run", "The request is not valid."),
     "unauthorized": ErrorKind(401, "not_run", "The key is missing or not valid."),
+    "unknown_key": ErrorKind(
+        401, "not_run", "The request needs one known key; this one is not accepted."
+    ),
     "not_permitted": ErrorKind(
         403, "not_run", "The workspace may not use this model or service."
     ),
--- a/bluebellbeam/node/feed_sync.py
+++ b/bluebellbeam/node/feed_sync.py
@@ -18,6 +18,7 @@
     prepare_delta,
 )
 from bluebellbeam.membership import update_listed, usable_members
+from bluebellbeam.node.caller_keys import record_revoked_keys
 from bluebellbeam.node.command import Log, ReadFeed
 from bluebellbeam.node.message import FeedPull
 from bluebellbeam.node.peer_send import send_to_member
@@ -235,6 +236,7 @@
         return True
     match effective_from_parts(version, parts, state.identity.site, state.part_cache):
         case Success(effective):
+            record_revoked_keys(state, effective)
             state.config = effective
             return True
         case Failure(faults):
--- a/bluebellbeam/node/reconfiguration.py
+++ b/bluebellbeam/node/reconfiguration.py
@@ -42,6 +42,9 @@
     if route is None:
         _fail_queued(state, request, make_error("not_found"), now_ms)
         return
+    if request.workspace not in state.base.workspaces:
+        _fail_queued(state, request, make_error("unknown_key"), now_ms)
+        return
     request.route = route
     request.allowed = allowed_regions(state, request, route)
     if not request.allowed:
@@ -54,7 +57,7 @@
         remove_request(state.queue(request.pool), request)
         request.service = service
         request.pool = f"s/{service}"
-        weight = state.base.workspaces[route.workspace].weight
+        weight = state.base.workspaces[request.workspace].weight
         push_request(state.queue(request.pool), request, weight)
 
 
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -106,6 +106,10 @@
     stream_origin : StreamOrigin or None
         Where the event stream of a routed request began; None before its first
         event, and for other responses.
+    key_digest : str
+        SHA-256 digest of the caller's key; empty if it gave no valid one.
+    key_fault : str
+        Why there is no `key_digest`, or empty.
     """
 
     __slots__ = (
@@ -154,6 +158,8 @@
         "resume_after",
         "resumes",
         "stream_origin",
+        "key_digest",
+        "key_fault",
     )
 
     def __init__(self, request_id, workspace, **values):
@@ -194,6 +200,8 @@
         self.resume_after = values.pop("resume_after", "")
         self.resumes = values.pop("resumes", "")
         self.stream_origin = values.pop("stream_origin", None)
+        self.key_digest = values.pop("key_digest", "")
+        self.key_fault = values.pop("key_fault", "")
         if values:
             raise TypeError(f"unknown fields of request {request_id}: {sorted(values)}")
         self.state = "queued"
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -6,6 +6,7 @@
 daemon there, without a lease.
 """
 
+from bluebellbeam.config.effective import find_workspace
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.forwarding import expected_forward_start_ms, forward_targets
 from bluebellbeam.node.wait_estimates import (
@@ -22,7 +23,12 @@
     prefill_speed,
 )
 
-__all__ = ["allowed_regions", "expected_routed_start_ms", "resolve_route"]
+__all__ = [
+    "allowed_regions",
+    "expected_routed_start_ms",
+    "key_workspace",
+    "resolve_route",
+]
 
 MAX_LATE_START_FACTOR = 1.5
 """A prompt is admitted if its first event is expected within this many times its
@@ -43,12 +49,12 @@
     route = match_route(state.config.routes, request.host, request.path)
     if route is None:
         return make_error("not_found")
-    if request.workspace not in ("", route.workspace):
-        return make_error("not_permitted")
+    error = _set_workspace(state, request, route)
+    if error is not None:
+        return error
     request.allowed = allowed_regions(state, request, route)
     if not request.allowed:
         return make_error("region_not_permitted")
-    request.workspace = route.workspace
     request.revision = request.revision or state.config.revision
     request.route = route
     if request.stream_origin is not None:
@@ -65,13 +71,48 @@
     return None
 
 
+def key_workspace(request):
+    """Return the workspace that the key of a routed request belongs to, or empty.
+
+    Without a key, a request has the workspace of its route.
+    """
+    return "" if request.workspace == request.route.workspace else request.workspace
+
+
+def _set_workspace(state, request, route):
+    """Set the workspace of a request: that of its key, or of its route.
+
+    That of a forwarded request, or of one resolved before, is only checked.
+
+    Returns
+    -------
+    CallerError or None
+    """
+    if route.workspace and not route.anonymous:
+        if not request.origin and request.workspace not in ("", route.workspace):
+            return make_error("not_permitted")
+        request.workspace = route.workspace
+        return None
+    name = request.workspace
+    if not name and not request.origin:
+        name = find_workspace(state.config, request.key_digest)
+    name = name or route.workspace
+    if name not in state.base.workspaces:
+        return make_error("unknown_key")
+    request.workspace = name
+    return None
+
+
 def allowed_regions(state, request, route):
-    """Return the regions in which `route` allows `request` to run.
+    """Return the regions in which its workspace and `route` allow `request` to run.
 
     For a forwarded request, the regions that the forwarding daemon allowed are
     only narrowed.
     """
-    allowed = frozenset(state.base.workspaces[route.workspace].allowed_regions)
+    workspace = state.base.workspaces[request.workspace]
+    allowed = frozenset(workspace.allowed_regions)
+    if workspace.home_regions:
+        allowed &= frozenset(workspace.home_regions)
     if route.home_regions:
         allowed &= frozenset(route.home_regions)
     return request.allowed & allowed if request.origin else allowed
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -133,6 +133,10 @@
     turned_away : dict of str to int
         Requests forwarded or refused while a server of their service was limited,
         paused or leaving, by that restriction.
+    rejected_keys : dict of str to int
+        Requests without an accepted key, by reason: ``missing``, ``empty``,
+        ``repeated``, ``oversized``, ``unknown``, ``revoked``, or ``forwarded`` for a
+        workspace that a peer named and this daemon does not know.
     quarantines : int
         Prompt parts put in quarantine by this daemon.
     pauses : int
@@ -163,6 +167,7 @@
         "received",
         "refused",
         "turned_away",
+        "rejected_keys",
         "quarantines",
         "pauses",
         "orders",
@@ -177,6 +182,7 @@
             setattr(self, name, 0)
         self.errors = {}
         self.turned_away = {}
+        self.rejected_keys = {}
 
 
 class NodeState:
@@ -269,6 +275,12 @@
     decisions : OrderedDict
         Recent decisions by request id.
     counters : Counters
+    revoked_keys : dict of str to str
+        Workspace of each revoked key, by its digest, oldest first.
+    workspace_requests : dict of str to int
+        Requests of callers by workspace, if the configuration has keys.
+    other_workspace_requests : int
+        Requests of workspaces that are no longer in `workspace_requests`.
     ready, leaving, stopped : bool
         Whether the daemon accepts requests, has begun a graceful shutdown and has
         completed it.
@@ -339,6 +351,9 @@
         "hedges",
         "decisions",
         "counters",
+        "revoked_keys",
+        "workspace_requests",
+        "other_workspace_requests",
         "ready",
         "leaving",
         "leaving_ms",
@@ -412,6 +427,9 @@
         self.hedges = make_budget(Objective().hedge_share, burst=3.0)
         self.decisions = OrderedDict()
         self.counters = Counters()
+        self.revoked_keys = {}
+        self.workspace_requests = {}
+        self.other_workspace_requests = 0
         self.ready = False
         self.leaving = False
         self.leaving_ms = 0
@@ -575,6 +593,8 @@
         """
         if request.route is not None:
             fields["route"] = request.route.name
+        if self.config is not None and self.config.has_keys and request.workspace:
+            fields.setdefault("workspace", request.workspace)
         if self.config is not None:
             fields["revision"] = self.config.revision
         fields["attempt"] = request.attempts
--- a/bluebellbeam/platform/headers.py
+++ b/bluebellbeam/platform/headers.py
@@ -9,6 +9,7 @@
     ResponseHead,
     parse_prompt_parts,
 )
+from bluebellbeam.platform.tenants import MAX_KEY_BYTES, digest_key
 from bluebellbeam.provider.records import BrittleStatement, LimitStatement, LoadHeader
 
 __all__ = [
@@ -52,6 +53,10 @@
 NOT_RUN_HEADER = "x-not-executed"
 # Scheduling priority at the server; `MIN_URGENCY` is the most urgent.
 URGENCY_HEADER = "x-request-priority"
+# Key of the caller, nothing else.
+KEY_HEADER = "api-key"
+# Name of the tenant that the key of the caller belongs to, for the server.
+TENANT_HEADER = "x-tenant"
 # Address of a server to copy the cached prompt prefix from.
 PREFIX_SOURCE_HEADER = "kv-fetch"
 
@@ -86,13 +91,20 @@
 
 def make_platform_codec():
     """Return the codec of the platform's header names."""
-    return Codec(_read_request, _write_request, _read_response, _own_response_headers)
+    return Codec(
+        _read_request,
+        _write_request,
+        _read_response,
+        _own_response_headers,
+        _without_credentials,
+    )
 
 
 def _read_request(pairs):
     first = dict(reversed(pairs))
     left = first.get(TIME_LEFT_HEADER, "").partition(".")[0]
     prompt, _, output = first.get(TOKENS_HEADER, "").partition(",")
+    key_digest, key_fault = _read_key(pairs)
     return RequestHead(
         request_id=first.get(REQUEST_ID_HEADER, ""),
         left_ms=int(left) if left.isdecimal() else None,
@@ -104,9 +116,29 @@
         passed=tuple(
             p for p in pairs if p[0] not in HOP_BY_HOP_HEADERS | RESERVED_HEADERS
         ),
+        key_digest=key_digest,
+        key_fault=key_fault,
     )
 
 
+def _read_key(pairs):
+    """Return the digest of the caller's key, or "" and why there is none."""
+    keys = [value for name, value in pairs if name == KEY_HEADER]
+    if not keys:
+        return "", "missing"
+    if len(keys) > 1:
+        return "", "repeated"
+    if not keys[0]:
+        return "", "empty"
+    if len(keys[0].encode(errors="surrogateescape")) > MAX_KEY_BYTES:
+        return "", "oversized"
+    return digest_key(keys[0]), ""
+
+
+def _without_credentials(pairs):
+    return tuple(p for p in pairs if p[0] not in (KEY_HEADER, TENANT_HEADER))
+
+
 def _parse_count(text):
     text = text.strip()
     return int(text) if text.isdecimal() else 0
@@ -123,6 +155,8 @@
         pairs.append((RESUME_AFTER_HEADER, upstream.resume_after))
     if upstream.prefix_source:
         pairs.append((PREFIX_SOURCE_HEADER, upstream.prefix_source))
+    if upstream.tenant:
+        pairs.append((TENANT_HEADER, upstream.tenant))
     return pairs
 
 
--- a/bluebellbeam/platform/records.py
+++ b/bluebellbeam/platform/records.py
@@ -13,6 +13,12 @@
 
 from bluebellbeam.config import canonical_json, split_documents
 from bluebellbeam.exception import PlatformError
+from bluebellbeam.platform.tenants import (
+    Tenant,
+    shared_workspace,
+    tenant_warnings,
+    translate_tenants,
+)
 from bluebellbeam.provider.records import VmRecord
 from bluebellbeam.utils.hashing import hash_text
 
@@ -22,6 +28,7 @@
     "SERVERS_PREFIX",
     "Item",
     "canonical_record",
+    "config_warnings",
     "decode_config_version",
     "decode_events",
     "decode_page",
@@ -33,9 +40,6 @@
 EVACUATE_PREFIX = "op/evacuate/"
 SERVERS_PREFIX = "servers/"
 
-CALLER_WORKSPACE = "callers"
-"""Single workspace of all callers, since the platform has no workspaces."""
-
 PREFILL_TOKENS_PER_S = 40_000.0
 """Initial estimate of the prefill speed of an engine, refined by its responses."""
 
@@ -207,6 +211,8 @@
     # Target for the longest pause between two events of a stream.
     pause_ms: int = field(default=0, name="gapTargetMs")
     homes: list[str] = field(default_factory=list, name="homeRegions")
+    # Whether callers need no key, although the configuration has tenants.
+    anonymous: bool = False
 
 
 class _Engine(Struct):
@@ -234,6 +240,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = field(default_factory=_Limits)
+    tenants: list[Tenant] | None = None
 
 
 ROUTE_KINDS = {"safe": "idempotent", "unsafe": "non_idempotent", "streaming": "stream"}
@@ -276,20 +283,35 @@
     """
     found = _decode(value, _Config)
     regions = sorted(set(store.domains.values()))
+    tenants = found.tenants or []
+    shared = shared_workspace(tenants)
+    workspaces = {shared: {"allowed_regions": regions}}
+    workspaces |= translate_tenants(tenants, regions)
     base = {
         "deployment": "platform",
         "regions": {name: _region(name, regions) for name in regions},
         "failure_domains": {n: {"region": r} for n, r in store.domains.items()},
         "sites": {n: {"region": r} for n, r in store.domains.items()},
         "services": {item.name: _service(item) for item in found.services},
-        "routes": [_route(item) for item in found.routes],
+        "routes": [_route(item, bool(tenants), shared) for item in found.routes],
         "caller_limits": _limits(found.limits),
-        "workspaces": {CALLER_WORKSPACE: {"allowed_regions": regions}},
+        "workspaces": workspaces,
         "policy": _policy(store),
     }
     return split_documents(base, {})
 
 
+def config_warnings(value):
+    """Return texts on what is valid in a configuration but likely unintended.
+
+    Raises
+    ------
+    PlatformError
+        If `value` is not a configuration.
+    """
+    return tenant_warnings(_decode(value, _Config).tenants or [])
+
+
 def _region(name, regions):
     delays = {other: REGION_DELAY_MS for other in regions if other != name}
     return {"one_way_delay_ms": delays}
@@ -305,14 +327,15 @@
     }
 
 
-def _route(item):
+def _route(item, has_tenants, shared):
+    """Return a route; `shared` is the workspace of callers without a key."""
     split = item.split or [_WeightedService(item.service)]
-    return {
+    route = {
         "name": item.name,
         "host": item.host.lower(),
         "path_prefix": item.prefix,
         "services": [{"service": s.service, "weight": s.weight} for s in split],
-        "workspace": CALLER_WORKSPACE,
+        "workspace": shared,
         "kind": ROUTE_KINDS.get(item.kind, "non_idempotent"),
         "resumable": item.resumable,
         "timeout_ms": item.timeout_ms,
@@ -323,6 +346,11 @@
         "home_regions": item.homes,
         "shares_prompts": item.sticky,
     }
+    if has_tenants:
+        # Only then, since daemons of earlier versions reject unknown fields.
+        route["anonymous"] = item.anonymous
+        route["workspace"] = shared if item.anonymous else ""
+    return route
 
 
 def _limits(item):
