Keep the last valid configuration in the store mirror, and scan all output for keys

Cause: the mirror adopted the version of a configuration before translating it, so a configuration with invalid tenants made each read fail as if the store had not answered, and nothing was logged. Change: the mirror translates a new version first, logs an invalid one once and keeps the last valid one; it logs a warning for a tenant without keys. Tests revoke a key on open connections of two daemons, and look for keys in log lines, operator pages, responses, messages between daemons and headers at servers.

--- a/bluebellbeam/platform/store.py
+++ b/bluebellbeam/platform/store.py
@@ -25,6 +25,7 @@
     EVACUATE_PREFIX,
     SERVERS_PREFIX,
     canonical_record,
+    config_warnings,
     decode_config_version,
     decode_events,
     decode_page,
@@ -389,6 +390,8 @@
     def _adopt_config(self):
         """Adopt the store's configuration unless an earlier one has a higher version.
 
+        An invalid one is logged, and the last valid one stays in force.
+
         A restored store may have an older one than was in force, until the operator
         has written the newer one again.
         """
@@ -398,12 +401,21 @@
         held = self.versions.get("config", 0)
         try:
             version = decode_config_version(item.value)
+            if version > held:
+                translate_config(item.value, self.access)
+                warnings = config_warnings(item.value)
         except PlatformError as error:
             self._log_invalid_entry(item, error)
             return
         if version > held:
             self.versions["config"] = version
             self.config_item = item
+            for text in warnings:
+                self.log.warning(
+                    "platform: the configuration may be wrong",
+                    version=version,
+                    reason=text,
+                )
         elif version < held:
             self.log.warning(
                 "platform: keep the configuration, that of the store is older",
--- a/bluebellbeam/platform/tests/test_caller_keys.py
+++ b/bluebellbeam/platform/tests/test_caller_keys.py
@@ -1,5 +1,12 @@
+import asyncio
 import json
+import logging
+from unittest import mock
 
+from structlog.testing import capture_logs
+
+from bluebellbeam.cli.logs import configure_logs
+from bluebellbeam.daemon.auth import NullPeerAuth
 from bluebellbeam.platform.tests.fake_platform import HOST, config
 from bluebellbeam.platform.tests.loopback import PlatformCase
 
@@ -32,6 +39,13 @@
 
 
 class KeyCase(PlatformCase):
+    def run_logged(self, step, level="info", **values):
+        """Run `step` with a deployment and the list of the logged lines."""
+        configure_logs("console", level)
+        self.addCleanup(configure_logs, "console", "critical")
+        with capture_logs() as lines:
+            self.run_with(lambda deployment: step(deployment, lines), **values)
+
     async def publish(self, deployment, made):
         deployment.store.put("op/config", made)
         await deployment.wait(
@@ -148,3 +162,202 @@
             self.assertEqual((found[0], deployment.runs("f2")), (403, []))
 
         self.run_with(step, daemons=("hall-e", "hall-w"))
+
+
+class TestRevocation(KeyCase):
+    REVOKE_S = 5.0
+    """Time after which a revoked key is rejected, from the platform's rules."""
+
+    def test_revoked_key_is_rejected_on_open_connections_of_all_daemons(self):
+        """Guards against keys that are checked once for each connection only."""
+
+        async def step(deployment, lines):
+            await self.publish(deployment, with_tenants())
+            zones = ("hall-e", "hall-w")
+            for zone in zones:
+                found = await self.fetch(
+                    deployment, "/unsafe/1", f"a-{zone}", "birch-secret", zone=zone
+                )
+                self.assertEqual(found, (200, ""))
+            tenants = [TENANTS[0], TENANTS[1] | {"apiKeys": ["new"]}, TENANTS[2]]
+            deployment.store.put("op/config", with_tenants(3, tenants))
+            revoked_s = deployment.now_s()
+            for zone in zones:
+                number = 0
+                found = (200, "")
+                while found[0] == 200:
+                    self.assertLess(deployment.now_s() - revoked_s, self.REVOKE_S)
+                    number += 1
+                    found = await self.fetch(
+                        deployment,
+                        "/unsafe/1",
+                        f"b-{zone}-{number}",
+                        "birch-secret",
+                        zone=zone,
+                    )
+                self.assertEqual(found, (401, "unknown_key"))
+                # The connection that was opened before serves the new key.
+                found = await self.fetch(
+                    deployment, "/unsafe/1", f"c-{zone}", "new", zone=zone
+                )
+                self.assertEqual(found, (200, ""))
+            for zone in zones:
+                rejected = deployment.state(zone).counters.rejected_keys
+                self.assertEqual(rejected, {"revoked": 1})
+                accepted = deployment.daemons[zone].metrics.listeners.activities
+                self.assertLessEqual(accepted["callers"].accepted, 2)
+            logged = [line for line in lines if line.get("key") == "revoked"]
+            self.assertEqual({line["workspace"] for line in logged}, {"birch"})
+
+        self.run_logged(step, daemons=("hall-e", "hall-w"))
+
+    def test_invalid_tenants_keep_the_last_valid_configuration(self):
+        """Guards against an operator's mistake that stops all requests."""
+
+        async def step(deployment, lines):
+            await self.publish(deployment, with_tenants())
+            bad = [TENANTS[0], TENANTS[1] | {"apiKeys": ["acme-secret-1"]}]
+            deployment.store.put("op/config", with_tenants(3, bad))
+            await deployment.wait(
+                lambda: any("invalid entry" in line["event"] for line in lines)
+            )
+            reason = next(line for line in lines if "invalid entry" in line["event"])
+            self.assertIn("tenants[1].apiKeys[0]", reason["reason"])
+            found = await self.fetch(deployment, "/unsafe/1", "v1", "birch-secret")
+            self.assertEqual(found, (200, ""))
+            await self.publish(deployment, with_tenants(4, TENANTS[:1]))
+            found = await self.fetch(deployment, "/unsafe/1", "v2", "birch-secret")
+            self.assertEqual(found, (401, "unknown_key"))
+
+        self.run_logged(step)
+
+
+class _RecordList(logging.Handler):
+    """Keeps the text of every record of the standard library's loggers."""
+
+    def __init__(self):
+        super().__init__(logging.DEBUG)
+        self.texts = []
+
+    def emit(self, record):
+        self.texts.append(self.format(record))
+
+
+class TestNoKeyLeaves(KeyCase):
+    """No key appears in what a daemon logs, shows, answers or sends."""
+
+    SECRETS = [key for keys in KEYS.values() for key in keys] + ["never-valid-secret"]
+
+    def setUp(self):
+        self.records = _RecordList()
+        loggers = [
+            logging.getLogger(name)
+            for name in ("", "sanic.root", "sanic.error", "sanic.server", "asyncio")
+        ]
+        for logger in loggers:
+            logger.addHandler(self.records)
+            self.addCleanup(logger.removeHandler, self.records)
+
+    async def _send_all_kinds(self, deployment):
+        """Send requests of all outcomes; return the bytes of the responses."""
+        answers = []
+        number = 0
+        for key in self.SECRETS:
+            for path in ("/safe/1", "/unsafe/1", "/chat/1", "/open/1", "/none/1"):
+                number += 1
+                method = "GET" if path in ("/safe/1", "/open/1") else "POST"
+                _, headers, body = await deployment.fetch(
+                    path, f"k{number}", headers={"Api-Key": key}, method=method
+                )
+                answers.append(repr(headers).encode() + body)
+        for lines in (
+            "Api-Key : {}",
+            "Api-Key {}",
+            "Api-Key: {}\r\n folded",
+            "Api-Key: {}\r\nContent-Length: x",
+            "Api-Key: {}\x00",
+        ):
+            head = "POST /unsafe/1 HTTP/1.1\r\nHost: shop.example\r\n"
+            head += "X-Attempt-Id: raw\r\nConnection: close\r\n"
+            raw = head + lines.format(self.SECRETS[0]) + "\r\n\r\n"
+            answers.append(await self._send_raw(deployment, raw.encode()))
+        return answers
+
+    async def _send_raw(self, deployment, raw):
+        address = deployment.daemons["hall-e"].address("callers")
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(raw)
+        try:
+            async with asyncio.timeout(5):
+                return await reader.read()
+        finally:
+            writer.close()
+
+    async def _operator_pages(self, deployment):
+        pages = []
+        for zone in deployment.daemons:
+            decisions = deployment.state(zone).decisions
+            paths = ["/metrics", "/state"]
+            paths += [f"/explain/{found}" for found in list(decisions)]
+            for path in paths:
+                url = deployment.url("operators", path, zone)
+                async with deployment.session.get(url) as response:
+                    pages.append(await response.read())
+        return pages
+
+    def test_no_key_in_logs_pages_responses_and_messages(self):
+        """Guards against a key that reaches an operator, a server or a daemon."""
+        sent = []
+
+        def sign(auth, path, vm, body):
+            sent.append(bytes(body))
+            return vm
+
+        def sign_response(auth, nonce, body):
+            sent.append(bytes(body))
+            return "open"
+
+        async def step(deployment, lines):
+            await self.publish(deployment, with_tenants())
+            answers = await self._send_all_kinds(deployment)
+            deployment.queue_behaviours("portal", "reset", "garbage", "error")
+            answers += await self._send_all_kinds(deployment)
+            bad = [TENANTS[0], TENANTS[1] | {"apiKeys": ["acme-secret-1"]}]
+            deployment.store.put("op/config", with_tenants(3, bad))
+            bad = [TENANTS[0] | {"apiKeys": ["never-valid-secret\n"]}]
+            deployment.store.put("op/config", with_tenants(4, bad))
+            text = json.dumps(with_tenants(5))
+            deployment.store.put("op/config", text[:-1].encode())
+            await self.publish(deployment, with_tenants(6, TENANTS[:1]))
+            answers += await self._send_all_kinds(deployment)
+            pages = await self._operator_pages(deployment)
+            self.assertIn(b'"workspace":"acme"', b"".join(pages))
+            self.assertIn(b"West Ltd.", b"".join(pages))
+            servers = [
+                repr(headers).encode()
+                for replica in deployment.replicas.values()
+                for _, headers in replica.runs
+            ]
+            self.assertTrue(any(b"West Ltd." in raw for raw in sent))
+            self.assertIn(
+                "refuse: unknown_key", {line["event"][-19:] for line in lines}
+            )
+            for kind, texts in {
+                "logs": [repr(line).encode() for line in lines],
+                "records": [text.encode() for text in self.records.texts],
+                "pages": pages,
+                "answers": answers,
+                "messages": sent,
+                "servers": servers,
+            }.items():
+                self.assertTrue(texts or kind == "records", kind)
+                for secret in self.SECRETS:
+                    found = [text for text in texts if secret.encode() in text]
+                    self.assertEqual((kind, found[:1]), (kind, []))
+
+        with (
+            mock.patch.object(NullPeerAuth, "sign", sign),
+            mock.patch.object(NullPeerAuth, "sign_response", sign_response),
+        ):
+            self.run_logged(step, "debug", daemons=("hall-e", "hall-w"))
