--- a/bluebellbeam/config/effective.py
+++ b/bluebellbeam/config/effective.py
@@ -204,11 +204,20 @@
     Pairs are numbered in their order. If there are more than `ENGINE_URGENCIES`, some
     neighbours share a number, but no two pairs change places.
     """
-    ranks = {item.urgency or 0 for item in base.workspaces.values()}
-    if len(ranks) < 2:
+    rows = base.workspaces
+    has_keys = any(item.key_digests for item in rows.values())
+    keyed = {
+        item.urgency or 0 for item in rows.values() if item.key_digests or not has_keys
+    }
+    found = set()
+    for route in base.routes:
+        ranks = keyed if route.anonymous or not route.workspace else set()
+        if route.workspace in rows:
+            ranks = ranks | {rows[route.workspace].urgency or 0}
+        found.update((rank, route.urgency) for rank in ranks)
+    if len({rank for rank, _ in found}) < 2:
         return {}
-    pairs = sorted((r, route.urgency) for r in ranks for route in base.routes)
-    pairs = list(dict.fromkeys(pairs))
+    pairs = sorted(found)
     width = max(ENGINE_URGENCIES, len(pairs))
     return {pair: i * ENGINE_URGENCIES // width for i, pair in enumerate(pairs)}
 
--- a/bluebellbeam/platform/tenants.py
+++ b/bluebellbeam/platform/tenants.py
@@ -121,12 +121,16 @@
         "key_digests": digests,
         "urgency": tenant.priority,
         "home_regions": tenant.homes,
-        "rate_tokens_per_s": tenant.rate_per_s,
-        "burst_tokens": tenant.burst,
-        "plain_request_tokens": int(tenant.plain_tokens),
+        "rate_tokens_per_s": tenant.rate_per_s or None,
+        "burst_tokens": tenant.burst or None,
+        "plain_request_tokens": int(tenant.plain_tokens) or None,
         "quota_unit": "token" if tenant.unit == TOKEN_UNIT else "request",
     }
-    return {name: value for name, value in values.items() if value not in (None, [], 0)}
+    return {
+        name: value
+        for name, value in values.items()
+        if value is not None and value != []
+    }
 
 
 def _weight(rate, mean_rate):
