--- a/bluebellbeam/config/effective.py
+++ b/bluebellbeam/config/effective.py
@@ -131,7 +131,7 @@
     keys, found = _index_keys(merged)
     if found:
         return Failure(tuple(found))
-    merged = _rank_workspaces(merged)
+    merged = _weigh_workspaces(_rank_workspaces(merged))
     total_weight = sum(item.weight for item in merged.workspaces.values())
     routes = make_route_table(merged.routes)
     effective = Effective(
@@ -194,6 +194,33 @@
     return msgspec.structs.replace(base, workspaces=workspaces)
 
 
+MIN_WEIGHT = 0.01
+"""Smallest weight of a workspace with a quota, so that it is served at all."""
+
+
+def _weigh_workspaces(base):
+    """Return `base` with weights for workspaces whose callers have keys and a quota.
+
+    A weight is the rate relative to the mean rate of these workspaces, unless the
+    configuration states another. It is not part of the published configuration, where
+    the change of one rate would alter all weights.
+    """
+    rates = {
+        name: item.rate_tokens_per_s
+        for name, item in base.workspaces.items()
+        if item.key_digests and item.rate_tokens_per_s > 0
+    }
+    if not rates:
+        return base
+    mean = sum(rates.values()) / len(rates)
+    workspaces = dict(base.workspaces)
+    for name, rate in rates.items():
+        if workspaces[name].weight == 1.0:
+            weight = max(MIN_WEIGHT, rate / mean)
+            workspaces[name] = msgspec.structs.replace(workspaces[name], weight=weight)
+    return msgspec.structs.replace(base, workspaces=workspaces)
+
+
 ENGINE_URGENCIES = 9
 """Number of urgencies that engines distinguish."""
 
--- a/bluebellbeam/config/model.py
+++ b/bluebellbeam/config/model.py
@@ -171,7 +171,8 @@
     Parameters
     ----------
     weight : float
-        Share of capacity relative to the other workspaces.
+        Share of capacity relative to the other workspaces. If it is 1 and the workspace
+        has keys and a rate, its rate relative to the mean of such workspaces.
     home_region : str or None
         Region that is preferred while it can serve the workspace.
     allowed_regions : tuple of str
--- a/bluebellbeam/platform/tenants.py
+++ b/bluebellbeam/platform/tenants.py
@@ -98,10 +98,8 @@
     digests = _digest_keys(tenants)
     for tenant in tenants:
         _check_quota(tenant)
-    rates = [tenant.rate_per_s for tenant in tenants if tenant.rate_per_s]
-    mean = sum(rates) / len(rates) if rates else 0.0
     return {
-        tenant.name: _workspace(tenant, digests[tenant.name], regions, mean)
+        tenant.name: _workspace(tenant, digests[tenant.name], regions)
         for tenant in tenants
     }
 
@@ -113,11 +111,10 @@
     ]
 
 
-def _workspace(tenant, digests, regions, mean_rate):
+def _workspace(tenant, digests, regions):
     """Return one workspace; fields with their default values are omitted."""
     values = {
         "allowed_regions": regions,
-        "weight": _weight(tenant.rate_per_s, mean_rate),
         "key_digests": digests,
         "urgency": tenant.priority,
         "home_regions": tenant.homes,
@@ -133,17 +130,6 @@
     }
 
 
-def _weight(rate, mean_rate):
-    """Return the weight of a workspace in the fair queue.
-
-    It is rounded to two digits, so that a change of one rate, which changes the mean,
-    alters few other workspaces and thus few bytes that daemons exchange.
-    """
-    if not rate:
-        return 1.0
-    return max(0.01, float(f"{rate / mean_rate:.2g}"))
-
-
 def _check_names(tenants):
     seen = set()
     for i, tenant in enumerate(tenants):
--- a/bluebellbeam/platform/tests/test_caller_keys.py
+++ b/bluebellbeam/platform/tests/test_caller_keys.py
@@ -334,6 +334,10 @@
             pages = await self._operator_pages(deployment)
             self.assertIn(b'"workspace":"acme"', b"".join(pages))
             self.assertIn(b"West Ltd.", b"".join(pages))
+            name = b'bluebellbeam_workspace_requests_total{workspace="acme"}'
+            self.assertIn(name, b"".join(pages))
+            name = b'bluebellbeam_rejected_keys_total{reason="revoked"}'
+            self.assertIn(name, b"".join(pages))
             servers = [
                 repr(headers).encode()
                 for replica in deployment.replicas.values()
--- a/bluebellbeam/platform/tests/test_tenants.py
+++ b/bluebellbeam/platform/tests/test_tenants.py
@@ -92,10 +92,23 @@
             {"name": f"t{i}", "apiKeys": [f"k{i}"], "ratePerS": rate}
             for i, rate in enumerate((10, 30, 80, 0))
         ]
+        tenants.append({"name": "t9", "ratePerS": 10**9})
         rows = effective(tenants).base.workspaces
         weights = [rows[f"t{i}"].weight for i in range(4)]
         self.assertEqual(weights, [0.25, 0.75, 2.0, 1.0])
 
+    def test_change_of_one_rate_changes_one_part(self):
+        """Guards against a whole configuration that each daemon sends again."""
+        tenants = [
+            {"name": f"t{i}", "apiKeys": [f"key-{i}"], "ratePerS": 10}
+            for i in range(500)
+        ]
+        before = translate(tenants)
+        tenants[7] = tenants[7] | {"ratePerS": 100_000}
+        after = translate(tenants)
+        changed = [name for name in after if after[name] != before[name]]
+        self.assertEqual(len(changed), 1)
+
     def test_tenant_without_keys_is_valid_and_reported(self):
         found = effective([{"name": "acme"}])
         self.assertTrue(found.has_keys)
