Record whether a request's workspace comes from a key

Cause: a request that waited while the first tenants were configured would have been reported to servers as of the tenant `callers`, since its workspace differed from that of its new route. A list of keys encoded as null rejected the whole configuration. Change: requests record that their workspace is that of a key; null counts as no keys.

--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -108,6 +108,8 @@
         event, and for other responses.
     key_digest : str
         SHA-256 digest of the caller's key; empty if it gave no valid one.
+    has_key : bool
+        Whether `workspace` is that of the caller's key, and not that of its route.
     key_fault : str
         Why there is no `key_digest`, or empty.
     """
@@ -160,6 +162,7 @@
         "stream_origin",
         "key_digest",
         "key_fault",
+        "has_key",
     )
 
     def __init__(self, request_id, workspace, **values):
@@ -202,6 +205,7 @@
         self.stream_origin = values.pop("stream_origin", None)
         self.key_digest = values.pop("key_digest", "")
         self.key_fault = values.pop("key_fault", "")
+        self.has_key = bool(workspace)
         if values:
             raise TypeError(f"unknown fields of request {request_id}: {sorted(values)}")
         self.state = "queued"
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -72,11 +72,8 @@
 
 
 def key_workspace(request):
-    """Return the workspace that the key of a routed request belongs to, or empty.
-
-    Without a key, a request has the workspace of its route.
-    """
-    return "" if request.workspace == request.route.workspace else request.workspace
+    """Return the workspace that the key of a routed request belongs to, or empty."""
+    return request.workspace if request.has_key else ""
 
 
 def _set_workspace(state, request, route):
@@ -92,10 +89,12 @@
         if not request.origin and request.workspace not in ("", route.workspace):
             return make_error("not_permitted")
         request.workspace = route.workspace
+        request.has_key = False
         return None
     name = request.workspace
     if not name and not request.origin:
         name = find_workspace(state.config, request.key_digest)
+        request.has_key = bool(name)
     name = name or route.workspace
     if name not in state.base.workspaces:
         return make_error("unknown_key")
--- a/bluebellbeam/node/tests/test_caller_keys.py
+++ b/bluebellbeam/node/tests/test_caller_keys.py
@@ -6,6 +6,7 @@
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.caller_keys import MAX_REVOKED_KEYS, largest_workspaces
+from bluebellbeam.node.routed import key_workspace
 from bluebellbeam.node.tests.harness import (
     Harness,
     final_errors,
@@ -122,6 +123,35 @@
         self.assertNotIn(digest("acme"), reason)
 
 
+class TestKeyWorkspace(KeyedCase):
+    def test_only_a_workspace_from_a_key_is_named_to_servers(self):
+        """Guards against a caller without a key that is reported as a tenant."""
+        for key, path, name in (
+            ("acme", "/p/x", "acme"),
+            ("acme", "/open/x", "acme"),
+            ("", "/open/x", ""),
+        ):
+            commands = self.send(key, path, f"{key}{path}")
+            request = started_attempts(commands)[0].request
+            self.assertEqual(key_workspace(request), name)
+        request = started_attempts(self.forward("birch"))[0].request
+        self.assertEqual(key_workspace(request), "birch")
+
+    def test_request_that_waits_while_the_first_keys_arrive(self):
+        """Guards against the name of the shared workspace as that of a tenant."""
+        harness = self.harness = Harness()
+        harness.publish_servers(server("s1", slots=1))
+        quick = started_attempts(self.send(""))[0]
+        harness.now_ms += 40
+        harness.handle(ev.AttemptFinished(quick.attempt_id))
+        for i in range(3):
+            self.send("", request_id=f"q{i}")
+        harness.publish("config", split_documents(keyed_base(acme={}), {}))
+        queued = [r for r in harness.state.requests.values() if r.state == "queued"]
+        self.assertTrue(queued)
+        self.assertEqual({key_workspace(request) for request in queued}, {""})
+
+
 class TestForwards(KeyedCase):
     def test_forwarded_workspace_is_validated(self):
         """Guards against a forward that runs for a removed or invented workspace."""
--- a/bluebellbeam/platform/tenants.py
+++ b/bluebellbeam/platform/tenants.py
@@ -46,7 +46,8 @@
     """A tenant in the platform's configuration."""
 
     name: str
-    keys: list[str] = field(default_factory=list, name="apiKeys")
+    # None for a tenant whose keys are encoded as null.
+    keys: list[str] | None = field(default=None, name="apiKeys")
     priority: int | None = None
     unit: str = ""
     plain_tokens: float = field(default=0.0, name="plainTokens")
@@ -152,7 +153,7 @@
     owners = {}
     digests = {}
     for i, tenant in enumerate(tenants):
-        for k, key in enumerate(tenant.keys):
+        for k, key in enumerate(tenant.keys or ()):
             where = f"tenants[{i}].apiKeys[{k}] of tenant {tenant.name!r}"
             _check_key(key, where)
             owner = owners.setdefault(digest_key(key), tenant.name)
@@ -160,7 +161,7 @@
                 raise PlatformError(
                     f"{where} is also a key of tenant {owner!r}; limit 1 tenant"
                 )
-        digests[tenant.name] = sorted({digest_key(key) for key in tenant.keys})
+        digests[tenant.name] = sorted(map(digest_key, set(tenant.keys or ())))
     return digests
 
 
--- a/bluebellbeam/platform/tests/test_caller_keys.py
+++ b/bluebellbeam/platform/tests/test_caller_keys.py
@@ -168,12 +168,15 @@
     REVOKE_S = 5.0
     """Time after which a revoked key is rejected, from the platform's rules."""
 
+    # More daemons in one failure domain than watch the store.
+    DAEMONS = (*(f"hall-e_{i}" for i in range(5)), "hall-w")
+
     def test_revoked_key_is_rejected_on_open_connections_of_all_daemons(self):
         """Guards against keys that are checked once for each connection only."""
 
         async def step(deployment, lines):
             await self.publish(deployment, with_tenants())
-            zones = ("hall-e", "hall-w")
+            zones = self.DAEMONS
             for zone in zones:
                 found = await self.fetch(
                     deployment, "/unsafe/1", f"a-{zone}", "birch-secret", zone=zone
@@ -209,7 +212,7 @@
             logged = [line for line in lines if line.get("key") == "revoked"]
             self.assertEqual({line["workspace"] for line in logged}, {"birch"})
 
-        self.run_logged(step, daemons=("hall-e", "hall-w"))
+        self.run_logged(step, daemons=self.DAEMONS)
 
     def test_invalid_tenants_keep_the_last_valid_configuration(self):
         """Guards against an operator's mistake that stops all requests."""
--- a/bluebellbeam/platform/tests/test_tenants.py
+++ b/bluebellbeam/platform/tests/test_tenants.py
@@ -113,6 +113,7 @@
         found = effective([{"name": "acme"}])
         self.assertTrue(found.has_keys)
         made = config() | {"tenants": [{"name": "acme"}, *one(name="b")]}
+        self.assertTrue(effective([{"name": "acme", "apiKeys": None}]).has_keys)
         texts = config_warnings(json.dumps(made).encode())
         self.assertEqual(texts, ["tenant 'acme' has no key"])
 
