--- a/bluebellbeam/config/effective.py
+++ b/bluebellbeam/config/effective.py
@@ -131,7 +131,7 @@
     keys, found = _index_keys(merged)
     if found:
         return Failure(tuple(found))
-    merged = _rank_workspaces(merged)
+    merged = _weigh_workspaces(_rank_workspaces(merged))
     total_weight = sum(item.weight for item in merged.workspaces.values())
     routes = make_route_table(merged.routes)
     effective = Effective(
@@ -194,6 +194,33 @@
     return msgspec.structs.replace(base, workspaces=workspaces)
 
 
+MIN_WEIGHT = 0.01
+"""Smallest weight of a workspace with a quota, so that it is served at all."""
+
+
+def _weigh_workspaces(base):
+    """Return `base` with weights for workspaces whose callers have keys and a quota.
+
+    A weight is the rate relative to the mean rate of these workspaces, unless the
+    configuration states another. It is not part of the published configuration, where
+    the change of one rate would alter all weights.
+    """
+    rates = {
+        name: item.rate_tokens_per_s
+        for name, item in base.workspaces.items()
+        if item.key_digests and item.rate_tokens_per_s > 0
+    }
+    if not rates:
+        return base
+    mean = sum(rates.values()) / len(rates)
+    workspaces = dict(base.workspaces)
+    for name, rate in rates.items():
+        if workspaces[name].weight == 1.0:
+            weight = max(MIN_WEIGHT, rate / mean)
+            workspaces[name] = msgspec.structs.replace(workspaces[name], weight=weight)
+    return msgspec.structs.replace(base, workspaces=workspaces)
+
+
 ENGINE_URGENCIES = 9
 """Number of urgencies that engines distinguish."""
 
@@ -204,11 +231,20 @@
     Pairs are numbered in their order. If there are more than `ENGINE_URGENCIES`, some
     neighbours share a number, but no two pairs change places.
     """
-    ranks = {item.urgency or 0 for item in base.workspaces.values()}
-    if len(ranks) < 2:
+    rows = base.workspaces
+    has_keys = any(item.key_digests for item in rows.values())
+    keyed = {
+        item.urgency or 0 for item in rows.values() if item.key_digests or not has_keys
+    }
+    found = set()
+    for route in base.routes:
+        ranks = keyed if route.anonymous or not route.workspace else set()
+        if route.workspace in rows:
+            ranks = ranks | {rows[route.workspace].urgency or 0}
+        found.update((rank, route.urgency) for rank in ranks)
+    if len({rank for rank, _ in found}) < 2:
         return {}
-    pairs = sorted((r, route.urgency) for r in ranks for route in base.routes)
-    pairs = list(dict.fromkeys(pairs))
+    pairs = sorted(found)
     width = max(ENGINE_URGENCIES, len(pairs))
     return {pair: i * ENGINE_URGENCIES // width for i, pair in enumerate(pairs)}
 
--- a/bluebellbeam/platform/tenants.py
+++ b/bluebellbeam/platform/tenants.py
@@ -46,7 +46,8 @@
     """A tenant in the platform's configuration."""
 
     name: str
-    keys: list[str] = field(default_factory=list, name="apiKeys")
+    # None for a tenant whose keys are encoded as null.
+    keys: list[str] | None = field(default=None, name="apiKeys")
     priority: int | None = None
     unit: str = ""
     plain_tokens: float = field(default=0.0, name="plainTokens")
@@ -98,10 +99,8 @@
     digests = _digest_keys(tenants)
     for tenant in tenants:
         _check_quota(tenant)
-    rates = [tenant.rate_per_s for tenant in tenants if tenant.rate_per_s]
-    mean = sum(rates) / len(rates) if rates else 0.0
     return {
-        tenant.name: _workspace(tenant, digests[tenant.name], regions, mean)
+        tenant.name: _workspace(tenant, digests[tenant.name], regions)
         for tenant in tenants
     }
 
@@ -113,31 +112,23 @@
     ]
 
 
-def _workspace(tenant, digests, regions, mean_rate):
+def _workspace(tenant, digests, regions):
     """Return one workspace; fields with their default values are omitted."""
     values = {
         "allowed_regions": regions,
-        "weight": _weight(tenant.rate_per_s, mean_rate),
         "key_digests": digests,
         "urgency": tenant.priority,
         "home_regions": tenant.homes,
-        "rate_tokens_per_s": tenant.rate_per_s,
-        "burst_tokens": tenant.burst,
-        "plain_request_tokens": int(tenant.plain_tokens),
+        "rate_tokens_per_s": tenant.rate_per_s or None,
+        "burst_tokens": tenant.burst or None,
+        "plain_request_tokens": int(tenant.plain_tokens) or None,
         "quota_unit": "token" if tenant.unit == TOKEN_UNIT else "request",
     }
-    return {name: value for name, value in values.items() if value not in (None, [], 0)}
-
-
-def _weight(rate, mean_rate):
-    """Return the weight of a workspace in the fair queue.
-
-    It is rounded to two digits, so that a change of one rate, which changes the mean,
-    alters few other workspaces and thus few bytes that daemons exchange.
-    """
-    if not rate:
-        return 1.0
-    return max(0.01, float(f"{rate / mean_rate:.2g}"))
+    return {
+        name: value
+        for name, value in values.items()
+        if value is not None and value != []
+    }
 
 
 def _check_names(tenants):
@@ -162,7 +153,7 @@
     owners = {}
     digests = {}
     for i, tenant in enumerate(tenants):
-        for k, key in enumerate(tenant.keys):
+        for k, key in enumerate(tenant.keys or ()):
             where = f"tenants[{i}].apiKeys[{k}] of tenant {tenant.name!r}"
             _check_key(key, where)
             owner = owners.setdefault(digest_key(key), tenant.name)
@@ -170,7 +161,7 @@
                 raise PlatformError(
                     f"{where} is also a key of tenant {owner!r}; limit 1 tenant"
                 )
-        digests[tenant.name] = sorted({digest_key(key) for key in tenant.keys})
+        digests[tenant.name] = sorted(map(digest_key, set(tenant.keys or ())))
     return digests
 
 
