Close connections on which bytes follow a complete response

Bytes in the same read as the end of a response barred the connection from reuse, but left it open until the server closed it. Bytes after the head of a response to HEAD were dropped, and the connection was reused. Nothing was logged. A response with the id of another request returned its connection to the pool.

All of these connections are closed now, with one log line each.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -12,6 +12,7 @@
 from collections import deque
 
 import httptools
+import structlog
 
 from bluebellbeam.exception import UpstreamError
 
@@ -102,6 +103,7 @@
         "_end_received",
         "_error",
         "_invalidated",
+        "_unexpected",
         "_chunks",
         "_buffered_bytes",
         "_waiter",
@@ -116,6 +118,7 @@
         self._transport = None
         self._waiter = None
         self._invalidated = False
+        self._unexpected = False
         self._end_received = False
         self._error = None
         self._reset_response("")
@@ -133,7 +136,7 @@
     def data_received(self, data):
         """Parse received bytes; unexpected ones bar the connection from reuse."""
         if not self._in_flight or self._complete:
-            self._invalidate()
+            self._reject_bytes()
             return
         self._bytes_without_body += len(data)
         try:
@@ -142,7 +145,7 @@
             self._fail("the response switches protocols", lost=False)
         except httptools.HttpParserError as error:
             if self._complete:
-                self._invalidate()
+                self._reject_bytes()
             else:
                 self._fail(f"the response is malformed: {error}", lost=False)
         if self._bytes_without_body > MAX_RESPONSE_HEADER_BYTES and not self._complete:
@@ -183,7 +186,7 @@
     def on_message_begin(self):
         """Bar the connection from reuse when a second response begins."""
         if self._complete:
-            self._invalidated = True
+            self._reject_bytes()
 
     def on_header(self, name, value):
         """Store a header and enforce the limit on their total size."""
@@ -218,11 +221,13 @@
             self._complete = True
 
     def on_body(self, data):
-        """Buffer a part of the body."""
-        if not self._complete:
-            self._chunks.append(data)
-            self._buffered_bytes += len(data)
-            self._bytes_without_body = 0
+        """Buffer a part of the body; a response to HEAD must not have one."""
+        if self._complete:
+            self._reject_bytes()
+            return
+        self._chunks.append(data)
+        self._buffered_bytes += len(data)
+        self._bytes_without_body = 0
 
     def on_message_complete(self):
         """Mark the response as complete, unless it is an interim one."""
@@ -311,6 +316,7 @@
         """End the current request; close the connection unless it is reusable."""
         unsent = self._transport.get_write_buffer_size() if self._transport else 0
         clean = self._complete and self._framed and not (self._chunks or unsent)
+        clean = clean and not self._invalidated
         self._in_flight = False
         self.idle_since_ms = now_ms
         if not clean or self._has_close_header():
@@ -358,9 +364,21 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _invalidate(self):
-        """Bar the connection from reuse; abort it at once if it is idle."""
+    def _reject_bytes(self):
+        """Bar the connection from reuse after bytes that belong to no response.
+
+        They may be the start of a duplicate of the last response, whose rest the next
+        request would get. An idle connection is aborted at once, any other one when
+        its response has been read.
+        """
         self._invalidated = True
+        if not self._unexpected:
+            self._unexpected = True
+            structlog.get_logger().warning(
+                "upstream: close a connection with bytes after a complete response",
+                target=str(self.key),
+                status=self.status,
+            )
         if not self._in_flight and self._transport is not None:
             self._transport.abort()
 
--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -21,6 +21,7 @@
 from bluebellbeam.provider.records import CacheEvents
 from bluebellbeam.utils.clock import monotonic_clock, wall_clock
 from bluebellbeam.utils.http_body import CheckedResponse, read_body
+from bluebellbeam.utils.http_connector import CheckedConnector
 
 __all__ = ["Driver", "make_driver"]
 
@@ -143,7 +144,7 @@
 
         Has to be called inside the running event loop.
         """
-        pool = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
+        pool = CheckedConnector(limit=0, keepalive_timeout=30)
         self.session = aiohttp.ClientSession(
             connector=pool,
             response_class=CheckedResponse,
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -120,7 +120,7 @@
         response = _read_response_head(driver, command, connection)
         if command.peer:
             read_peer_headers(driver, command, connection, progress)
-        _check_request_id(command, response)
+        _check_request_id(command, connection, response)
         if command.server and not response.other_server:
             _report_limit(driver, command, response.limit, sent_ms)
             _report_brittle(driver, command, response.brittle, sent_ms)
@@ -194,10 +194,11 @@
         driver.handle(ev.PauseStated(server, incarnation, response.pause_ms))
 
 
-def _check_request_id(command, response):
+def _check_request_id(command, connection, response):
     """Raise an error if the response belongs to another request.
 
-    A response without a request id is accepted only if it states that the request
+    The connection is closed then, since the response to this request may follow. A
+    response without a request id is accepted only if it states that the request
     did not run.
     """
     request = command.request
@@ -206,6 +207,7 @@
         response.request_id is None and response.not_run
     ):
         return
+    connection.close()
     raise UpstreamError("the response belongs to another request")
 
 
