Answer every request that was read before the process exits

When the node had no request left, or its grace period ended, the process closed at once: responses that were not written yet were lost, as were requests that had been read since, and requests in flight at the end of the grace period got none.

The node now fails the remaining requests at the end of the grace period, not run where no server was sent them.

--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -17,7 +17,9 @@
 from bluebellbeam.exception import PeerError, PlatformError, UpstreamError
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
+from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.message import Envelope, decode_envelope, encode_envelope
+from bluebellbeam.node.shutdown import SHUTDOWN_RETRY_AFTER_MS
 from bluebellbeam.provider.records import CacheEvents
 from bluebellbeam.utils.clock import monotonic_clock, wall_clock
 from bluebellbeam.utils.http_body import CheckedResponse, read_body
@@ -179,10 +181,18 @@
         exchange = make_exchange(
             request, payload, headers, query, body, self.clock.now_ms()
         )
-        self.exchanges[request.request_id] = exchange
-        self.handle(ev.RequestArrived(request))
+        self._accept(exchange)
         return exchange
 
+    def _accept(self, exchange):
+        """Pass the request of an exchange to the node, unless that has ended."""
+        self.exchanges[exchange.request.request_id] = exchange
+        if self.stopped.is_set():
+            retry_ms = SHUTDOWN_RETRY_AFTER_MS
+            exchange.fail(make_error("leaving", retry_after_ms=retry_ms))
+            return
+        self.handle(ev.RequestArrived(exchange.request))
+
     @property
     def codec(self):
         """Codec of the headers of routed requests."""
@@ -200,8 +210,7 @@
 
     def accept_routed(self, exchange):
         """Pass a new routed request to the node."""
-        self.exchanges[exchange.request.request_id] = exchange
-        self.handle(ev.RequestArrived(exchange.request))
+        self._accept(exchange)
 
     def record_first_token(self, request):
         """Record the time from the arrival of `request` to its first response byte."""
--- a/bluebellbeam/daemon/listener.py
+++ b/bluebellbeam/daemon/listener.py
@@ -7,6 +7,7 @@
 import structlog
 from sanic import Sanic, response
 from sanic.exceptions import SanicException
+from sanic.http import Stage
 from sanic.server import HttpProtocol
 
 from bluebellbeam.daemon.wire import encode_error
@@ -17,6 +18,7 @@
     "ListenerActivity",
     "ListenerApp",
     "bind_address",
+    "close_unused_connections",
     "error_response",
     "make_listener_app",
     "start_listener",
@@ -208,6 +210,22 @@
     return server
 
 
+def close_unused_connections(server):
+    """Close the connections of which no byte of a further request has been read.
+
+    Returns
+    -------
+    int
+        Number of other open connections, whose requests or responses are incomplete.
+    """
+    for connection in list(server.connections):
+        http = connection.http
+        unused = http is None or (http.stage is Stage.IDLE and not http.recv_buffer)
+        if unused and connection.transport is not None:
+            connection.transport.close()
+    return len(server.connections)
+
+
 async def stop_listener(server):
     """Stop accepting connections; open ones are not closed."""
     await server.before_stop()
--- a/bluebellbeam/daemon/server.py
+++ b/bluebellbeam/daemon/server.py
@@ -10,8 +10,10 @@
 from bluebellbeam.daemon.callers import make_caller_app
 from bluebellbeam.daemon.driver import make_driver
 from bluebellbeam.daemon.listener import (
+    REQUEST_TIMEOUT_S,
     bind_address,
     bound_address,
+    close_unused_connections,
     start_listener,
     stop_listener,
 )
@@ -31,6 +33,13 @@
 """Length of the random key that authenticates the operation ids of this process."""
 
 
+DRAIN_TIMEOUT_S = REQUEST_TIMEOUT_S + 2
+"""Longest time to send the last responses at the end of the process. Long enough to
+reject a request that arrives slowly, so that its caller knows that it did not run."""
+
+DRAIN_INTERVAL_S = 0.01
+
+
 class Daemon:
     """A daemon with its bound sockets and HTTP servers.
 
@@ -84,6 +93,19 @@
         """Wait until no request is in flight or the grace period has expired."""
         await self.driver.stopped.wait()
 
+    async def drain(self):
+        """Stop accepting connections, and send the responses that are still due.
+
+        The node has no request any longer, but responses may not be written yet, and
+        requests may have been read since. Those are refused.
+        """
+        for server in self.servers:
+            server.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                while sum(map(close_unused_connections, self.servers)):
+                    await asyncio.sleep(DRAIN_INTERVAL_S)
+
     async def close(self):
         """Close the listeners and the clients without waiting for requests."""
         for server in self.servers:
@@ -161,6 +183,7 @@
         )
     try:
         await daemon.wait_stopped()
+        await daemon.drain()
     finally:
         if settings_watcher is not None:
             settings_watcher.cancel()
--- a/bluebellbeam/node/shutdown.py
+++ b/bluebellbeam/node/shutdown.py
@@ -4,12 +4,19 @@
 yet still send requests.
 """
 
+from bluebellbeam.admission import remove_request
 from bluebellbeam.node.command import Exit, Log
+from bluebellbeam.node.dispatch import fail_request
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.gossip import announce_leaving
 from bluebellbeam.routing import match_route
 
-__all__ = ["begin_shutdown", "shutdown_error", "tick_shutdown"]
+__all__ = [
+    "SHUTDOWN_RETRY_AFTER_MS",
+    "begin_shutdown",
+    "shutdown_error",
+    "tick_shutdown",
+]
 
 SHUTDOWN_RETRY_AFTER_MS = 100
 """Retry delay recommended to a rejected caller; short, since another daemon can serve
@@ -45,12 +52,24 @@
     ):
         return
     state.stopped = True
-    state.emit(
-        Log("node", f"shutdown ends with {len(state.requests)} requests in flight")
-    )
+    in_flight = len(state.requests)
+    _fail_requests(state, now_ms)
+    state.emit(Log("node", f"shutdown ends with {in_flight} requests in flight"))
     state.emit(Exit())
 
 
+def _fail_requests(state, now_ms):
+    """Report to the callers of all requests that the process ends.
+
+    A request that no server was sent counts as not run, any other as unknown.
+    """
+    error = make_error("leaving", retry_after_ms=SHUTDOWN_RETRY_AFTER_MS)
+    for request in list(state.requests.values()):
+        if request.state == "queued":
+            remove_request(state.queue(request.pool), request)
+        fail_request(state, request, error, now_ms)
+
+
 def shutdown_error(state, request, now_ms):
     """Return the error for a request that the process exit may interrupt.
 
