Keep workspace quotas by ledgers of the regions

Workspaces with burst_tokens were not limited at all. A ledger per workspace and region now grants tokens to the daemons; ledgers of different regions report their grants to each other.

--- a/bluebellbeam/daemon/metrics.py
+++ b/bluebellbeam/daemon/metrics.py
@@ -10,6 +10,7 @@
 from bisect import bisect_left
 from itertools import accumulate
 
+from bluebellbeam.node.quotas import QUOTA_COUNTERS
 from bluebellbeam.node.wait_estimates import local_wait_ms, pool_slots
 
 __all__ = ["Metrics", "make_metrics"]
@@ -56,6 +57,12 @@
         for restriction, count in sorted(counters.turned_away.items()):
             turned.add_metric([restriction], count)
         yield turned
+        for name in QUOTA_COUNTERS:
+            family = CounterMetricFamily(
+                f"bluebellbeam_quota_{name}", f"Total of {name} since the start."
+            )
+            family.add_metric([], getattr(state.quotas, name))
+            yield family
         yield from _gauges(self.driver, state)
         yield from _pools(state)
 
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -24,6 +24,7 @@
     workspace_role,
 )
 from bluebellbeam.node.prompt_quarantine import check_quarantine
+from bluebellbeam.node.quotas import charge_quota, quota_limit, refund_quota
 from bluebellbeam.node.reachability import has_lost_servers
 from bluebellbeam.node.retry_after import START_MS, start_retry_after_ms
 from bluebellbeam.node.routed import expected_routed_start_ms, resolve_route
@@ -46,7 +47,12 @@
 from bluebellbeam.routing.entry import rank_entries
 from bluebellbeam.routing.policies import is_baseline
 
-__all__ = ["admit_continued", "entry_addresses_for_workspace", "receive_request"]
+__all__ = [
+    "admit_charged",
+    "admit_continued",
+    "entry_addresses_for_workspace",
+    "receive_request",
+]
 
 NO_BACKEND_RETRY_AFTER_MS = 2000
 """Retry-After time when no region has a server: new ones register within seconds."""
@@ -115,6 +121,37 @@
         error = _check_limits(state, request, now_ms)
     if error is None:
         error = _check_deadline(state, request, now_ms)
+    if error is None and not request.origin:
+        ended, error = charge_quota(state, request, now_ms)
+        if not ended:
+            request.state = "waiting"
+            state.requests[request.request_id] = request
+            return
+    _admit_charged(state, request, error, now_ms)
+
+
+def admit_charged(state, request, error, now_ms):
+    """Queue a request that has waited for tokens, or answer it at once.
+
+    Parameters
+    ----------
+    state : NodeState
+    request : Request
+    error : CallerError or None
+        Error if the quota does not allow the request.
+    now_ms : int
+    """
+    if request.state == "ended":
+        return
+    request.state = "queued"
+    if error is None:
+        error = _resolve(state, request, request.arrival_ms)
+    if error is None:
+        error = _check_deadline(state, request, now_ms)
+    _admit_charged(state, request, error, now_ms)
+
+
+def _admit_charged(state, request, error, now_ms):
     if error is not None and may_have_run(state.ledger, request.operation_id):
         error = msgspec.structs.replace(error, outcome="unknown")
     if error is None and not request.origin and not _is_repeat_safe(request):
@@ -123,6 +160,7 @@
         _reject(state, request, error, now_ms)
         return
     if request.state == "ended":
+        refund_quota(state, request, now_ms)
         return
     _enqueue(state, request, now_ms)
 
@@ -140,6 +178,7 @@
     """Answer a request that is not admitted with its error."""
     request.state = "ended"
     state.requests.pop(request.request_id, None)
+    refund_quota(state, request, now_ms)
     restricted = record_restricted_servers(state, request, now_ms)
     errors = state.counters.errors
     errors[error.code] = errors.get(error.code, 0) + 1
@@ -348,6 +387,8 @@
         return make_error("queue_full", retry_after_ms=int(wait_ms))
     if not workspace.rate_tokens_per_s or not request.model:
         return None
+    if quota_limit(state, request.workspace) is not None:
+        return None
     role, active_count = workspace_role(state, request.workspace)
     rate = local_rate(workspace.rate_tokens_per_s, active_count, role == "active")
     tokens = request.prompt_tokens + request.max_output_tokens
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -15,6 +15,7 @@
 from bluebellbeam.node.forwarding import choose_faster_peer, choose_forward_peer
 from bluebellbeam.node.lending import may_run_locally, remote_score
 from bluebellbeam.node.load_exchange import announce_long_prompt
+from bluebellbeam.node.quotas import refund_quota
 from bluebellbeam.node.reachability import has_lost_servers
 from bluebellbeam.node.request import Attempt
 from bluebellbeam.node.server_checks import check_unconfirmed
@@ -537,6 +538,8 @@
     if request.state == "ended":
         return
     maybe_run = request.maybe_sent or bool(request.running_attempts)
+    if not maybe_run:
+        refund_quota(state, request, now_ms)
     if maybe_run and error.outcome == "not_run":
         error = msgspec.structs.replace(error, outcome="unknown")
     for attempt in list(request.running_attempts):
--- a/bluebellbeam/node/dump.py
+++ b/bluebellbeam/node/dump.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from bluebellbeam.membership import usable_members
+from bluebellbeam.node.quotas import QUOTA_COUNTERS, quota_limit, quota_status
 from bluebellbeam.node.wait_estimates import local_wait_ms, pool_slots
 from bluebellbeam.routing.replica_ranking import Candidate
 
@@ -162,6 +163,39 @@
     in_trial: bool
 
 
+class QuotaRow(Struct):
+    """Quota of a workspace at a daemon that holds its ledger or tokens of it.
+
+    Parameters
+    ----------
+    workspace : str
+    rate_tokens_per_s, burst_tokens : float
+        Limit of the active configuration.
+    ledger : bool
+        Whether this daemon holds a ledger of the workspace.
+    level : int
+        Tokens in the bucket of the ledger, at its last update.
+    share : float
+        Part of the quota that the ledger grants from.
+    reason : str
+        Reason for `share`: ``connected``, or the regions without contact.
+    held_tokens : int
+        Tokens obtained for the next requests of this daemon.
+    refused_for_ms : int
+        Time for which the ledger's last refusal still applies; 0 for none.
+    """
+
+    workspace: str
+    rate_tokens_per_s: float
+    burst_tokens: float
+    ledger: bool
+    level: int
+    share: float
+    reason: str
+    held_tokens: int
+    refused_for_ms: int
+
+
 class OperationsRow(Struct):
     """Number of recorded operations in one state, or of all ids issued."""
 
@@ -344,6 +378,32 @@
     ]
 
 
+def _quota_rows(state, now_ms):
+    rows = []
+    table = state.quotas
+    for name in sorted({*table.ledgers, *table.held}):
+        limit = quota_limit(state, name)
+        if limit is None:
+            continue
+        ledger = table.ledgers.get(name)
+        share, reason = quota_status(state, name, now_ms) if ledger else (0.0, "")
+        held = table.held.get(name)
+        rows.append(
+            QuotaRow(
+                name,
+                limit.rate_per_s,
+                limit.burst,
+                ledger is not None,
+                int(ledger.level) if ledger else 0,
+                round(share, 3),
+                reason,
+                held.tokens if held else 0,
+                max(0, held.refused_until_ms - now_ms) if held else 0,
+            )
+        )
+    return rows
+
+
 def _operation_rows(state, now_ms):
     counts = {"issued": state.ledger.issued}
     for row in state.ledger.rows.values():
@@ -362,6 +422,9 @@
     rows.append(CounterRow("leases_granted", state.lender.granted))
     rows.append(CounterRow("leases_refused", state.lender.refused))
     rows.append(CounterRow("usable_members", len(usable_members(state.members))))
+    if state.quotas.ledgers or state.quotas.held:
+        for name in QUOTA_COUNTERS:
+            rows.append(CounterRow(f"quota_{name}", getattr(state.quotas, name)))
     for reason, count in sorted(counters.turned_away.items()):
         rows.append(CounterRow(f"turned_away_{reason}", count))
     for code, count in sorted(counters.errors.items()):
@@ -378,6 +441,7 @@
     "requests": _request_rows,
     "leases": _lease_rows,
     "quarantines": _quarantine_rows,
+    "quotas": _quota_rows,
     "operations": _operation_rows,
     "counters": _counter_rows,
 }
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -24,8 +24,12 @@
     "Ping",
     "Pong",
     "QuarantinedPart",
+    "QuotaReport",
+    "QuotaReportRow",
     "ServerLoads",
     "StreamOrigins",
+    "TokenGrant",
+    "TokenRequest",
     "decode_envelope",
     "encode_envelope",
 ]
@@ -279,6 +283,74 @@
     offer: tuple[float, float] = (0.0, 0.0)
 
 
+class TokenRequest(Struct, frozen=True, array_like=True, tag="qr"):
+    """Request for tokens of workspaces, to the daemon that holds their ledgers.
+
+    Parameters
+    ----------
+    number : int
+        Number of the request, repeated in its :class:`TokenGrant`; 0 if it only
+        returns tokens and needs no response.
+    rows : tuple of (str, tuple of int, int, int)
+        Workspace, tokens of each waiting request, further tokens that the sender
+        expects to need, and unused tokens that it returns.
+    """
+
+    number: int
+    rows: tuple[tuple[str, tuple[int, ...], int, int], ...]
+
+
+class TokenGrant(Struct, frozen=True, array_like=True, tag="qg"):
+    """Response to :class:`TokenRequest`.
+
+    Parameters
+    ----------
+    number : int
+    rows : tuple of (str, tuple of int, int)
+        Workspace; time in ms until each waiting request may be granted, 0 if it is
+        granted; and further tokens granted. The order is that of the request.
+    """
+
+    number: int
+    rows: tuple[tuple[str, tuple[int, ...], int], ...]
+
+
+class QuotaReportRow(Struct, frozen=True, array_like=True):
+    """State of the sender's ledger of one workspace.
+
+    Parameters
+    ----------
+    workspace : str
+    epoch : int
+    granted, level : int
+        Tokens granted so far, and level of the bucket.
+    ack_epoch, ack_granted : int
+        Epoch of the receiver's ledger and its grants known to the sender; epoch 0
+        for none.
+    """
+
+    workspace: str
+    epoch: int
+    granted: int
+    level: int
+    ack_epoch: int = 0
+    ack_granted: int = 0
+
+
+class QuotaReport(Struct, frozen=True, array_like=True, tag="ql"):
+    """Report of the sender's ledgers to those of the same workspaces elsewhere.
+
+    Parameters
+    ----------
+    rows : tuple of QuotaReportRow
+    reply : bool
+        Whether the sender requests the report of the receiver.
+    """
+
+    rows: tuple[QuotaReportRow, ...]
+    reply: bool = False
+
+
 Message = (
     Ping
     | Pong
@@ -293,6 +365,9 @@
     | StreamOrigins
     | OriginQuery
     | PromptEvidence
+    | TokenRequest
+    | TokenGrant
+    | QuotaReport
     | Delta
     | Snapshot
 )
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -8,7 +8,11 @@
 from bluebellbeam.feeds import Delta, Snapshot
 from bluebellbeam.node import event as ev
 from bluebellbeam.node import message as msg
-from bluebellbeam.node.arrivals import admit_continued, receive_request
+from bluebellbeam.node.arrivals import (
+    admit_charged,
+    admit_continued,
+    receive_request,
+)
 from bluebellbeam.node.attempts import (
     handle_attempt_failed,
     handle_attempt_finished,
@@ -57,6 +61,13 @@
     record_refused_connection,
     tick_quarantine,
 )
+from bluebellbeam.node.quotas import (
+    handle_quota_report,
+    handle_token_grant,
+    handle_token_request,
+    handle_unreachable_ledger,
+    tick_quotas,
+)
 from bluebellbeam.node.readiness import tick_readiness
 from bluebellbeam.node.reconfiguration import apply_config_to_queued
 from bluebellbeam.node.server_checks import (
@@ -123,6 +134,7 @@
             tick_leases(state, now_ms)
             tick_load_exchange(state, now_ms)
             tick_quarantine(state, now_ms)
+            _admit_charged(state, tick_quotas(state, now_ms), now_ms)
             dispatch_all_pools(state, now_ms)
         tick_readiness(state, now_ms)
         tick_shutdown(state, now_ms)
@@ -178,6 +190,12 @@
         admit_continued(state, request, origin, now_ms)
 
 
+def _admit_charged(state, ended, now_ms):
+    """Admit the requests that have waited for tokens, each with its error or None."""
+    for request, error in ended:
+        admit_charged(state, request, error, now_ms)
+
+
 def _handle_event(state, event, now_ms):
     match event:
         case ev.RequestArrived(request):
@@ -230,6 +248,8 @@
             handle_unreachable_peer(state, vm, now_ms)
             ended = handle_unreachable_source(state, vm, now_ms)
             _admit_looked_up(state, ended, now_ms)
+            ended = handle_unreachable_ledger(state, vm, now_ms)
+            _admit_charged(state, ended, now_ms)
         case ev.StopRequested():
             begin_shutdown(state, now_ms)
         case _:
@@ -274,6 +294,13 @@
         case msg.StreamOrigins():
             ended = handle_stream_origins(state, sender, message, now_ms)
             _admit_looked_up(state, ended, now_ms)
+        case msg.TokenRequest():
+            handle_token_request(state, sender, message, now_ms)
+        case msg.TokenGrant():
+            ended = handle_token_grant(state, sender, message, now_ms)
+            _admit_charged(state, ended, now_ms)
+        case msg.QuotaReport():
+            handle_quota_report(state, sender, message, now_ms)
         case msg.PromptEvidence():
             handle_prompt_evidence(state, message, now_ms)
         case msg.OriginQuery():
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -80,7 +80,7 @@
         Lease under which a peer forwarded it, or empty.
     state : {"waiting", "queued", "running", "ended"}
         A request waits before it is queued while the origin of its stream is looked
-        up.
+        up, or while the ledger of its workspace is asked for tokens.
     tried_targets : set of str
         Backend servers and peers at which an attempt has failed; no further
         attempt is sent to them.
@@ -106,6 +106,10 @@
     stream_origin : StreamOrigin or None
         Where the event stream of a routed request began; None before its first
         event, and for other responses.
+    charged_tokens : int
+        Tokens charged to the quota of its workspace, or 0.
+    charged_ledger : bool
+        Whether they were granted by a ledger.
     """
 
     __slots__ = (
@@ -154,6 +158,8 @@
         "resume_after",
         "resumes",
         "stream_origin",
+        "charged_tokens",
+        "charged_ledger",
     )
 
     def __init__(self, request_id, workspace, **values):
@@ -204,6 +210,8 @@
         self.response_started = False
         self.running_attempts = []
         self.stalled = False
+        self.charged_tokens = 0
+        self.charged_ledger = False
 
     @property
     def start_deadline_ms(self):
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -20,6 +20,7 @@
     MAX_DIRECT_ANNOUNCES,
     MEMBER_PULL_INTERVAL_MS,
 )
+from bluebellbeam.node.quotas import make_quota_table
 from bluebellbeam.node.retry_after import make_refusal_table, record_refusal
 from bluebellbeam.operations import make_ledger
 from bluebellbeam.origins import make_origin_table, make_version_table
@@ -235,6 +236,7 @@
         Total weights of waiting interactive and batch work and the time at
         which they were received, by pool and VM.
     rates : RateTable
+    quotas : QuotaTable
     lender, borrower : LenderTable, BorrowerTable
         Leases granted to and held from daemons of other regions.
     ledger : Ledger
@@ -331,6 +333,7 @@
         "inflight",
         "peer_demand",
         "rates",
+        "quotas",
         "lender",
         "borrower",
         "ledger",
@@ -401,6 +404,7 @@
         self.inflight = {}
         self.peer_demand = {}
         self.rates = make_rate_table()
+        self.quotas = make_quota_table()
         self.lender = make_lender_table()
         self.borrower = make_borrower_table()
         policy = Policy()
