--- a/bluebellbeam/daemon/metrics.py
+++ b/bluebellbeam/daemon/metrics.py
@@ -11,6 +11,7 @@
 from itertools import accumulate
 
 from bluebellbeam.node.caller_keys import largest_workspaces
+from bluebellbeam.node.quotas import QUOTA_COUNTERS
 from bluebellbeam.node.wait_estimates import local_wait_ms, pool_slots
 
 __all__ = ["Metrics", "make_metrics"]
@@ -61,6 +62,12 @@
             turned.add_metric([restriction], count)
         yield turned
         yield from _workspaces(state)
+        for name in QUOTA_COUNTERS:
+            family = CounterMetricFamily(
+                f"bluebellbeam_quota_{name}", f"Total of {name} since the start."
+            )
+            family.add_metric([], getattr(state.quotas, name))
+            yield family
         yield from _gauges(self.driver, state)
         yield from _pools(state)
 
