Let queued requests follow routes that lose or gain keys

Cause: a request that waited while its route's workspace was renamed, or while all tenants were removed, failed with 401 although its route needed no key. With only anonymous routes and tenants whose keys are all revoked, a key on a request passed to the server. Change: a queued request moves to the workspace that its route now has; a configuration with anonymous routes counts as one with keys.

--- a/bluebellbeam/config/effective.py
+++ b/bluebellbeam/config/effective.py
@@ -44,7 +44,8 @@
     keys : dict of str to (str, str)
         Digest and workspace of each key, by its digest.
     has_keys : bool
-        Whether any workspace has a key or any route needs one.
+        Whether any workspace has a key, or any route needs one or states that it
+        needs none.
     engine_urgencies : dict of (int, int) to int
         Urgency at an engine, by the urgencies of workspace and route; empty unless
         workspaces differ in theirs.
@@ -141,7 +142,8 @@
         total_weight,
         routes,
         keys,
-        has_keys=bool(keys) or any(not item.workspace for item in merged.routes),
+        has_keys=bool(keys)
+        or any(r.anonymous or not r.workspace for r in merged.routes),
         engine_urgencies=_engine_urgencies(merged),
     )
     return Success(effective)
--- a/bluebellbeam/node/reconfiguration.py
+++ b/bluebellbeam/node/reconfiguration.py
@@ -42,7 +42,7 @@
     if route is None:
         _fail_queued(state, request, make_error("not_found"), now_ms)
         return
-    if request.workspace not in state.base.workspaces:
+    if not _keep_or_move_workspace(state, request, route):
         _fail_queued(state, request, make_error("unknown_key"), now_ms)
         return
     request.route = route
@@ -61,6 +61,27 @@
         push_request(state.queue(request.pool), request, weight)
 
 
+def _keep_or_move_workspace(state, request, route):
+    """Return whether a queued request has a workspace in the new configuration.
+
+    It keeps its workspace, even if its key was revoked meanwhile, unless `route` now
+    has one of its own or the workspace has been removed.
+    """
+    workspaces = state.base.workspaces
+    name = request.workspace
+    if route.workspace and (not route.anonymous or name not in workspaces):
+        name = route.workspace
+    if name not in workspaces:
+        return False
+    if name != request.workspace:
+        queue = state.queue(request.pool)
+        remove_request(queue, request)
+        request.workspace = name
+        request.has_key = False
+        push_request(queue, request, workspaces[name].weight)
+    return True
+
+
 def _fail_queued(state, request, error, now_ms):
     remove_request(state.queue(request.pool), request)
     fail_request(state, request, error, now_ms)
--- a/bluebellbeam/node/tests/test_caller_keys.py
+++ b/bluebellbeam/node/tests/test_caller_keys.py
@@ -227,6 +227,31 @@
         for request in queued:
             self.assertEqual(set(request.allowed), {"east"})
 
+    def test_queued_request_follows_a_route_that_needs_no_key_any_longer(self):
+        """Guards against errors for waiting callers when all tenants are removed."""
+        self.queue_requests()
+        queued = [
+            r for r in self.harness.state.requests.values() if r.state == "queued"
+        ]
+        self.harness.publish("config", split_documents(make_base(), {}))
+        self.assertEqual(self.codes(self.harness.commands), [])
+        self.assertTrue(queued)
+        for request in queued:
+            self.assertEqual((request.workspace, key_workspace(request)), ("all", ""))
+            self.assertIn(
+                request,
+                self.harness.state.queues[request.pool]
+                .flows[request.priority]["all"]
+                .requests,
+            )
+
+    def test_queued_request_keeps_its_workspace_when_its_key_is_revoked(self):
+        """Guards against 401 for requests that were sent before the revocation."""
+        self.queue_requests()
+        base = keyed_base(acme={"key_digests": [digest("other")]})
+        self.harness.publish("config", split_documents(base, {}))
+        self.assertEqual(self.codes(self.harness.commands), [])
+
     def test_queued_request_of_a_removed_workspace_fails_and_a_running_one_not(self):
         """Guards against an exception for a request without a workspace."""
         self.queue_requests()
--- a/bluebellbeam/platform/tests/test_tenants.py
+++ b/bluebellbeam/platform/tests/test_tenants.py
@@ -114,6 +114,8 @@
         self.assertTrue(found.has_keys)
         made = config() | {"tenants": [{"name": "acme"}, *one(name="b")]}
         self.assertTrue(effective([{"name": "acme", "apiKeys": None}]).has_keys)
+        routes = [config()["routes"][0] | {"anonymous": True}]
+        self.assertTrue(effective([{"name": "acme"}], routes=routes).has_keys)
         texts = config_warnings(json.dumps(made).encode())
         self.assertEqual(texts, ["tenant 'acme' has no key"])
 
