Continue tasks and other work after an unexpected exception

One in a part of a tick, in a command or in a message of an envelope dropped everything after it, in each tick anew, so that a fault in membership also stopped time-outs. A request whose arrival raised an exception was never answered. Background tasks logged nothing until collected.

Each part of a tick, event, message and command is now run on its own. An exception is logged with its type and counted (counter 'exceptions'). Without the daemon's handler, as in simulations, the node still raises it.

--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -140,6 +140,7 @@
         self.observe_first_token = None
         self.flush_logs = _no_flush
         self.on_caller_limits = None
+        node.on_exception = self._log_exception
 
     async def open(self):
         """Open the HTTP clients and start the background tasks.
@@ -168,6 +169,21 @@
         self.provider.close()
         await self.session.close()
 
+    def _log_exception(self, work, error):
+        """Log an unexpected exception at a boundary, which ends no task."""
+        self.log.error(
+            "node: unexpected exception",
+            vm=self.settings.vm,
+            work=work,
+            type=type(error).__name__,
+            exc_info=error,
+        )
+
+    def _record_exception(self, work, error):
+        """Count and log an unexpected exception of a background task."""
+        self.node.state.counters.exceptions += 1
+        self._log_exception(work, error)
+
     def _on_source_response(self):
         self.handle(ev.FeedSourceResponded())
 
@@ -259,18 +275,21 @@
     def _spawn(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._end_task)
         return task
 
+    def _end_task(self, task):
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._record_exception(task.get_coro().__name__, task.exception())
+
     async def _run_ticks(self):
         while not self.stopped.is_set():
             try:
                 self._execute(self.node.tick(self.clock.now_ms()))
-            except Exception:
-                self.log.exception(
-                    "node: tick raised an exception", vm=self.settings.vm
-                )
-            self.flush_logs()
+                self.flush_logs()
+            except Exception as error:
+                self._record_exception("run_ticks", error)
             slept_from_ms = self.clock.now_ms()
             await asyncio.sleep(TICK_INTERVAL_MS / 1000.0)
             slept_ms = self.clock.now_ms() - slept_from_ms
@@ -286,51 +305,69 @@
     async def _sweep_connections(self):
         while not self.stopped.is_set():
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            state = self.node.state
-            known = {(row.name, row.incarnation) for row in _replica_rows(state)}
-            known.update((name, 0) for name in state.members.rows)
-            self.connection_pool.sweep(known)
-            self.peer_connections.sweep()
-            if self.on_caller_limits is not None and state.config is not None:
-                self.on_caller_limits(state.base.caller_limits)
+            try:
+                self._sweep()
+            except Exception as error:
+                self._record_exception("sweep_connections", error)
+
+    def _sweep(self):
+        state = self.node.state
+        known = {(row.name, row.incarnation) for row in _replica_rows(state)}
+        known.update((name, 0) for name in state.members.rows)
+        self.connection_pool.sweep(known)
+        self.peer_connections.sweep()
+        if self.on_caller_limits is not None and state.config is not None:
+            self.on_caller_limits(state.base.caller_limits)
 
     async def _poll_cache_events(self):
         while not self.stopped.is_set():
             interval_ms = self.node.state.policy.load_interval_ms
             await asyncio.sleep(interval_ms * 2 / 1000.0)
-            for row in _replica_rows(self.node.state):
-                if row.role == "engine" and row.identified:
-                    self._spawn(self._read_cache_events(row.address))
+            try:
+                self._request_cache_events()
+            except Exception as error:
+                self._record_exception("poll_cache_events", error)
+
+    def _request_cache_events(self):
+        for row in _replica_rows(self.node.state):
+            if row.role == "engine" and row.identified:
+                self._spawn(self._read_cache_events(row.address))
 
     def _execute(self, commands):
         for command in commands:
-            match command:
-                case cmd.StartAttempt():
-                    self._start_attempt(command)
-                case cmd.CancelAttempt(attempt_id):
-                    task = self.attempts.get(attempt_id)
-                    if task is not None and task is not asyncio.current_task():
-                        task.cancel()
-                case cmd.SendErrorResponse(request_id, error):
-                    self._send_error_response(request_id, error)
-                case cmd.SendRecordedResponse(request_id, recorded):
-                    self._send_recorded_response(request_id, recorded)
-                # Without an address, messages can only be sent in a response, and
-                # this is not one.
-                case cmd.SendToPeer(address=""):
-                    continue
-                case cmd.SendToPeer():
-                    self._spawn(self._send_peer(command))
-                case cmd.ReadFeed():
-                    self._spawn(self._read_feed(command))
-                case cmd.ReadLoad():
-                    self._spawn(self._read_load(command))
-                case cmd.SendOrder():
-                    self._spawn(self._send_order(command))
-                case cmd.Log(part, sentence, request_id, fields):
-                    self._log(part, sentence, request_id, fields)
-                case cmd.Exit():
-                    self.stopped.set()
+            try:
+                self._execute_one(command)
+            except Exception as error:
+                self._record_exception(type(command).__name__, error)
+
+    def _execute_one(self, command):
+        match command:
+            case cmd.StartAttempt():
+                self._start_attempt(command)
+            case cmd.CancelAttempt(attempt_id):
+                task = self.attempts.get(attempt_id)
+                if task is not None and task is not asyncio.current_task():
+                    task.cancel()
+            case cmd.SendErrorResponse(request_id, error):
+                self._send_error_response(request_id, error)
+            case cmd.SendRecordedResponse(request_id, recorded):
+                self._send_recorded_response(request_id, recorded)
+            # Without an address, messages can only be sent in a response, and
+            # this is not one.
+            case cmd.SendToPeer(address=""):
+                return
+            case cmd.SendToPeer():
+                self._spawn(self._send_peer(command))
+            case cmd.ReadFeed():
+                self._spawn(self._read_feed(command))
+            case cmd.ReadLoad():
+                self._spawn(self._read_load(command))
+            case cmd.SendOrder():
+                self._spawn(self._send_order(command))
+            case cmd.Log(part, sentence, request_id, fields):
+                self._log(part, sentence, request_id, fields)
+            case cmd.Exit():
+                self.stopped.set()
 
     def _log(self, part, sentence, request_id="", fields=_NO_FIELDS):
         values = {"request_id": request_id, **fields} if request_id else fields
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -18,9 +18,10 @@
     tick_requests,
 )
 from bluebellbeam.node.brittle_services import handle_brittle_stated
-from bluebellbeam.node.command import Log
+from bluebellbeam.node.command import Log, SendErrorResponse
 from bluebellbeam.node.discovery import handle_announce, handle_member_pull
 from bluebellbeam.node.dispatch import dispatch_all_pools, dispatch_server_pools
+from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.feed_sync import (
     handle_delta,
     handle_feed_pull,
@@ -93,20 +94,69 @@
     Attributes
     ----------
     state : NodeState
+    on_exception : callable or None
+        Called with the name of the work and its exception; the other work of an event
+        or tick goes on then. Without it, exceptions are raised.
     """
 
-    __slots__ = ("state",)
+    __slots__ = ("state", "on_exception")
 
     def __init__(self, state):
         self.state = state
+        self.on_exception = None
+
+    def _run(self, name, work, *values):
+        """Run one part of the work; return whether it raised no exception."""
+        try:
+            work(*values)
+        except Exception as error:
+            if self.on_exception is None:
+                raise
+            self.state.counters.exceptions += 1
+            self.on_exception(name, error)
+            return False
+        return True
 
     def handle(self, event, now_ms):
         """Handle `event` and return the resulting commands."""
         state = self.state
         detect_pause(state, now_ms)
-        _handle_event(state, event, now_ms)
+        match event:
+            case ev.PeerMessagesReceived(envelope, is_response):
+                self._handle_peer_messages(envelope, is_response, now_ms)
+            case ev.RequestArrived(request):
+                if not self._run(
+                    "RequestArrived", receive_request, state, request, now_ms
+                ):
+                    state.emit(
+                        SendErrorResponse(request.request_id, make_error("internal"))
+                    )
+            case _:
+                name = type(event).__name__
+                self._run(name, _handle_event, state, event, now_ms)
         return _take_commands(state)
 
+    def _handle_peer_messages(self, envelope, is_response, now_ms):
+        state = self.state
+        accepted = []
+
+        def check_sender():
+            accepted.append(record_sender(state, envelope, now_ms, is_response))
+
+        self._run("record_sender", check_sender)
+        if not any(accepted):
+            return
+        for message in envelope.messages:
+            self._run(
+                type(message).__name__,
+                _run_and_apply_config,
+                state,
+                now_ms,
+                _handle_message,
+                envelope.sender,
+                message,
+            )
+
     def tick(self, now_ms):
         """Run the periodic work once and return the resulting commands."""
         state = self.state
@@ -114,23 +164,34 @@
             state.started_ms = now_ms
         detect_pause(state, now_ms)
         state.last_tick_ms = now_ms
-        tick_feeds(state, now_ms)
-        tick_membership(state, now_ms)
-        tick_requests(state, now_ms)
-        _admit_looked_up(state, tick_lookups(state, now_ms), now_ms)
+        self._run("tick_feeds", tick_feeds, state, now_ms)
+        self._run("tick_membership", tick_membership, state, now_ms)
+        self._run("tick_requests", tick_requests, state, now_ms)
+        self._run("tick_lookups", _tick_lookups, state, now_ms)
         if state.config is not None:
-            tick_server_checks(state, now_ms)
-            tick_leases(state, now_ms)
-            tick_load_exchange(state, now_ms)
-            tick_quarantine(state, now_ms)
-            dispatch_all_pools(state, now_ms)
-        tick_readiness(state, now_ms)
-        tick_shutdown(state, now_ms)
+            self._run("tick_server_checks", tick_server_checks, state, now_ms)
+            self._run("tick_leases", tick_leases, state, now_ms)
+            self._run("tick_load_exchange", tick_load_exchange, state, now_ms)
+            self._run("tick_quarantine", tick_quarantine, state, now_ms)
+            self._run("dispatch_all_pools", dispatch_all_pools, state, now_ms)
+        self._run("tick_readiness", tick_readiness, state, now_ms)
+        self._run("tick_shutdown", tick_shutdown, state, now_ms)
         if now_ms >= state.next_slow_tick_ms:
             state.next_slow_tick_ms = now_ms + SLOW_TICK_INTERVAL_MS
-            _slow_tick(state, now_ms)
+            self._slow_tick(now_ms)
         return _take_commands(state)
 
+    def _slow_tick(self, now_ms):
+        state = self.state
+        self._run("tick_orders", tick_orders, state, now_ms)
+        self._run("expire_operations", expire_operations, state.ledger, now_ms)
+        self._run("prune_buckets", prune_buckets, state.rates, now_ms)
+        self._run("prune_leaving", prune_leaving, state.replicas)
+        self._run("tick_versions", tick_versions, state, now_ms)
+        self._run("update_route_budgets", state.update_route_budgets)
+        for queue in state.queues.values():
+            self._run("prune_flows", prune_flows, queue)
+
     def issue_operation(self, workspace, now_ms):
         """Return a new operation id, which only this process accepts."""
         ttl_ms = self.state.policy.operation_ttl_ms
@@ -161,15 +222,8 @@
     return commands
 
 
-def _slow_tick(state, now_ms):
-    tick_orders(state, now_ms)
-    expire_operations(state.ledger, now_ms)
-    prune_buckets(state.rates, now_ms)
-    prune_leaving(state.replicas)
-    tick_versions(state, now_ms)
-    state.update_route_budgets()
-    for queue in state.queues.values():
-        prune_flows(queue)
+def _tick_lookups(state, now_ms):
+    _admit_looked_up(state, tick_lookups(state, now_ms), now_ms)
 
 
 def _admit_looked_up(state, ended, now_ms):
@@ -180,8 +234,6 @@
 
 def _handle_event(state, event, now_ms):
     match event:
-        case ev.RequestArrived(request):
-            receive_request(state, request, now_ms)
         case ev.AttemptStarted():
             handle_attempt_started(state, event, now_ms)
         case ev.AttemptFinished():
@@ -224,8 +276,6 @@
             state.source_response_ms = now_ms
         case ev.FeedReadFailed(key):
             handle_feed_read_failed(state, key, now_ms)
-        case ev.PeerMessagesReceived(envelope, is_response):
-            _handle_peer_messages(state, envelope, is_response, now_ms)
         case ev.PeerUnreachable(vm):
             handle_unreachable_peer(state, vm, now_ms)
             ended = handle_unreachable_source(state, vm, now_ms)
@@ -245,14 +295,6 @@
         dispatch_all_pools(state, now_ms)
 
 
-def _handle_peer_messages(state, envelope, is_response, now_ms):
-    if not record_sender(state, envelope, now_ms, is_response):
-        return
-    sender = envelope.sender
-    for message in envelope.messages:
-        _run_and_apply_config(state, now_ms, _handle_message, sender, message)
-
-
 def _handle_message(state, sender, message, now_ms):
     match message:
         case msg.Ping(versions):
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -149,6 +149,9 @@
         load reports refused because the server is in another region.
     loops_refused : int
         Forwarded requests refused because they had been forwarded too often.
+    exceptions : int
+        Unexpected exceptions in the handling of events and messages, in periodic work
+        and in background tasks.
     """
 
     __slots__ = (
@@ -170,6 +173,7 @@
         "malformed_limits",
         "region_refusals",
         "loops_refused",
+        "exceptions",
     )
 
     def __init__(self):
