End a native stream that sends bytes without events

The limit of 4 s without data counted any byte, and native requests have no deadline for the whole response: a stream that stalled and sent comments, blank lines or single bytes never ended. The limit now counts from the last event, less the time that the caller takes to read.

With a limit of 0.3 s and a byte string each 20 ms, 3 of 3 streams went on to their end before; all end with a time-out now.

--- a/bluebellbeam/daemon/upstream.py
+++ b/bluebellbeam/daemon/upstream.py
@@ -39,7 +39,8 @@
 """Largest response of a peer to a forwarded call, whose body is encoded as base64."""
 
 STREAM_STALL_TIMEOUT_S = 4.0
-"""Longest time without data after a stream has begun."""
+"""Longest time without a complete event after a stream has begun. Comments and blank
+lines do not count, since a server that has stalled may go on sending them."""
 
 FORWARD_PATH = "/peer/v1/forward"
 EXPECTED_SERVER_HEADER = "x-expect-server"
@@ -253,13 +254,16 @@
 async def _events(response, progress):
     """Yield lists of event data, one for each read from the socket.
 
-    Raises TimeoutError if a stream that has begun delivers no data for
-    `STREAM_STALL_TIMEOUT_S`.
+    Raises TimeoutError if a stream that has begun delivers no event for
+    `STREAM_STALL_TIMEOUT_S`. The time that the caller takes to read does not count.
     """
     rest = bytearray()
+    loop = asyncio.get_running_loop()
+    waiting_since_s = loop.time()
     while True:
-        limit_s = STREAM_STALL_TIMEOUT_S if progress.response_started else None
-        async with asyncio.timeout(limit_s):
+        started = progress.response_started
+        limit_s = waiting_since_s + STREAM_STALL_TIMEOUT_S if started else None
+        async with asyncio.timeout_at(limit_s):
             raw = await response.content.readany()
         if not raw:
             return
@@ -273,6 +277,7 @@
         found = [line[6:].rstrip(b"\r") for line in lines if line[:6] == b"data: "]
         if found:
             yield found
+            waiting_since_s = loop.time()
 
 
 def _report_start(driver, command, progress):
