Abort a routed stream when its handler raises an exception

The HTTP server ended such a response as if it were complete, so the caller took a part of a stream for the whole. The connection is now closed without the last chunk.

--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -260,16 +260,20 @@
     stream = await request.respond(
         status=status, headers=pairs, content_type=content_type
     )
-    while True:
-        match await exchange.next_item():
-            case Chunk(events):
-                await stream.send(b"".join(events))
-            case End():
-                await stream.eof()
-                return
-            case Failed():
-                _abort_response(request)
-                return
+    try:
+        while True:
+            match await exchange.next_item():
+                case Chunk(events):
+                    await stream.send(b"".join(events))
+                case End():
+                    await stream.eof()
+                    return
+                case Failed():
+                    _abort_response(request)
+                    return
+    except BaseException:
+        _abort_response(request)
+        raise
 
 
 def _abort_response(request):
@@ -279,7 +283,8 @@
     it were complete.
     """
     request.stream.keep_alive = False
-    request.transport.close()
+    if request.transport is not None:
+        request.transport.close()
 
 
 def routed_error_response(driver, error, request_id, extra=()):
--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -137,7 +137,8 @@
         response (``garbage``), a truncated one (``truncate``), a second response
         (``extra``), the response to another request (``foreign``), a connection
         reset (``reset``) or nothing (``hang``). A stream may also end inside its
-        third event (``cut``) or before its first one (``empty``). Bytes without end
+        third event (``cut``) or before its first one (``empty``), or send comments
+        without end after its first event (``drip``). Bytes without end
         may follow the head of a refusal (``full endless``) or of a response
         (``endless``).
     version : str
@@ -398,6 +399,11 @@
                 await writer.drain()
                 writer.transport.abort()
                 return False
+            if behaviour == "drip" and number == first + 1:
+                while True:
+                    self._write_part(writer, b": alive\n\n")
+                    await writer.drain()
+                    await asyncio.sleep(0.1)
             if behaviour == "cut" and number == first + 2:
                 self._write_part(writer, event[:9])
                 break
