Never deny that a request may have run

Native listeners sent the status of an error's code whatever its outcome: a request that may have run could get 503 or 429 with the outcome 'unknown' in the body only. Such an error gets 502 now, as on routed listeners.

A late copy of a refusal that names no request, on a connection that is in use again, said of the next request that it had not run. Requests that must not run twice no longer use a connection whose last response named no request.

Tests: every error code with the outcomes 'unknown' and 'ran'; the choice of the connection.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -79,6 +79,8 @@
     keep_alive_ms : int or None
         Idle timeout that the server last announced in ``Keep-Alive``; None if it
         announced none.
+    unidentified : bool
+        Whether the last response named no request, as set by the daemon.
     status : int
         Status of the current response; 0 until its headers are complete.
     headers : list of (str, str)
@@ -90,6 +92,7 @@
         "uses",
         "idle_since_ms",
         "keep_alive_ms",
+        "unidentified",
         "status",
         "headers",
         "_transport",
@@ -115,6 +118,7 @@
         self.uses = 0
         self.idle_since_ms = 0
         self.keep_alive_ms = None
+        self.unidentified = False
         self._transport = None
         self._waiter = None
         self._invalidated = False
--- a/bluebellbeam/daemon/connection_pool.py
+++ b/bluebellbeam/daemon/connection_pool.py
@@ -50,9 +50,19 @@
         self.clock = clock
         self.max_idle_ms = max_idle_ms
 
-    async def acquire(self, key, address, cross_region=False):
+    async def acquire(self, key, address, cross_region=False, once=False):
         """Return an idle or a new connection to the process `key` at `address`.
 
+        Parameters
+        ----------
+        key : hashable
+        address : str
+        cross_region : bool
+        once : bool
+            Whether the request must not run twice. A connection whose last response
+            named no request is not used then, since a duplicate of it could not be
+            told from the response to this request.
+
         Raises
         ------
         UpstreamConnectionError
@@ -60,9 +70,12 @@
         """
         now_ms = self.clock.now_ms()
         connections = self.idle.get(key, [])
-        while connections:
-            connection = connections.pop()
-            if self._may_reuse(connection, now_ms, cross_region):
+        for connection in reversed(connections[:]):
+            reusable = self._may_reuse(connection, now_ms, cross_region)
+            if reusable and once and connection.unidentified:
+                continue
+            connections.remove(connection)
+            if reusable:
                 return connection
             connection.close()
         self.opened += 1
--- a/bluebellbeam/daemon/listener.py
+++ b/bluebellbeam/daemon/listener.py
@@ -15,6 +15,7 @@
 from bluebellbeam.utils.clock import monotonic_clock
 
 __all__ = [
+    "NOT_RUN_STATUSES",
     "ListenerActivity",
     "ListenerApp",
     "bind_address",
@@ -22,6 +23,7 @@
     "error_response",
     "make_listener_app",
     "start_listener",
+    "status_of_outcome",
 ]
 
 REQUEST_TIMEOUT_S = 10
@@ -37,6 +39,9 @@
 BACKLOG = 1024
 """Connections that the kernel queues until they are accepted."""
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that assure the caller that its request did not run and never will."""
+
 _ERROR_CODES = {
     400: "bad_request",
     404: "not_found",
@@ -159,6 +164,17 @@
     return error_response(make_error(code), "")
 
 
+def status_of_outcome(error):
+    """Return the status of an error, or 502 if that would deny that it may have run.
+
+    Parameters
+    ----------
+    error : CallerError
+    """
+    maybe_ran = error.outcome != "not_run"
+    return 502 if maybe_ran and error.status in NOT_RUN_STATUSES else error.status
+
+
 def error_response(error, request_id):
     """Return the HTTP response for the :class:`CallerError` `error`."""
     headers = {"x-request-id": request_id} if request_id else {}
@@ -166,7 +182,7 @@
         headers["retry-after"] = str(math.ceil(error.retry_after_ms / 1000.0))
     return response.raw(
         encode_error(error, request_id),
-        status=error.status,
+        status=status_of_outcome(error),
         headers=headers,
         content_type="application/json",
     )
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -23,7 +23,7 @@
     Head,
     RoutedExchange,
 )
-from bluebellbeam.daemon.listener import make_listener_app
+from bluebellbeam.daemon.listener import make_listener_app, status_of_outcome
 from bluebellbeam.daemon.routed_forward import (
     CODE_HEADER,
     FORWARD_HEADER,
@@ -52,9 +52,6 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Limit of the listener; the limit of the configuration is checked per request."""
 
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses that assure the caller that its request did not run and never will."""
-
 _HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\r\n\x00]*")
 
 
@@ -304,9 +301,9 @@
     A request that did not run never gets a 5xx status other than 503. One that may
     have run never gets a status of `NOT_RUN_STATUSES`.
     """
-    if error.outcome == "not_run":
-        return 503 if error.status >= 500 else error.status
-    return 502 if error.status in NOT_RUN_STATUSES else error.status
+    if error.outcome == "not_run" and error.status >= 500:
+        return 503
+    return status_of_outcome(error)
 
 
 def _no_headers(error):
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -109,7 +109,10 @@
     key = (command.server or command.peer, command.incarnation)
     address = command.address or command.peer_address
     connection = await driver.connection_pool.acquire(
-        key, address, cross_region=bool(command.peer)
+        key,
+        address,
+        cross_region=bool(command.peer),
+        once=not command.request.idempotent,
     )
     try:
         method, raw = _encode(driver, command, exchange)
@@ -118,6 +121,7 @@
         connection.send(method, raw, exchange.payload)
         await connection.read_head()
         response = _read_response_head(driver, command, connection)
+        connection.unidentified = response.request_id is None
         if command.peer:
             read_peer_headers(driver, command, connection, progress)
         _check_request_id(command, connection, response)
