--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -23,7 +23,7 @@
     Head,
     RoutedExchange,
 )
-from bluebellbeam.daemon.listener import make_listener_app
+from bluebellbeam.daemon.listener import make_listener_app, status_of_outcome
 from bluebellbeam.daemon.routed_forward import (
     CODE_HEADER,
     FORWARD_HEADER,
@@ -53,9 +53,6 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Limit of the listener; the limit of the configuration is checked per request."""
 
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses that assure the caller that its request did not run and never will."""
-
 _HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\r\n\x00]*")
 
 
@@ -267,16 +264,20 @@
     stream = await request.respond(
         status=status, headers=pairs, content_type=content_type
     )
-    while True:
-        match await exchange.next_item():
-            case Chunk(events):
-                await stream.send(b"".join(events))
-            case End():
-                await stream.eof()
-                return
-            case Failed():
-                _abort_response(request)
-                return
+    try:
+        while True:
+            match await exchange.next_item():
+                case Chunk(events):
+                    await stream.send(b"".join(events))
+                case End():
+                    await stream.eof()
+                    return
+                case Failed():
+                    _abort_response(request)
+                    return
+    except BaseException:
+        _abort_response(request)
+        raise
 
 
 def _abort_response(request):
@@ -286,7 +287,8 @@
     it were complete.
     """
     request.stream.keep_alive = False
-    request.transport.close()
+    if request.transport is not None:
+        request.transport.close()
 
 
 def routed_error_response(driver, error, request_id, extra=()):
@@ -306,9 +308,9 @@
     A request that did not run never gets a 5xx status other than 503. One that may
     have run never gets a status of `NOT_RUN_STATUSES`.
     """
-    if error.outcome == "not_run":
-        return 503 if error.status >= 500 else error.status
-    return 502 if error.status in NOT_RUN_STATUSES else error.status
+    if error.outcome == "not_run" and error.status >= 500:
+        return 503
+    return status_of_outcome(error)
 
 
 def _no_headers(error):
