--- a/bluebellbeam/admission/quota.py
+++ b/bluebellbeam/admission/quota.py
@@ -152,10 +152,20 @@
     acknowledged : int
         Own grants that it has subtracted.
     heard_ms : int
+    told_granted : int
+        Own grants in the last report to it.
     use : Use
     """
 
-    __slots__ = ("region", "epoch", "granted", "acknowledged", "heard_ms", "use")
+    __slots__ = (
+        "region",
+        "epoch",
+        "granted",
+        "acknowledged",
+        "heard_ms",
+        "told_granted",
+        "use",
+    )
 
     def __init__(self, region, epoch, granted, acknowledged, now_ms):
         self.region = region
@@ -163,6 +173,7 @@
         self.granted = granted
         self.acknowledged = acknowledged
         self.heard_ms = now_ms
+        self.told_granted = 0
         self.use = Use(now_ms)
 
 
@@ -187,8 +198,8 @@
         Part of the quota of each region, from the last time that all had contact.
     peers : dict of str to PeerLedger
         Other ledgers of the workspace, by daemon.
-    sent_granted, sent_ms : int
-        Value of `granted` in the last report, and its time.
+    told_ms : dict of str to int
+        Time of the last report to each daemon.
     requested_ms : int
         Time of the last request for tokens.
     """
@@ -202,8 +213,7 @@
         "fraction",
         "shares",
         "peers",
-        "sent_granted",
-        "sent_ms",
+        "told_ms",
         "requested_ms",
     )
 
@@ -216,8 +226,7 @@
         self.fraction = 0.0
         self.shares = {}
         self.peers = {}
-        self.sent_granted = 0
-        self.sent_ms = -1_000_000
+        self.told_ms = {}
         self.requested_ms = now_ms
 
 
--- a/bluebellbeam/node/quotas.py
+++ b/bluebellbeam/node/quotas.py
@@ -77,6 +77,9 @@
 REPORT_INTERVAL_MS = 250
 """Interval of the reports on a ledger in use."""
 
+PASSIVE_REPORT_INTERVAL_MS = 400
+"""Interval of the reports of the one of two ledgers in use that usually responds."""
+
 SLOW_REPORT_INTERVAL_MS = 2000
 """Interval of the reports on a ledger whose use is far below its guaranteed share."""
 
@@ -527,7 +530,7 @@
         apply_report(ledger, limit, counts, sender, row.region, report, now_ms)
         reported.append(report.workspace)
     if message.reply and reported:
-        rows = tuple(_report_row(state, name, sender) for name in reported)
+        rows = tuple(_report_row(state, name, sender, now_ms) for name in reported)
         send_to_member(state, sender, (QuotaReport(rows),))
 
 
@@ -536,9 +539,12 @@
     state.emit(Log("quota", sentence, fields=fields))
 
 
-def _report_row(state, workspace, receiver):
+def _report_row(state, workspace, receiver, now_ms):
     ledger = state.quotas.ledgers[workspace]
     peer = ledger.peers.get(receiver)
+    ledger.told_ms[receiver] = now_ms
+    if peer is not None:
+        peer.told_granted = ledger.granted
     return QuotaReportRow(
         workspace,
         ledger.epoch,
@@ -611,48 +617,64 @@
 
 
 def _send_reports(state, now_ms):
-    """Send the reports that are due, one message to each daemon."""
+    """Send the reports that are due, one message to each daemon.
+
+    Reports on other workspaces that would soon be due join the message.
+    """
     table = state.quotas
     counts = _region_counts(state, now_ms)
-    rows = {}
+    due, soon = {}, {}
     for workspace, ledger in list(table.ledgers.items()):
         limit = quota_limit(state, workspace)
         used_ms = max(ledger.requested_ms, _heard_ms(ledger))
         if limit is None or now_ms - used_ms > IDLE_MS:
             del table.ledgers[workspace]
             continue
-        if not _is_report_due(ledger, limit, counts, now_ms):
+        if now_ms - used_ms > SLOW_REPORT_INTERVAL_MS:
             continue
-        update_ledger(ledger, limit, counts, now_ms)
-        ledger.sent_ms = now_ms
-        ledger.sent_granted = ledger.granted
         for daemon in _report_targets(state, workspace, ledger, now_ms):
-            rows.setdefault(daemon, []).append(_report_row(state, workspace, daemon))
-    for daemon, items in rows.items():
+            delay_ms = _report_delay_ms(state, ledger, daemon, limit, counts, now_ms)
+            if delay_ms <= 0:
+                due.setdefault(daemon, []).append(workspace)
+            elif delay_ms <= REPORT_INTERVAL_MS // 2:
+                soon.setdefault(daemon, []).append(workspace)
+    for daemon, names in due.items():
+        names += soon.get(daemon, [])
+        for name in names:
+            limit = quota_limit(state, name)
+            update_ledger(table.ledgers[name], limit, counts, now_ms)
         table.report_sent_ms.setdefault(daemon, now_ms)
-        for start in range(0, len(items), MAX_ROWS_PER_REPORT):
-            part = tuple(items[start : start + MAX_ROWS_PER_REPORT])
-            send_to_member(state, daemon, (QuotaReport(part, True),))
+        for start in range(0, len(names), MAX_ROWS_PER_REPORT):
+            part = names[start : start + MAX_ROWS_PER_REPORT]
+            rows = tuple(_report_row(state, name, daemon, now_ms) for name in part)
+            send_to_member(state, daemon, (QuotaReport(rows, True),))
 
 
 def _heard_ms(ledger):
     return max((peer.heard_ms for peer in ledger.peers.values()), default=0)
 
 
-def _is_report_due(ledger, limit, counts, now_ms):
-    changed = ledger.granted - ledger.sent_granted
-    since_ms = now_ms - ledger.sent_ms
+def _report_delay_ms(state, ledger, daemon, limit, counts, now_ms):
+    """Return the time in ms until a ledger is to be reported to a daemon.
+
+    The response to a report contains the other ledger's state. Of two ledgers in use,
+    one therefore waits longer and usually only responds.
+    """
+    peer = ledger.peers.get(daemon)
+    told_ms = ledger.told_ms.get(daemon, -IDLE_MS)
+    changed = ledger.granted - (peer.told_granted if peer else 0)
+    since_ms = now_ms - told_ms
+    first = state.identity.vm < daemon
+    interval_ms = REPORT_INTERVAL_MS if first else PASSIVE_REPORT_INTERVAL_MS
     if not changed and now_ms - ledger.requested_ms > REPORT_INTERVAL_MS * 4:
-        return since_ms >= REPORT_INTERVAL_MS and _is_link_idle(ledger, counts, now_ms)
-    if since_ms >= SLOW_REPORT_INTERVAL_MS:
-        return True
+        if _is_link_idle(ledger, counts, now_ms):
+            return interval_ms - since_ms
+        return IDLE_MS
     if changed >= 0.25 * limit.rate_per_s + 0.1 * limit.burst:
-        return True
-    if since_ms < REPORT_INTERVAL_MS:
-        return False
-    return is_busy(ledger, limit, counts, now_ms) or _is_link_idle(
-        ledger, counts, now_ms
-    )
+        return 0
+    if is_busy(ledger, limit, counts, now_ms) or _is_link_idle(ledger, counts, now_ms):
+        return interval_ms - since_ms
+    return SLOW_REPORT_INTERVAL_MS - since_ms
 
 
 def _is_link_idle(ledger, counts, now_ms):
