--- a/bluebellbeam/admission/quota.py
+++ b/bluebellbeam/admission/quota.py
@@ -523,8 +523,8 @@
 
 
 def take_held(held, cost, now_ms):
-    """Use `cost` tokens; return False if fewer are held."""
-    if held.tokens < cost:
+    """Use `cost` tokens; return False if fewer are held or they are overdue."""
+    if held.tokens < cost or now_ms - held.used_ms > 2 * HELD_MS:
         return False
     held.tokens -= cost
     held.used_ms = now_ms
--- a/bluebellbeam/node/quotas.py
+++ b/bluebellbeam/node/quotas.py
@@ -176,8 +176,9 @@
     next_number : int
     owners : dict of (str, int) to tuple of str
         Daemons that may hold the ledgers of a group in a region, best first.
-    owners_generation : int
-        Generation of the members that `owners` is for.
+    owners_key : tuple
+        Generation of the members that `owners` is for, and whether this daemon was
+        leaving.
     counts : RegionCounts or None
     counted_ms : int
     daemons : int
@@ -203,7 +204,7 @@
         "started",
         "next_number",
         "owners",
-        "owners_generation",
+        "owners_key",
         "counts",
         "counted_ms",
         "daemons",
@@ -225,7 +226,7 @@
         self.started = []
         self.next_number = 1
         self.owners = {}
-        self.owners_generation = -1
+        self.owners_key = ()
         self.counts = None
         self.counted_ms = 0
         self.daemons = 1
@@ -338,6 +339,8 @@
     """Charge a request to the part of the quota that needs no ledger."""
     request = waiting.request
     limit = quota_limit(state, request.workspace)
+    if limit is None:
+        return None
     held = state.quotas.held[request.workspace]
     _region_counts(state, now_ms)
     daemons = state.quotas.daemons
@@ -427,7 +430,7 @@
         return tuple(0 for _ in costs), 0
     ledger = _find_ledger(state, workspace, now_ms)
     counts = _region_counts(state, now_ms)
-    if returned:
+    if returned > 0:
         credit_tokens(ledger, returned, now_ms)
     update_ledger(ledger, limit, counts, now_ms)
     waits = tuple(grant_tokens(ledger, limit, counts, c, now_ms) for c in costs)
@@ -593,7 +596,6 @@
         (item.request, _charge_own(state, item, now_ms))
         for item in late
         if item.request.state != "ended"
-        and quota_limit(state, item.request.workspace) is not None
     ]
 
 
@@ -731,14 +733,17 @@
 def _owners(state, workspace, region):
     """Return the daemons that may hold the ledger of a workspace, best first."""
     table = state.quotas
-    if table.owners_generation != state.members.generation:
-        table.owners_generation = state.members.generation
+    key = (state.members.generation, state.leaving)
+    if table.owners_key != key:
+        table.owners_key = key
         table.owners = {}
     group = hash_text(workspace) % GROUPS
     names = table.owners.get((region, group))
     if names is None:
         if region == state.region:
             members = state.region_members()
+            if state.leaving and len(members) > 1:
+                members = [name for name in members if name != state.identity.vm]
         else:
             members = [row.name for row in usable_members(state.members, region)]
         order = rendezvous_order(f"quota:{group}", members)
--- a/bluebellbeam/node/tests/quota_region.py
+++ b/bluebellbeam/node/tests/quota_region.py
@@ -34,6 +34,7 @@
         counters=Counters(),
         rng=random.Random(seed),
         peers_responded={"s"},
+        leaving=False,
         commands=[],
     )
     state.emit = state.commands.append
--- a/bluebellbeam/node/tests/test_quotas.py
+++ b/bluebellbeam/node/tests/test_quotas.py
@@ -1,6 +1,7 @@
 import unittest
 
 from bluebellbeam.admission.quota import BURST_MARGIN_TOKENS, HELD_MS
+from bluebellbeam.config import split_documents
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.dump import dump_state
@@ -190,13 +191,20 @@
         ledgers = self.table.ledgers
         self.assertTrue(ledgers or (len(asked) == 2 and asked[0] != asked[1]))
 
+    def test_request_is_admitted_when_its_quota_is_removed_while_it_waits(self):
+        parts = split_documents(make_base(), {})
+        self.harness.publish("config", parts)
+        self.harness.commands.clear()
+        self.harness.tick(ANSWER_TIMEOUT_MS)
+        self.assertTrue(started_attempts(self.harness.commands))
+
     def test_tokens_of_a_disconnected_caller_are_kept(self):
         self.harness.handle(ev.CallerDisconnected("r1"))
         grant = TokenGrant(self.query.number, (("all", (0,), 0),))
         self.assertFalse(started_attempts(self.deliver(self.ledger, grant)))
         self.assertEqual(self.table.held["all"].tokens, 2000)
 
-    def test_configuration_that_removes_the_quota_admits_the_request(self):
+    def test_answer_about_an_unknown_workspace_is_ignored(self):
         grant = TokenGrant(self.query.number, (("gone", (0,), 5),))
         self.deliver(self.ledger, grant)
         self.assertNotIn("gone", self.table.held)
@@ -222,6 +230,35 @@
             self.deliver("vm-w", QuotaReport((row,)))
         self.assertAlmostEqual(self.table.ledgers["all"].level, -4000)
 
+    def test_lost_and_regained_contact_is_logged_once(self):
+        self.start()
+        self.harness.announce_peer("vm-w", "west")
+        self.send(100)
+        self.harness.tick(2000)
+        self.send(100, "r2")
+        self.harness.tick(1000)
+        row = QuotaReportRow("all", 9, 0, None)
+        self.deliver("vm-w", QuotaReport((row,)))
+        lines = [
+            command.sentence
+            for command in self.harness.commands
+            if isinstance(command, cmd.Log) and command.part == "quota"
+        ]
+        self.assertEqual(
+            lines,
+            [
+                "start ledgers with empty buckets",
+                "lose contact with ledgers",
+                "regain contact with ledgers",
+            ],
+        )
+
+    def test_leaving_daemon_asks_another_for_tokens(self):
+        self.start(("vm-2",))
+        self.harness.handle(ev.StopRequested())
+        self.send(100)
+        self.assertEqual([n for n, _ in self.messages(TokenRequest)], ["vm-2"])
+
     def test_unknown_workspace_is_ignored(self):
         self.start()
         self.harness.announce_peer("vm-w", "west")
