Correct estimates that reject requests without a response to correct them

One slow response raised both the slowness and the mean duration of a server, and the estimate multiplied them. The rejections that followed left no response that could correct either.

A response now updates the mean duration, or the pace of prompts, and the estimate uses one of them. Slowness is derived from these, relative to the other servers of the pool at the same time, and only orders servers. Estimates that no observation renews approach the median of the pool. A rejection for lack of time needs a response of the last second; without one, up to four requests per second and service are sent as trials. Rejections assume the more favourable of a constant and a proportional delay.

--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -30,6 +30,7 @@
 from bluebellbeam.node.server_limits import record_restricted_servers
 from bluebellbeam.node.shutdown import shutdown_error
 from bluebellbeam.node.stream_origins import is_continued, start_lookup
+from bluebellbeam.node.trials import may_try
 from bluebellbeam.node.wait_estimates import local_wait_ms
 from bluebellbeam.operations import (
     Busy,
@@ -372,7 +373,7 @@
     if wait_ms is None:
         return make_error("no_backend", retry_after_ms=NO_BACKEND_RETRY_AFTER_MS)
     left_ms = request.start_deadline_ms - now_ms
-    if wait_ms <= left_ms:
+    if wait_ms <= left_ms or may_try(state, request, left_ms, now_ms):
         return None
     excess_ms = wait_ms - left_ms
     retry_ms = state.retry_after_ms(request, excess_ms, now_ms)
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -27,12 +27,13 @@
 from bluebellbeam.node.server_checks import apply_response_load
 from bluebellbeam.node.stream_origins import tell_origin
 from bluebellbeam.node.targets import has_target_left
+from bluebellbeam.node.trials import record_evidence
 from bluebellbeam.operations import mark_not_run, record_outcome
 from bluebellbeam.recovery import (
     record_failure,
     record_success,
     take_credit,
-    update_slowness,
+    update_pace,
 )
 from bluebellbeam.routing import (
     StreamOrigin,
@@ -95,7 +96,9 @@
         return
     row.inflight_tokens = max(0, row.inflight_tokens - attempt.expected_uncached_tokens)
     observed_ms = now_ms - attempt.started_ms
-    update_slowness(state.replicas, row, observed_ms, attempt.expected_ms)
+    record_evidence(state, request.pool, now_ms)
+    if attempt.base_ms:
+        update_pace(state.replicas, row, observed_ms, attempt.base_ms, now_ms)
 
 
 def _record_origin(state, request, attempt, origin, now_ms):
@@ -376,7 +379,7 @@
     request.stalled = True
     row = attempt_replica(state, attempt)
     if row is not None:
-        update_slowness(state.replicas, row, waited_ms, attempt.expected_ms)
+        update_pace(state.replicas, row, waited_ms, attempt.base_ms, now_ms)
         record_failure(state.replicas, row, state.policy, now_ms, state.rng)
     if take_credit(state.retries):
         state.counters.retries += 1
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -20,6 +20,7 @@
 from bluebellbeam.node.server_checks import check_unconfirmed
 from bluebellbeam.node.server_limits import record_restricted_servers
 from bluebellbeam.node.targets import may_be_passed
+from bluebellbeam.node.trials import may_try, record_evidence
 from bluebellbeam.node.wait_estimates import (
     local_wait_ms,
     own_slot_share,
@@ -37,6 +38,11 @@
     record_request_start,
     record_send,
 )
+from bluebellbeam.routing.estimate import (
+    earliest_first_token_ms,
+    prefill_speed,
+    prompt_base_ms,
+)
 from bluebellbeam.routing.policies import choose_baseline_target, is_baseline
 
 __all__ = [
@@ -254,7 +260,12 @@
     best = candidates[0]
     row = state.replicas.rows[best.server]
     left_ms = request.deadline_ms - now_ms
-    if best.estimate.first_token_ms > left_ms and not request.response_started:
+    if (
+        best.estimate.first_token_ms > left_ms
+        and _earliest_ms(state, row, request, best, now_ms) > left_ms
+        and not request.response_started
+        and not may_try(state, request, left_ms, now_ms)
+    ):
         remove_request(queue, request)
         wait_ms = int(best.estimate.first_token_ms)
         error = make_error("deadline_unreachable", retry_after_ms=wait_ms)
@@ -284,6 +295,12 @@
     return True
 
 
+def _earliest_ms(state, row, request, candidate, now_ms):
+    speed = prefill_speed(state.base, request)
+    cached = candidate.cached_tokens
+    return earliest_first_token_ms(row, request, speed, cached, now_ms)
+
+
 def _version_field(version):
     """Return the log field with the software version of a server, if it has one."""
     return {"version": version} if version else {}
@@ -299,6 +316,13 @@
     """
     request = attempt.request
     attempt.expected_ms = candidate.estimate.first_token_ms
+    attempt.base_ms = prompt_base_ms(
+        row,
+        request,
+        prefill_speed(state.base, request),
+        candidate.cached_tokens,
+        attempt.started_ms,
+    )
     attempt.expected_uncached_tokens = candidate.estimate.uncached_tokens
     source = prefix_source(state, request, row, now_ms)
     if request.blocks:
@@ -529,8 +553,10 @@
         row.inflight_tokens = max(
             0, row.inflight_tokens - attempt.expected_uncached_tokens
         )
+    if completed:
+        record_evidence(state, request.pool, now_ms)
     held_ms = now_ms - attempt.started_ms if completed else None
-    record_request_end(state.replicas, row, held_ms)
+    record_request_end(state.replicas, row, held_ms, now_ms)
     if completed:
         old_ms = state.pool_service_ms.get(request.pool, float(held_ms))
         state.pool_service_ms[request.pool] = old_ms + (held_ms - old_ms) * 0.1
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -151,6 +151,7 @@
         "response_started",
         "running_attempts",
         "stalled",
+        "is_trial",
         "resume_after",
         "resumes",
         "stream_origin",
@@ -204,6 +205,7 @@
         self.response_started = False
         self.running_attempts = []
         self.stalled = False
+        self.is_trial = False
 
     @property
     def start_deadline_ms(self):
@@ -237,6 +239,8 @@
         Time at which its response began.
     expected_ms : float
         Expected time in ms to the first token, or to the response of a service.
+    base_ms : float
+        That time at a server of pace 1; 0 for a request without a prompt.
     expected_uncached_tokens : int
         Prompt tokens that the server is expected to compute.
     """
@@ -252,6 +256,7 @@
         "started_ms",
         "response_started_ms",
         "expected_ms",
+        "base_ms",
         "expected_uncached_tokens",
     )
 
@@ -266,4 +271,5 @@
         self.started_ms = started_ms
         self.response_started_ms = None
         self.expected_ms = 0.0
+        self.base_ms = 0.0
         self.expected_uncached_tokens = 0
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -16,11 +16,11 @@
 from bluebellbeam.routing import (
     cached_tokens,
     choose_service,
-    estimate_local,
     match_route,
     may_continue_at,
     prefill_speed,
 )
+from bluebellbeam.routing.estimate import earliest_first_token_ms
 
 __all__ = ["allowed_regions", "expected_routed_start_ms", "resolve_route"]
 
@@ -156,9 +156,8 @@
     speed = prefill_speed(state.base, request)
     if not speed:
         return wait_ms
-    region = state.base.regions[state.region]
     first_event_ms = [
-        estimate_local(row, request, speed, region, cached, now_ms).first_token_ms
+        earliest_first_token_ms(row, request, speed, cached, now_ms)
         for row in unlimited_replicas(state, request.pool)
         if row.failure_domain not in state.evacuated
         and may_continue_at(row, request.stream_origin)
--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -6,7 +6,7 @@
 from bluebellbeam.node.feed_sync import listed_backends
 from bluebellbeam.node.server_limits import apply_limit
 from bluebellbeam.node.state import backends_feed
-from bluebellbeam.recovery import record_failure
+from bluebellbeam.recovery import record_failure, refresh_slowness
 from bluebellbeam.routing import (
     age_peer_load,
     apply_load,
@@ -42,6 +42,9 @@
 RECHECK_INTERVAL_MS = 250
 """Minimum time between two checks of an unconfirmed server."""
 
+SLOWNESS_INTERVAL_MS = 500
+"""Interval at which the servers of each pool are compared with each other."""
+
 UNLISTED_GRACE_MS = 2200
 """Time for which a server is kept that disappeared from the list while its source
 was unstable. Once the source has recovered, servers that still run are listed again
@@ -62,6 +65,9 @@
     """Update the servers to use and check those whose state is out of date."""
     _refresh_subset(state, now_ms)
     _expire_unlisted(state, now_ms)
+    if now_ms - state.slowness_ms >= SLOWNESS_INTERVAL_MS:
+        state.slowness_ms = now_ms
+        refresh_slowness(state.replicas, now_ms)
     policy = state.policy
     interval_ms = poll_interval_ms(policy, len(state.replicas.rows))
     stale = state.is_list_stale(now_ms)
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -293,6 +293,10 @@
         Planned model of each engine of the region.
     subset_key, placement_key : tuple or None
         Versions that the servers in use and the placement were computed for.
+    trials : dict of str to Trials
+        Evidence and trial requests by pool.
+    slowness_ms : int
+        Time at which the servers of each pool were last compared.
     pool_service_ms : dict of str to float
         Moving average of the time a request holds a slot, by pool.
     part_cache : PartCache
@@ -352,6 +356,8 @@
         "order_sent_ms",
         "subset_key",
         "pool_service_ms",
+        "trials",
+        "slowness_ms",
         "next_slow_tick_ms",
         "placement",
         "placement_key",
@@ -425,6 +431,8 @@
         self.order_sent_ms = {}
         self.subset_key = None
         self.pool_service_ms = {}
+        self.trials = {}
+        self.slowness_ms = 0
         self.next_slow_tick_ms = 0
         self.placement = {}
         self.placement_key = None
--- a/bluebellbeam/node/wait_estimates.py
+++ b/bluebellbeam/node/wait_estimates.py
@@ -131,8 +131,7 @@
     if not speed:
         return 0.0
     waits = [
-        1000.0 * tokens_ahead(row, speed, now_ms) / speed * row.slowness
-        + slot_wait_ms(row)
+        1000.0 * tokens_ahead(row, speed, now_ms) / speed * row.pace + slot_wait_ms(row)
         for row in unlimited_replicas(state, pool)
         if row.failure_domain not in state.evacuated
     ]
--- a/bluebellbeam/recovery/__init__.py
+++ b/bluebellbeam/recovery/__init__.py
@@ -10,7 +10,8 @@
 from bluebellbeam.recovery.outlier import (
     record_failure,
     record_success,
-    update_slowness,
+    refresh_slowness,
+    update_pace,
 )
 
 __all__ = [
@@ -19,7 +20,8 @@
     "make_budget",
     "record_failure",
     "record_success",
+    "refresh_slowness",
     "set_burst",
     "take_credit",
-    "update_slowness",
+    "update_pace",
 ]
--- a/bluebellbeam/routing/estimate.py
+++ b/bluebellbeam/routing/estimate.py
@@ -4,9 +4,11 @@
 
 __all__ = [
     "Estimate",
+    "earliest_first_token_ms",
     "estimate_local",
     "estimate_remote",
     "prefill_speed",
+    "prompt_base_ms",
     "score_estimate",
 ]
 
@@ -66,16 +68,46 @@
     wait_ms = slot_wait_ms(replica)
     if not speed_per_s:
         expected_ms = wait_ms + (replica.service_ms or request.expected_ms)
-        return Estimate(expected_ms * replica.slowness, 0, 0.0, False)
+        return Estimate(expected_ms, 0, 0.0, False)
     uncached = max(0, request.prompt_tokens - cached_tokens)
     ahead = tokens_ahead(replica, speed_per_s, now_ms)
     prefill_ms = 1000.0 * (uncached + ahead) / speed_per_s
-    first_token_ms = (wait_ms + prefill_ms) * replica.slowness
+    # The wait is based on durations observed at this server, so it already contains
+    # the pace.
+    first_token_ms = wait_ms + prefill_ms * replica.pace
     tokens = uncached + request.max_output_tokens
     cost = tokens / 1000.0 * region.price_per_1k_tokens
     return Estimate(first_token_ms, uncached, cost, False)
 
 
+def prompt_base_ms(replica, request, speed_per_s, cached_tokens, now_ms):
+    """Return the time in ms to the first token of a prompt at a server of pace 1.
+
+    Parameters are as for :func:`estimate_local`; the result is 0 for a request without
+    a prompt.
+    """
+    if not speed_per_s:
+        return 0.0
+    uncached = max(0, request.prompt_tokens - cached_tokens)
+    ahead = tokens_ahead(replica, speed_per_s, now_ms)
+    return slot_wait_ms(replica) + 1000.0 * (uncached + ahead) / speed_per_s
+
+
+def earliest_first_token_ms(replica, request, speed_per_s, cached_tokens, now_ms):
+    """Return the earliest plausible time in ms to the first token or response.
+
+    A server may be late by a factor or by a constant, which observations of prompts of
+    one length cannot tell apart. Rejections are based on the more favourable case.
+    Parameters are as for :func:`estimate_local`.
+    """
+    if not speed_per_s:
+        return slot_wait_ms(replica) + (replica.service_ms or request.expected_ms)
+    base_ms = prompt_base_ms(replica, request, speed_per_s, cached_tokens, now_ms)
+    wait_ms = slot_wait_ms(replica)
+    paced_ms = wait_ms + (base_ms - wait_ms) * replica.pace
+    return min(paced_ms, base_ms + replica.delay_ms)
+
+
 def estimate_remote(offer, request, model, remote_region, round_trip_ms, cached_tokens):
     """Return the estimate for forwarding to a region that has offered capacity.
 
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -113,12 +113,22 @@
         Time of the last response of any kind from this name and incarnation.
     checked_ms : int
         Time of the last health check sent to it; -1 to send one at once.
-    slowness : float
-        Moving average of the ratio of observed to expected time to the first token
-        or response; at least 1.
+    pace : float
+        Moving average of the ratio of observed to expected time to the first token of
+        a prompt; at least 1.
+    delay_ms : float
+        Moving average of the difference of these times in ms; at least 0. A server may
+        be late by a factor or by a constant, which one observation cannot tell apart.
+    paced_ms : int or None
+        Time of the last observation of `pace` and `delay_ms`; None if there is none.
     service_ms : float
         Moving average of the time for which a request holds a slot; 0 until the
         first one has completed.
+    served_ms : int
+        Time of the last observation of `service_ms`.
+    slowness : float
+        Ratio of its `pace`, or without prompts of its `service_ms`, to the median of
+        the other servers of its pool; at least 1. Derived, never observed itself.
     malformed_load : bool
         Whether it has sent a load header that cannot be read.
     misses : int
@@ -176,8 +186,12 @@
         "reported_ms",
         "confirmed_ms",
         "checked_ms",
-        "slowness",
+        "pace",
+        "delay_ms",
+        "paced_ms",
         "service_ms",
+        "served_ms",
+        "slowness",
         "malformed_load",
         "misses",
         "failures",
@@ -226,8 +240,12 @@
         self.reported_ms = None
         self.confirmed_ms = None
         self.checked_ms = -1
-        self.slowness = 1.0
+        self.pace = 1.0
+        self.delay_ms = 0.0
+        self.paced_ms = None
         self.service_ms = 0.0
+        self.served_ms = 0
+        self.slowness = 1.0
         self.malformed_load = False
         self.misses = 0
         self.failures = 0
@@ -464,7 +482,7 @@
     reindex(table, replica)
 
 
-def record_request_end(table, replica, held_ms):
+def record_request_end(table, replica, held_ms, now_ms=0):
     """Count the end of a request at `replica`, and average its duration.
 
     `held_ms` is the time in ms for which it held a slot, or None for a request that
@@ -472,6 +490,7 @@
     """
     replica.inflight -= 1
     if held_ms is not None:
+        replica.served_ms = now_ms
         first = replica.service_ms == 0.0
         replica.service_ms += (held_ms - replica.service_ms) * (
             1.0 if first else EWMA_WEIGHT
