--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -161,6 +161,7 @@
         "response_started",
         "running_attempts",
         "stalled",
+        "is_trial",
         "resume_after",
         "resumes",
         "stream_origin",
@@ -224,6 +225,7 @@
         self.stalled = False
         self.charged_tokens = 0
         self.charged_ledger = False
+        self.is_trial = False
 
     @property
     def start_deadline_ms(self):
@@ -257,6 +259,8 @@
         Time at which its response began.
     expected_ms : float
         Expected time in ms to the first token, or to the response of a service.
+    base_ms : float
+        That time at a server of pace 1; 0 for a request without a prompt.
     expected_uncached_tokens : int
         Prompt tokens that the server is expected to compute.
     """
@@ -272,6 +276,7 @@
         "started_ms",
         "response_started_ms",
         "expected_ms",
+        "base_ms",
         "expected_uncached_tokens",
     )
 
@@ -286,4 +291,5 @@
         self.started_ms = started_ms
         self.response_started_ms = None
         self.expected_ms = 0.0
+        self.base_ms = 0.0
         self.expected_uncached_tokens = 0
