Order queues by urgency, and reject early under overload

Change: where workspaces have an urgency, or the servers report the load of their machine, requests are ordered by urgency of the workspace and the route, fair shares and latest start; late ones follow those in time. The expected wait is computed from measured rates of starts and arrivals; requests that cannot start in time get a 503 at once, the least urgent first, with a Retry-After within a third of their time where the pool can be expected to serve them. A request with an urgency whose objective ends in the queue gets 503 instead of 504.

--- a/bluebellbeam/admission/__init__.py
+++ b/bluebellbeam/admission/__init__.py
@@ -9,7 +9,9 @@
     pop_request,
     prune_flows,
     push_request,
+    queued_ahead,
     remove_request,
+    requests_by_urgency,
 )
 from bluebellbeam.admission.rate_limit import (
     RateTable,
@@ -32,6 +34,8 @@
     "prune_buckets",
     "prune_flows",
     "push_request",
+    "queued_ahead",
     "remove_request",
+    "requests_by_urgency",
     "take_tokens",
 ]
--- a/bluebellbeam/admission/queue.py
+++ b/bluebellbeam/admission/queue.py
@@ -5,13 +5,27 @@
 [1]_). Interactive requests are served before batch requests, unless a batch request
 is close to its deadline.
 
+Requests with an urgency (see `docs/design/queue_order.md`) are ordered within their
+priority by urgency, then by fair shares of the workspaces, then by the latest start at
+which they can still be in time. Those that are late already follow those that are not.
+
 References
 ----------
 .. [1] Goyal, Vin and Cheng, "Start-time Fair Queueing", SIGCOMM 1996.
 """
 
+from bisect import bisect_left
 from collections import deque
 
+from bluebellbeam.admission.aging import (
+    GUARANTEED_SHARE,
+    AgingTable,
+    count_served,
+    is_due,
+    mark_waiting,
+    prune_keys,
+)
+
 __all__ = [
     "PRIORITIES",
     "FairQueue",
@@ -21,7 +35,9 @@
     "next_requests",
     "pop_request",
     "push_request",
+    "queued_ahead",
     "remove_request",
+    "requests_by_urgency",
 ]
 
 PRIORITIES = ("interactive", "batch", "guest")
@@ -35,6 +51,8 @@
 class Flow:
     """A flow of fair queueing: the waiting requests of one workspace at one priority.
 
+    Requests with an urgency have a flow for each urgency.
+
     Attributes
     ----------
     workspace : str
@@ -47,12 +65,15 @@
         Weight of the workspace.
     cost : float
         Expected slot time of its waiting requests, in ms.
+    urgency : tuple of int
+        Ranks of its requests, the most urgent lowest; empty without an urgency.
     """
 
-    __slots__ = ("workspace", "requests", "start_tag", "weight", "cost")
+    __slots__ = ("workspace", "requests", "start_tag", "weight", "cost", "urgency")
 
-    def __init__(self, workspace, weight):
+    def __init__(self, workspace, weight, urgency=()):
         self.workspace = workspace
+        self.urgency = urgency
         self.cost = 0.0
         self.requests = deque()
         self.start_tag = 0.0
@@ -65,22 +86,34 @@
     Attributes
     ----------
     flows : dict of str to dict of str to Flow
-        Flows by priority and workspace.
+        Flows by priority, and by workspace or by urgency and workspace.
     virtual_time : dict of str to float
-        Virtual time by priority: the start tag of the last request served.
+        Virtual time by priority, or by priority and urgency: the start tag of the last
+        request served.
     size : int
         Number of waiting requests.
     costs : dict of str to float
         Expected slot time of all waiting requests in ms, by priority.
+    class_aging, workspace_aging : AgingTable
+        Least shares of the request classes and of the workspaces with an urgency.
     """
 
-    __slots__ = ("flows", "virtual_time", "size", "costs")
+    __slots__ = (
+        "flows",
+        "virtual_time",
+        "size",
+        "costs",
+        "class_aging",
+        "workspace_aging",
+    )
 
     def __init__(self):
         self.flows = {priority: {} for priority in PRIORITIES}
         self.virtual_time = dict.fromkeys(PRIORITIES, 0.0)
         self.size = 0
         self.costs = dict.fromkeys(PRIORITIES, 0.0)
+        self.class_aging = AgingTable()
+        self.workspace_aging = AgingTable()
 
 
 def make_fair_queue():
@@ -94,16 +127,23 @@
     At the front, the cost that was charged to the flow is refunded.
     """
     flows = queue.flows[request.priority]
-    flow = flows.get(request.workspace)
+    key = _flow_key(request)
+    flow = flows.get(key)
     if flow is None:
-        flow = flows[request.workspace] = Flow(request.workspace, weight)
+        flow = flows[key] = Flow(request.workspace, weight, request.urgency)
     flow.weight = weight
     if not flow.requests:
-        now = queue.virtual_time[request.priority]
+        now = queue.virtual_time.get(_clock_key(request), 0.0)
         flow.start_tag = max(flow.start_tag, now)
+        if request.urgency:
+            mark_waiting(queue.class_aging, request.urgency)
+            mark_waiting(queue.workspace_aging, request.workspace)
     if front:
-        flow.requests.appendleft(request)
         flow.start_tag -= request.cost / flow.weight
+    if request.urgency:
+        _insert_by_latest_start(flow.requests, request, front)
+    elif front:
+        flow.requests.appendleft(request)
     else:
         flow.requests.append(request)
     flow.cost += request.cost
@@ -111,6 +151,29 @@
     queue.costs[request.priority] += request.cost
 
 
+def _flow_key(request):
+    """Return the key of a request's flow among those of its priority."""
+    if request.urgency:
+        return (request.urgency, request.workspace)
+    return request.workspace
+
+
+def _clock_key(item):
+    """Return the key of the virtual time that applies to a request."""
+    return (item.priority, item.urgency) if item.urgency else item.priority
+
+
+def _insert_by_latest_start(requests, request, front):
+    """Insert a request by its latest start, before equal ones if `front` is true."""
+    index = len(requests)
+    while index and (
+        requests[index - 1].latest_start_ms > request.latest_start_ms
+        or (front and requests[index - 1].latest_start_ms == request.latest_start_ms)
+    ):
+        index -= 1
+    requests.insert(index, request)
+
+
 def next_requests(queue, now_ms, may_pass=None):
     """Yield the requests of each flow that may be served next, in order of service.
 
@@ -137,19 +200,22 @@
     ]
     urgent.sort(key=_service_order)
     for flow in urgent:
-        yield from _first_requests(flow, may_pass)
+        yield from _first_requests(flow.requests, may_pass)
     for priority in PRIORITIES:
         flows = [flow for flow in queue.flows[priority].values() if flow.requests]
+        if any(flow.urgency for flow in flows):
+            yield from _next_by_urgency(queue, flows, now_ms, may_pass)
+            continue
         flows.sort(key=_service_order)
         for flow in flows:
             if flow.requests and flow not in urgent:
-                yield from _first_requests(flow, may_pass)
+                yield from _first_requests(flow.requests, may_pass)
 
 
-def _first_requests(flow, may_pass):
-    """Return the requests of `flow` up to the first that may not be passed."""
+def _first_requests(requests, may_pass):
+    """Return the first of `requests` up to the first that may not be passed."""
     found = []
-    for request in flow.requests:
+    for request in requests:
         found.append(request)
         if may_pass is None or not may_pass(request):
             break
@@ -160,20 +226,66 @@
     return (flow.start_tag, flow.workspace)
 
 
+def _next_by_urgency(queue, flows, now_ms, may_pass):
+    """Yield the next requests of flows with an urgency, in order of service."""
+    flows.sort(key=lambda flow: _urgency_order(queue, flow))
+    late = []
+    for flow in flows:
+        requests = list(flow.requests)
+        late_count = bisect_left(requests, now_ms, key=_latest_start_ms)
+        if late_count:
+            late.append(requests[:late_count])
+        yield from _first_requests(requests[late_count:], may_pass)
+    for requests in late:
+        yield from _first_requests(requests, may_pass)
+
+
+def _latest_start_ms(request):
+    return request.latest_start_ms
+
+
+def _urgency_order(queue, flow):
+    due = bool(flow.urgency) and (
+        is_due(queue.class_aging, flow.urgency)
+        or is_due(queue.workspace_aging, flow.workspace)
+    )
+    return (not due, flow.urgency, flow.start_tag, flow.workspace)
+
+
 def pop_request(queue, request):
     """Remove `request` from its flow and charge its cost to the flow."""
-    flow = queue.flows[request.priority][request.workspace]
+    flow = queue.flows[request.priority][_flow_key(request)]
+    if request.urgency:
+        _count_served(queue, request)
     flow.requests.remove(request)
-    queue.virtual_time[request.priority] = max(
-        queue.virtual_time[request.priority], flow.start_tag
-    )
+    clock = _clock_key(request)
+    queue.virtual_time[clock] = max(queue.virtual_time.get(clock, 0.0), flow.start_tag)
     flow.start_tag += request.cost / flow.weight
     _update_totals(queue, flow, request)
 
 
+def _count_served(queue, request):
+    """Update the guaranteed shares for a request that is served."""
+    waiting = _waiting_with_urgency(queue)
+    classes = len({flow.urgency for flow in waiting})
+    workspaces = len({flow.workspace for flow in waiting})
+    count_served(queue.class_aging, request.urgency, classes)
+    count_served(queue.workspace_aging, request.workspace, workspaces)
+
+
+def _waiting_with_urgency(queue):
+    """Return the flows with an urgency that have waiting requests."""
+    return [
+        flow
+        for flows in queue.flows.values()
+        for flow in flows.values()
+        if flow.urgency and flow.requests
+    ]
+
+
 def remove_request(queue, request):
     """Remove a queued `request` without charging it; return whether it was found."""
-    flow = queue.flows[request.priority].get(request.workspace)
+    flow = queue.flows[request.priority].get(_flow_key(request))
     if flow is None or request not in flow.requests:
         return False
     flow.requests.remove(request)
@@ -195,7 +307,7 @@
         weights += sum(flow.weight for flow in flows if flow.requests)
         if priority == request.priority:
             break
-    flow = queue.flows[request.priority].get(request.workspace)
+    flow = queue.flows[request.priority].get(_flow_key(request))
     if flow is None or not flow.requests:
         return min(total, request.cost * weights)
     return min(total, flow.cost * weights / flow.weight)
@@ -208,10 +320,64 @@
     priority by being idle for a moment.
     """
     for priority, flows in queue.flows.items():
-        now = queue.virtual_time[priority]
         for name in [n for n, flow in flows.items() if not flow.requests]:
-            if flows[name].start_tag <= now:
+            urgency = flows[name].urgency
+            clock = (priority, urgency) if urgency else priority
+            if flows[name].start_tag <= queue.virtual_time.get(clock, 0.0):
                 del flows[name]
+    prune_keys(queue.class_aging)
+    prune_keys(queue.workspace_aging)
+
+
+def requests_by_urgency(queue):
+    """Return the waiting requests with an urgency by urgency, the most urgent first.
+
+    Returns
+    -------
+    list of (tuple of int, list of Request)
+        Requests of each urgency in the order of their latest start.
+    """
+    found = {}
+    for flow in _waiting_with_urgency(queue):
+        found.setdefault(flow.urgency, []).extend(flow.requests)
+    for requests in found.values():
+        requests.sort(key=lambda request: request.latest_start_ms)
+    return sorted(found.items())
+
+
+def queued_ahead(queue, request):
+    """Return the requests that would be served before a new one with an urgency.
+
+    Parameters
+    ----------
+    queue : FairQueue
+    request : Request
+        Not queued.
+
+    Returns
+    -------
+    more_urgent : int
+        Waiting requests that are more urgent.
+    same : float
+        Waiting requests of the same urgency that fair sharing serves first.
+    guaranteed_share : float
+        Least share of the requests served that bounded aging gives to its urgency.
+    """
+    more_urgent = same = own = 0
+    weights = 0.0
+    classes = {request.urgency}
+    weight = 0.0
+    for flow in _waiting_with_urgency(queue):
+        classes.add(flow.urgency)
+        if flow.urgency < request.urgency:
+            more_urgent += len(flow.requests)
+        elif flow.urgency == request.urgency:
+            same += len(flow.requests)
+            weights += flow.weight
+            if flow.workspace == request.workspace:
+                own, weight = len(flow.requests), flow.weight
+    fair = own * weights / weight if weight else weights
+    return more_urgent, min(same, fair), GUARANTEED_SHARE / len(classes)
 
 
 def _update_totals(queue, flow, request):
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -24,12 +24,14 @@
     workspace_role,
 )
 from bluebellbeam.node.prompt_quarantine import check_quarantine
+from bluebellbeam.node.queue_rates import record_queue_arrival
 from bluebellbeam.node.reachability import has_lost_servers
 from bluebellbeam.node.retry_after import START_MS, start_retry_after_ms
 from bluebellbeam.node.routed import expected_routed_start_ms, resolve_route
 from bluebellbeam.node.server_limits import record_restricted_servers
 from bluebellbeam.node.shutdown import shutdown_error
 from bluebellbeam.node.stream_origins import is_continued, start_lookup
+from bluebellbeam.node.urgency import displace_less_urgent
 from bluebellbeam.node.wait_estimates import local_wait_ms
 from bluebellbeam.operations import (
     Busy,
@@ -107,6 +109,8 @@
         Error of an earlier check.
     now_ms : int
     """
+    if request.urgency:
+        record_queue_arrival(state, request, now_ms)
     if error is None and request.origin:
         error = _check_forwarded(state, request, now_ms)
     if error is None:
@@ -343,7 +347,11 @@
     """Return an error if the queue is full or the token rate is used up, else None."""
     workspace = state.base.workspaces[request.workspace]
     queue = state.queues.get(request.pool)
-    if queue is not None and queue.size >= state.policy.max_queue:
+    if (
+        queue is not None
+        and queue.size >= state.policy.max_queue
+        and not displace_less_urgent(state, queue, request, now_ms)
+    ):
         wait_ms = local_wait_ms(state, request.pool, request) or 0
         return make_error("queue_full", retry_after_ms=int(wait_ms))
     if not workspace.rate_tokens_per_s or not request.model:
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -26,6 +26,7 @@
 from bluebellbeam.node.server_checks import apply_response_load
 from bluebellbeam.node.stream_origins import tell_origin
 from bluebellbeam.node.targets import has_target_left
+from bluebellbeam.node.urgency import set_queue_order
 from bluebellbeam.operations import mark_not_run, record_outcome
 from bluebellbeam.recovery import (
     record_failure,
@@ -312,6 +313,7 @@
 def _requeue(state, request):
     """Return the request to the front of its workspace's queue."""
     request.state = "queued"
+    set_queue_order(state, request)
     weight = state.base.workspaces[request.workspace].weight
     push_request(state.queue(request.pool), request, weight, front=True)
 
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -15,6 +15,7 @@
 from bluebellbeam.node.forwarding import choose_faster_peer, choose_forward_peer
 from bluebellbeam.node.lending import may_run_locally, remote_score
 from bluebellbeam.node.load_exchange import announce_long_prompt
+from bluebellbeam.node.queue_rates import record_queue_start
 from bluebellbeam.node.reachability import has_lost_servers
 from bluebellbeam.node.request import Attempt
 from bluebellbeam.node.server_checks import check_unconfirmed
@@ -121,6 +122,8 @@
     if request.response_started or request.emitted_tokens:
         return make_error("upstream_truncated")
     retry_ms = state.retry_after_ms(request, 0.0, now_ms)
+    if request.urgency and not request.attempts:
+        return make_error("deadline_unreachable", retry_after_ms=retry_ms)
     return make_error("deadline_passed", retry_after_ms=retry_ms)
 
 
@@ -450,6 +453,8 @@
 
 def _new_attempt(state, request, now_ms):
     """Add an attempt; the first of a request credits the retry and hedge budgets."""
+    if request.urgency:
+        record_queue_start(state, request, now_ms)
     state.next_attempt_id += 1
     attempt = Attempt(state.next_attempt_id, request, "", "", now_ms)
     state.attempts[attempt.attempt_id] = attempt
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -77,6 +77,7 @@
     tick_lookups,
     tick_versions,
 )
+from bluebellbeam.node.urgency import reject_all_hopeless
 from bluebellbeam.operations import expire_operations, issue_operation
 from bluebellbeam.routing import apply_cache_events, prune_leaving
 from bluebellbeam.routing.policies import EstimatePolicy
@@ -124,6 +125,7 @@
             tick_load_exchange(state, now_ms)
             tick_quarantine(state, now_ms)
             dispatch_all_pools(state, now_ms)
+            reject_all_hopeless(state, now_ms)
         tick_readiness(state, now_ms)
         tick_shutdown(state, now_ms)
         if now_ms >= state.next_slow_tick_ms:
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -66,6 +66,12 @@
     cost : float
         Cost for fair queueing: expected slot time in ms or, for a routed prompt,
         weighted tokens.
+    urgency : tuple of int
+        Ranks of a routed request in its queue, the most urgent lowest; empty where
+        the order does not depend on urgency.
+    latest_start_ms : int
+        Latest start at which the first event of a request with an urgency can still
+        meet its objective.
     arrival_ms : int
         Time of arrival at this daemon.
     deadline_ms : int
@@ -137,6 +143,8 @@
         "sends_before_arrival",
         "expected_ms",
         "priority",
+        "urgency",
+        "latest_start_ms",
         "cost",
         "arrival_ms",
         "deadline_ms",
@@ -177,6 +185,8 @@
         self.trial_part = values.pop("trial_part", "")
         self.host = values.pop("host", "")
         self.route = None
+        self.urgency = ()
+        self.latest_start_ms = 0
         self.attempt_key = values.pop("attempt_key", "")
         self.queue_deadline_ms = 0
         self.response_deadline_ms = values.pop("response_deadline_ms", 0)
--- a/bluebellbeam/node/retry_after.py
+++ b/bluebellbeam/node/retry_after.py
@@ -11,6 +11,7 @@
     "make_refusal_table",
     "record_refusal",
     "start_retry_after_ms",
+    "usable_retry_after_ms",
 ]
 
 MIN_RETRY_AFTER_MS = 700
@@ -33,6 +34,9 @@
 """Time after its start by which a daemon knows the members and servers that it can
 reach; until then, that it knows none does not last."""
 
+MAX_WAIT_FRACTION = 3.0
+"""Callers wait at most the time they have left divided by this."""
+
 JITTER_SHARE = 0.5
 """Width of the jitter, relative to the Retry-After time and centred on it."""
 
@@ -81,6 +85,38 @@
     return int(min(MAX_RETRY_AFTER_MS, _jittered(delay_ms, rng)))
 
 
+def usable_retry_after_ms(table, pool, wait_ms, left_ms, is_growing, now_ms, rng):
+    """Record a refusal; return a Retry-After time in ms that its caller can use.
+
+    Parameters
+    ----------
+    table : RefusalTable
+    pool : str
+    wait_ms : float
+        Time in ms by which the expected wait exceeds the caller's limit.
+    left_ms : float
+        Time in ms to the deadline of the caller, which waits a third of it at most.
+    is_growing : bool
+        Whether the wait grows: requests arrive faster than they are served.
+    now_ms : int
+    rng : random.Random
+
+    Returns
+    -------
+    int
+        At most a third of `left_ms` if the pool can be expected to serve the request
+        then; otherwise the time after which it can.
+    """
+    delay_ms = record_refusal(table, pool, wait_ms, now_ms, rng)
+    lasted_ms = now_ms - table.overload_since_ms[pool]
+    expected_ms = max(wait_ms, lasted_ms) if is_growing else wait_ms
+    usable_ms = left_ms / MAX_WAIT_FRACTION
+    if expected_ms > usable_ms:
+        return max(delay_ms, int(min(MAX_RETRY_AFTER_MS, expected_ms)))
+    delay_ms = _jittered(max(MIN_RETRY_AFTER_MS, expected_ms), rng)
+    return int(min(usable_ms, max(expected_ms, delay_ms)))
+
+
 def start_retry_after_ms(age_ms, rng):
     """Return the Retry-After time in ms of a daemon that cannot serve requests yet.
 
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -8,6 +8,11 @@
 
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.forwarding import expected_forward_start_ms, forward_targets
+from bluebellbeam.node.urgency import (
+    queue_urgency,
+    set_queue_order,
+    urgency_wait_ms,
+)
 from bluebellbeam.node.wait_estimates import (
     limited_wait_ms,
     local_wait_ms,
@@ -62,6 +67,8 @@
     request.max_attempts = route.max_attempts
     _set_costs(state, request)
     _set_times(request, route, now_ms)
+    request.urgency = queue_urgency(state, request)
+    set_queue_order(state, request)
     return None
 
 
@@ -152,7 +159,12 @@
     fastest server, divided by `MAX_LATE_START_FACTOR`. A prompt is thus admitted
     if that time is at most its objective times the factor.
     """
-    wait_ms = local_wait_ms(state, request.pool, request) or 0.0
+    wait_ms = urgency_wait_ms(state, request, now_ms)
+    if wait_ms is None:
+        wait_ms = local_wait_ms(state, request.pool, request) or 0.0
+    else:
+        # Of two requests, the one that can still be in time is to get the slot.
+        wait_ms += request.start_deadline_ms - request.latest_start_ms
     speed = prefill_speed(state.base, request)
     if not speed:
         return wait_ms
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -20,7 +20,12 @@
     MAX_DIRECT_ANNOUNCES,
     MEMBER_PULL_INTERVAL_MS,
 )
-from bluebellbeam.node.retry_after import make_refusal_table, record_refusal
+from bluebellbeam.node.queue_rates import is_demand_above_capacity
+from bluebellbeam.node.retry_after import (
+    make_refusal_table,
+    record_refusal,
+    usable_retry_after_ms,
+)
 from bluebellbeam.operations import make_ledger
 from bluebellbeam.origins import make_origin_table, make_version_table
 from bluebellbeam.quarantine import make_evidence_table, make_quarantine_table
@@ -298,6 +303,10 @@
     part_cache : PartCache
         Checked parts of the active configuration, reused for the next one.
     rng : random.Random
+    shared_machine_services : set of str
+        Services whose servers report the duration of work on their machine.
+    queue_rates : dict of str to QueueRates
+        Rates of arrivals and starts, by pool whose order depends on urgency.
     pending_commands : list
         Commands not yet returned to the I/O layer.
     """
@@ -358,6 +367,8 @@
         "feed_pulled_ms",
         "routing_policy",
         "rng",
+        "shared_machine_services",
+        "queue_rates",
         "pending_commands",
         "baseline_choices",
         "entry_rankings",
@@ -431,6 +442,8 @@
         self.feed_pulled_ms = {}
         self.routing_policy = "estimate"
         self.rng = random.Random(seed)
+        self.shared_machine_services = set()
+        self.queue_rates = {}
         self.pending_commands = []
         self.baseline_choices = 0
         self.entry_rankings = 0
@@ -529,6 +542,16 @@
         """
         if request.route is None:
             return int(wait_ms)
+        if request.urgency:
+            return usable_retry_after_ms(
+                self.refusals,
+                request.pool,
+                wait_ms,
+                request.response_deadline_ms - now_ms,
+                is_demand_above_capacity(self, request.pool, request.urgency, now_ms),
+                now_ms,
+                self.rng,
+            )
         return record_refusal(self.refusals, request.pool, wait_ms, now_ms, self.rng)
 
     def retry_budget(self, request):
--- a/bluebellbeam/node/tests/test_retry_after.py
+++ b/bluebellbeam/node/tests/test_retry_after.py
@@ -1,7 +1,11 @@
 import random
 import unittest
 
-from bluebellbeam.node.retry_after import start_retry_after_ms
+from bluebellbeam.node.retry_after import (
+    make_refusal_table,
+    start_retry_after_ms,
+    usable_retry_after_ms,
+)
 from bluebellbeam.node.tests.harness import Harness, final_errors, server
 
 
@@ -58,5 +62,37 @@
         self.assertEqual(final_errors(harness.send_request()), [])
 
 
+class TestUsableDelay(unittest.TestCase):
+    """A caller uses a delay of at most a third of the time that it has left."""
+
+    def delay_ms(self, wait_ms, left_ms, is_growing=False, lasted_ms=0):
+        table = make_refusal_table()
+        rng = random.Random(1)
+        for at_ms in range(0, lasted_ms, 500):
+            usable_retry_after_ms(table, "p", wait_ms, left_ms, is_growing, at_ms, rng)
+        return [
+            usable_retry_after_ms(
+                table, "p", wait_ms, left_ms, is_growing, lasted_ms, rng
+            )
+            for _ in range(50)
+        ]
+
+    def test_delay_covers_the_wait_within_a_third_of_the_time_left(self):
+        delays = self.delay_ms(800, 4000)
+        self.assertGreaterEqual(min(delays), 800)
+        self.assertLessEqual(max(delays), 1334)
+        self.assertGreater(len(set(delays)), 10)
+
+    def test_short_time_left_limits_the_jitter(self):
+        self.assertLessEqual(max(self.delay_ms(0, 1800)), 600)
+
+    def test_wait_beyond_a_third_is_stated_as_it_is(self):
+        self.assertGreaterEqual(min(self.delay_ms(2000, 3000)), 2000)
+
+    def test_growing_overload_is_expected_to_last_as_long_again(self):
+        self.assertGreaterEqual(min(self.delay_ms(0, 9000, True, 2500)), 2500)
+        self.assertLessEqual(max(self.delay_ms(0, 9000, False, 2500)), 1000)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/bluebellbeam/routing/__init__.py
+++ b/bluebellbeam/routing/__init__.py
@@ -67,6 +67,7 @@
     record_limit,
     spend_limit,
 )
+from bluebellbeam.routing.shared_machines import has_shared_machines
 from bluebellbeam.routing.stream_origin import StreamOrigin, may_continue_at
 from bluebellbeam.routing.warmup import is_cold, record_send
 
@@ -95,6 +96,7 @@
     "entry_role",
     "estimate_local",
     "estimate_remote",
+    "has_shared_machines",
     "is_available",
     "is_cold",
     "is_limit_sender",
