--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -28,6 +28,7 @@
 from bluebellbeam.node.stream_origins import tell_origin
 from bluebellbeam.node.targets import has_target_left
 from bluebellbeam.node.trials import record_evidence
+from bluebellbeam.node.urgency import set_queue_order
 from bluebellbeam.operations import mark_not_run, record_outcome
 from bluebellbeam.recovery import (
     record_failure,
@@ -319,6 +320,7 @@
     # The workspace may have been removed since the request was admitted.
     workspace = state.base.workspaces.get(request.workspace)
     weight = workspace.weight if workspace is not None else 1.0
+    set_queue_order(state, request)
     push_request(state.queue(request.pool), request, weight, front=True)
 
 
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -90,6 +90,7 @@
     tick_lookups,
     tick_versions,
 )
+from bluebellbeam.node.urgency import reject_all_hopeless
 from bluebellbeam.operations import expire_operations, issue_operation
 from bluebellbeam.routing import apply_cache_events, prune_leaving
 from bluebellbeam.routing.policies import EstimatePolicy
@@ -187,6 +188,7 @@
             self._run("tick_quarantine", tick_quarantine, state, now_ms)
             self._run("tick_quotas", _tick_quotas, state, now_ms)
             self._run("dispatch_all_pools", dispatch_all_pools, state, now_ms)
+            self._run("reject_all_hopeless", reject_all_hopeless, state, now_ms)
         self._run("tick_readiness", tick_readiness, state, now_ms)
         self._run("tick_shutdown", tick_shutdown, state, now_ms)
         if now_ms >= state.next_slow_tick_ms:
--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -276,6 +276,8 @@
 def apply_response_load(state, row, load, now_ms):
     """Apply the load that a server has reported with a response."""
     apply_load_header(state.replicas, row, load, now_ms)
+    if getattr(load, "duration_percent", 0):
+        state.shared_machine_services.add(row.service)
     if load.leaving:
         mark_server_leaving(state, row)
 
