--- a/bluebellbeam/admission/quota.py
+++ b/bluebellbeam/admission/quota.py
@@ -230,9 +230,9 @@
         self.requested_ms = now_ms
 
 
-def make_quota_ledger(epoch, now_ms):
-    """Return a ledger with an empty bucket."""
-    return QuotaLedger(epoch, now_ms)
+def make_quota_ledger(epoch, since_ms):
+    """Return a ledger whose bucket was empty at `since_ms`."""
+    return QuotaLedger(epoch, since_ms)
 
 
 def has_contact(ledger, region, now_ms):
--- a/bluebellbeam/node/quotas.py
+++ b/bluebellbeam/node/quotas.py
@@ -179,6 +179,10 @@
     owners_key : tuple
         Generation of the members that `owners` is for, and whether this daemon was
         leaving.
+    region_members : list of str or None
+        Members of the region at the last tick.
+    region_since_ms : int or None
+        Time since which they are the same.
     counts : RegionCounts or None
     counted_ms : int
     daemons : int
@@ -205,6 +209,8 @@
         "next_number",
         "owners",
         "owners_key",
+        "region_members",
+        "region_since_ms",
         "counts",
         "counted_ms",
         "daemons",
@@ -227,6 +233,8 @@
         self.next_number = 1
         self.owners = {}
         self.owners_key = ()
+        self.region_members = None
+        self.region_since_ms = None
         self.counts = None
         self.counted_ms = 0
         self.daemons = 1
@@ -440,12 +448,20 @@
 
 
 def _find_ledger(state, workspace, now_ms):
-    """Return the ledger of a workspace, started if there is none."""
+    """Return the ledger of a workspace, started if there is none.
+
+    Its bucket was empty when the members of the region last changed, or is empty if
+    another daemon should hold it: that one may have granted the burst before.
+    """
     table = state.quotas
     ledger = table.ledgers.get(workspace)
     if ledger is None:
         epoch = state.rng.randrange(1, 1 << 30)
-        ledger = table.ledgers[workspace] = make_quota_ledger(epoch, now_ms)
+        since_ms = now_ms
+        owner = _owners(state, workspace, state.region)[0]
+        if owner == state.identity.vm and table.region_since_ms is not None:
+            since_ms = table.region_since_ms
+        ledger = table.ledgers[workspace] = make_quota_ledger(epoch, since_ms)
         table.started.append(workspace)
     return ledger
 
@@ -567,6 +583,10 @@
         As for :func:`handle_token_grant`.
     """
     table = state.quotas
+    members = state.region_members()
+    if members is not table.region_members and members != table.region_members:
+        table.region_since_ms = now_ms
+    table.region_members = members
     if not (table.ledgers or table.held):
         return []
     ended = _end_slow_queries(state, now_ms)
@@ -709,7 +729,7 @@
     table = state.quotas
     if table.started:
         fields = {"ledgers": len(table.started), "workspaces": table.started[:5]}
-        state.emit(Log("quota", "start ledgers with empty buckets", fields=fields))
+        state.emit(Log("quota", "start ledgers", fields=fields))
         table.started = []
     for daemon, sent_ms in list(table.report_sent_ms.items()):
         row = state.members.rows.get(daemon)
