--- a/bluebellbeam/platform/tests/test_cut_daemons.py
+++ b/bluebellbeam/platform/tests/test_cut_daemons.py
@@ -25,10 +25,10 @@
     pool = driver.connection_pool
     acquire = pool.acquire
 
-    async def acquire_cut(key, address, cross_region=False):
+    async def acquire_cut(key, address, cross_region=False, once=False):
         idle = how == "live on" and pool.idle.get(key)
         if key[0] not in deployment.replicas or idle:
-            return await acquire(key, address, cross_region)
+            return await acquire(key, address, cross_region, once)
         if how == "hang":
             await asyncio.sleep(CONNECT_TIMEOUT_S)
         text = f"no connection to {address}: cut"
