--- a/bluebellbeam/daemon/listener.py
+++ b/bluebellbeam/daemon/listener.py
@@ -236,8 +236,9 @@
     """
     for connection in list(server.connections):
         http = connection.http
-        unused = http is None or (http.stage is Stage.IDLE and not http.recv_buffer)
-        if unused and connection.transport is not None:
+        # Bytes may have been read before the task of a new connection starts.
+        idle = http is None or http.stage is Stage.IDLE
+        if idle and not connection.recv_buffer and connection.transport is not None:
             connection.transport.close()
     return len(server.connections)
 
