Limit the streams of a server by their expected completion

Servers that compute long prompts between decoding steps were given more streams than they could finish: a stream started at once and reached its deadline after 10 s.

For servers whose load header has a fourth figure, the daemon measures the intervals between events four times per second and stream, and the node keeps their average by level of occupancy (routing/completion.py). A stream that no permitted server can complete is rejected at once, and requests behind it are served. A server whose gaps exceed their objective gets a long prompt only if no other is available. The load of such a server is applied with the first event of a stream instead of its end.

--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -35,6 +35,9 @@
 REFUSAL_BODY_TIMEOUT_S = 0.2
 """Longest time to read that body; the refusal is known from the head."""
 
+EVENT_REPORT_INTERVAL_MS = 250
+"""Interval at which the events of a stream are reported to the node."""
+
 EVENT_STREAM = "text/event-stream"
 
 
@@ -66,6 +69,55 @@
         self.origin = None
 
 
+class _EventMeter:
+    """Reports the events of a stream to the node at short intervals.
+
+    The load in the header of a stream is reported with its first event, since it is
+    seconds old when the stream ends.
+    """
+
+    __slots__ = ("driver", "attempt_id", "load", "since_ms", "last_ms", "events", "gap")
+
+    def __init__(self, driver, attempt_id, load):
+        self.driver = driver
+        self.attempt_id = attempt_id
+        self.load = load
+        self.since_ms = self.last_ms = None
+        self.events = self.gap = 0
+
+    def count(self, events):
+        """Count events that have just arrived."""
+        now_ms = self.driver.clock.now_ms()
+        if self.last_ms is None:
+            self.since_ms = self.last_ms = now_ms
+            self._report(now_ms)
+            return
+        self.events += events
+        self.gap = max(self.gap, now_ms - self.last_ms)
+        self.last_ms = now_ms
+        if now_ms - self.since_ms >= EVENT_REPORT_INTERVAL_MS:
+            self._report(now_ms)
+
+    def _report(self, now_ms):
+        elapsed_ms = now_ms - self.since_ms
+        self.driver.handle(
+            ev.StreamProgressed(
+                self.attempt_id, self.events, elapsed_ms, self.gap, self.load
+            )
+        )
+        self.load = None
+        self.since_ms = now_ms
+        self.events = self.gap = 0
+
+
+def _make_event_meter(driver, command, response):
+    """Return a meter for a server that reports the duration of its work, or None."""
+    load = response.load
+    if not command.server or load is None or not load.duration_percent:
+        return None
+    return _EventMeter(driver, command.attempt_id, load)
+
+
 async def run_routed_attempt(driver, command):
     """Run the attempt of a :class:`StartAttempt` and report its result.
 
@@ -287,12 +339,15 @@
     if command.peer and bound is not None and progress.origin != bound:
         raise UpstreamError("the peer continued the stream at another version")
     splitter = make_event_splitter()
+    meter = _make_event_meter(driver, command, response)
     while data := await connection.read_some():
         events = splitter.feed(data)
         if not events:
             continue
         if not _report_start(driver, command, progress):
             return
+        if meter is not None:
+            meter.count(len(events))
         await _put_events(exchange, connection.status, response, events)
     if not connection.is_framed:
         _log_unframed_end(driver, command, exchange.emitted, len(splitter.rest))
@@ -302,7 +357,8 @@
     if splitter.rest:
         await _put_events(exchange, connection.status, response, [("", splitter.rest)])
     progress.settled = True
-    _report_finish(driver, command, connection, exchange.emitted, response.load)
+    load = response.load if meter is None else None
+    _report_finish(driver, command, connection, exchange.emitted, load)
     if not exchange.head_sent:
         exchange.head_sent = True
         await exchange.put(Head(connection.status, response.passed))
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -41,6 +41,7 @@
     record_miss,
     record_response,
 )
+from bluebellbeam.routing.completion import record_events, record_stream_end
 
 __all__ = [
     "handle_attempt_failed",
@@ -48,6 +49,7 @@
     "handle_attempt_refused",
     "handle_attempt_started",
     "handle_caller_disconnect",
+    "handle_stream_progress",
     "tick_requests",
 ]
 
@@ -101,6 +103,17 @@
         update_pace(state.replicas, row, observed_ms, attempt.base_ms, now_ms)
 
 
+def handle_stream_progress(state, event, now_ms):
+    """Record the intervals between the events of a running stream."""
+    attempt = state.attempts.get(event.attempt_id)
+    row = attempt_replica(state, attempt) if attempt is not None else None
+    if row is None:
+        return
+    if event.load is not None:
+        apply_response_load(state, row, event.load, now_ms)
+    record_events(row, event.events, event.elapsed_ms, event.longest_gap_ms, now_ms)
+
+
 def _record_origin(state, request, attempt, origin, now_ms):
     """Record where the stream of a routed request began, with its first event.
 
@@ -142,6 +155,8 @@
     row = attempt_replica(state, attempt)
     if row is not None:
         record_success(row)
+        if event.output_tokens:
+            record_stream_end(row, event.output_tokens, request.max_output_tokens)
     end_attempt(state, attempt, now_ms, completed=True)
     if row is not None and event.load is not None:
         apply_response_load(state, row, event.load, now_ms)
--- a/bluebellbeam/node/event.py
+++ b/bluebellbeam/node/event.py
@@ -70,6 +70,27 @@
     origin: StreamOrigin | None = None
 
 
+class StreamProgressed(Struct, frozen=True):
+    """Events of a stream of a backend server that reports the duration of its work.
+
+    Parameters
+    ----------
+    attempt_id : int
+    events : int
+        Events received since the previous report of this attempt.
+    elapsed_ms, longest_gap_ms : int
+        Time since then, and longest time between two events.
+    load : LoadHeader or None
+        Load in the header of the response, with the first report only.
+    """
+
+    attempt_id: int
+    events: int
+    elapsed_ms: int
+    longest_gap_ms: int
+    load: LoadHeader | None = None
+
+
 class AttemptFinished(Struct, frozen=True):
     """The complete response to an attempt has been received.
 
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -15,6 +15,7 @@
     handle_attempt_refused,
     handle_attempt_started,
     handle_caller_disconnect,
+    handle_stream_progress,
     tick_requests,
 )
 from bluebellbeam.node.brittle_services import handle_brittle_stated
@@ -185,6 +186,8 @@
             receive_request(state, request, now_ms)
         case ev.AttemptStarted():
             handle_attempt_started(state, event, now_ms)
+        case ev.StreamProgressed():
+            handle_stream_progress(state, event, now_ms)
         case ev.AttemptFinished():
             handle_attempt_finished(state, event, now_ms)
         case ev.AttemptFailed():
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -8,6 +8,7 @@
 
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.forwarding import expected_forward_start_ms, forward_targets
+from bluebellbeam.node.targets import may_complete_locally
 from bluebellbeam.node.wait_estimates import (
     limited_wait_ms,
     local_wait_ms,
@@ -28,6 +29,10 @@
 """A prompt is admitted if its first event is expected within this many times its
 objective: estimates are rough, and a late response still has some value."""
 
+COMPLETION_RETRY_MS = 250
+"""Time in ms by which a stream that no local server can complete in time is late: the
+interval at which the speed of servers is observed."""
+
 OUTPUT_COST_FACTOR = 10.0
 """Cost of an output token relative to a prompt token, for fair queueing."""
 
@@ -133,7 +138,11 @@
     waits = []
     if state.region in request.allowed:
         if _has_local_server(state, request):
-            waits.append(_local_start_ms(state, request, now_ms))
+            local_ms = _local_start_ms(state, request, now_ms)
+            if not may_complete_locally(state, request, now_ms):
+                late_ms = request.start_deadline_ms - now_ms + COMPLETION_RETRY_MS
+                local_ms = max(local_ms, late_ms)
+            waits.append(local_ms)
         limited_ms = limited_wait_ms(state, request.pool, now_ms)
         if limited_ms is not None:
             waits.append(limited_ms)
--- a/bluebellbeam/routing/load_estimate.py
+++ b/bluebellbeam/routing/load_estimate.py
@@ -1,5 +1,6 @@
 """Estimates of the load at a backend server, from its reports and other daemons'."""
 
+from bluebellbeam.routing.completion import apply_duration
 from bluebellbeam.routing.replica import record_response, reindex
 
 __all__ = [
@@ -45,6 +46,7 @@
 def apply_load_header(table, replica, load, now_ms):
     """Update `replica` from the load header of one of its responses."""
     _apply_counts(replica, load, now_ms)
+    apply_duration(replica, load.duration_percent, now_ms)
     reindex(table, replica)
 
 
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -131,6 +131,9 @@
         the other servers of its pool; at least 1. Derived, never observed itself.
     malformed_load : bool
         Whether it has sent a load header that cannot be read.
+    event_pace : EventPace or None
+        Intervals between the events of its streams; None if it does not report the
+        duration of work on its machine.
     misses : int
         Consecutive health checks and connections without a response.
     failures : int
@@ -193,6 +196,7 @@
         "served_ms",
         "slowness",
         "malformed_load",
+        "event_pace",
         "misses",
         "failures",
         "ejections",
@@ -247,6 +251,7 @@
         self.served_ms = 0
         self.slowness = 1.0
         self.malformed_load = False
+        self.event_pace = None
         self.misses = 0
         self.failures = 0
         self.ejections = 0
--- a/bluebellbeam/routing/replica_ranking.py
+++ b/bluebellbeam/routing/replica_ranking.py
@@ -12,6 +12,7 @@
 from bluebellbeam.routing.affinity import server_preference
 from bluebellbeam.routing.batch import has_batch_room, should_defer_batch
 from bluebellbeam.routing.brittle import has_brittle_room, is_brittle
+from bluebellbeam.routing.completion import exceeds_gap, may_complete
 from bluebellbeam.routing.estimate import (
     estimate_local,
     prefill_speed,
@@ -36,6 +37,11 @@
 generates tokens more slowly then; in proportion at other occupancies."""
 
 
+GAP_PENALTY_MS = 60_000.0
+"""Penalty on a server whose streams already exceed their longest permitted gap. Larger
+than any expected wait, so another server with free capacity is preferred."""
+
+
 class Candidate(Struct):
     """A scored backend server, kept for the decision log.
 
@@ -78,18 +84,23 @@
     preferred, penalty_ms = (
         server_preference(state, request, speed) if replicas else ("", 0.0)
     )
+    gap_ms = request.route.pause_objective_ms if request.route is not None else 0
     scored = []
     for replica in replicas:
         cached = cached_tokens(
             state.prefixes, replica.name, request, state.block_tokens
         )
         estimate = estimate_local(replica, request, speed, region, cached, now_ms)
+        if not may_complete(replica, request, estimate.first_token_ms, now_ms):
+            continue
         score = score_estimate(estimate, state.objective)
         score += separation_penalty_ms(state, replica, request)
         if request.service:
             score += CROWDING_PENALTY_MS * replica.occupancy() / replica.slots
         if preferred and replica.name != preferred:
             score += penalty_ms
+        if exceeds_gap(replica, estimate.uncached_tokens, gap_ms, now_ms):
+            score += GAP_PENALTY_MS
         scored.append(Candidate(replica.name, score, estimate, cached))
     scored.sort(key=lambda item: (item.score, item.server))
     if scored and should_defer_batch(state, request, scored[0], now_ms):
