--- a/bluebellbeam/node/dump.py
+++ b/bluebellbeam/node/dump.py
@@ -356,8 +356,10 @@
     rows = [
         CounterRow(name, getattr(counters, name))
         for name in sorted(counters.__slots__)
-        if name not in ("errors", "turned_away")
+        if name not in ("errors", "turned_away", "exceptions")
     ]
+    if counters.exceptions:
+        rows.append(CounterRow("exceptions", counters.exceptions))
     rows.append(CounterRow("lease_switches", state.borrower.switches))
     rows.append(CounterRow("leases_granted", state.lender.granted))
     rows.append(CounterRow("leases_refused", state.lender.refused))
