Share regional peaks before the queue of a region is long

Cause: a request is forwarded only once no local slot is free or its local wait is long, and only to the few daemons of other regions that have offered lately, each no more than its part of the free slots. With many daemons in a region, most free slots elsewhere stay unused during a peak.

Change: for services whose servers share machines, each daemon compares the arrivals of its callers and their change with the capacity of its region, and forwards the excess: small requests first, spread over the other regions by their free capacity, to any daemon there, if the round trip fits the objective. A region that rejects is excluded until it offers again. No message is added or longer. Start and end are logged; the share is a metric and in the state dump (table regional_loads, empty elsewhere).

--- a/bluebellbeam/daemon/metrics.py
+++ b/bluebellbeam/daemon/metrics.py
@@ -111,6 +111,15 @@
         queue = state.queues.get(pool)
         queued.add_metric([pool], queue.size if queue else 0)
         waits.add_metric([pool], (local_wait_ms(state, pool) or 0.0) / 1000.0)
+    if state.regional_loads:
+        shares = GaugeMetricFamily(
+            "bluebellbeam_pool_offloaded_share",
+            "Share of requests sent to other regions to relieve this one.",
+            labels=["pool"],
+        )
+        for pool, load in sorted(state.regional_loads.items())[:MAX_POOL_LABELS]:
+            shares.add_metric([pool], load.share)
+        yield shares
     yield slots
     yield queued
     yield waits
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -26,6 +26,7 @@
 from bluebellbeam.node.prompt_quarantine import check_quarantine
 from bluebellbeam.node.queue_rates import record_queue_arrival
 from bluebellbeam.node.reachability import has_lost_servers
+from bluebellbeam.node.regional_load import record_routed_demand
 from bluebellbeam.node.retry_after import START_MS, start_retry_after_ms
 from bluebellbeam.node.routed import expected_routed_start_ms, resolve_route
 from bluebellbeam.node.server_limits import record_restricted_servers
@@ -45,6 +46,7 @@
     issue_operation,
     may_have_run,
 )
+from bluebellbeam.routing import has_shared_machines
 from bluebellbeam.routing.entry import rank_entries
 from bluebellbeam.routing.policies import is_baseline
 
@@ -111,6 +113,8 @@
     """
     if request.urgency:
         record_queue_arrival(state, request, now_ms)
+    if request.route is not None and has_shared_machines(state, request.service):
+        record_routed_demand(state, request, now_ms)
     if error is None and request.origin:
         error = _check_forwarded(state, request, now_ms)
     if error is None:
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -22,6 +22,7 @@
     record_lost_prompt,
     record_refused_connection,
 )
+from bluebellbeam.node.regional_load import exclude_rejecting_region
 from bluebellbeam.node.retries import REFUSED_RETRY_AFTER_MS, add_sends, consume_retry
 from bluebellbeam.node.server_checks import apply_response_load
 from bluebellbeam.node.stream_origins import tell_origin
@@ -174,6 +175,7 @@
         until_ms = now_ms + max(LENDER_BACKOFF_MS, min(error.retry_after_ms, 10_000))
         key = (attempt.peer, request.pool)
         state.borrower.refused_until_ms[key] = until_ms
+        exclude_rejecting_region(state, request, attempt.peer, now_ms)
         state.borrower.rows.pop(attempt.lease_id, None)
         if error.code in UNSERVED_CODES and request.route is not None:
             exclude_region(state, request, attempt.peer)
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -12,7 +12,11 @@
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.command import CancelAttempt, SendErrorResponse, StartAttempt
 from bluebellbeam.node.errors import make_error
-from bluebellbeam.node.forwarding import choose_faster_peer, choose_forward_peer
+from bluebellbeam.node.forwarding import (
+    choose_faster_peer,
+    choose_forward_peer,
+    choose_offload_peer,
+)
 from bluebellbeam.node.lending import may_run_locally, remote_score
 from bluebellbeam.node.load_exchange import announce_long_prompt
 from bluebellbeam.node.queue_rates import record_queue_start
@@ -187,7 +191,9 @@
     """Start a routed request locally or forward it; see :func:`_try_start`."""
     if local:
         local_ms = local[0].estimate.first_token_ms
-        member = choose_faster_peer(state, request, local_ms, now_ms)
+        member = choose_offload_peer(state, request, now_ms)
+        if member is None:
+            member = choose_faster_peer(state, request, local_ms, now_ms)
         if member is None:
             return _start_at_server(state, queue, request, local, now_ms), False
     else:
--- a/bluebellbeam/node/dump.py
+++ b/bluebellbeam/node/dump.py
@@ -148,6 +148,30 @@
     left_ms: int
 
 
+class RegionalLoadRow(Struct):
+    """A pool whose regional peaks are shared.
+
+    Parameters
+    ----------
+    pool : str
+    share : float
+        Share of its requests that is offloaded.
+    demand_per_s, capacity_per_s : float
+        Requests per second expected in the region, and that its servers can serve.
+    regions : dict of str to float
+        Requests per second to send to each region.
+    excluded : tuple of str
+        Regions that have rejected a request and not offered since.
+    """
+
+    pool: str
+    share: float
+    demand_per_s: float
+    capacity_per_s: float
+    regions: dict[str, float]
+    excluded: tuple[str, ...]
+
+
 class QuarantineRow(Struct):
     """A prompt part in quarantine.
 
@@ -344,6 +368,20 @@
     ]
 
 
+def _regional_load_rows(state, now_ms):
+    return [
+        RegionalLoadRow(
+            pool,
+            round(load.share, 3),
+            round(load.demand_per_s, 1),
+            round(load.capacity_per_s, 1),
+            {name: round(rate, 1) for name, rate in load.regions.items()},
+            tuple(sorted(load.excluded)),
+        )
+        for pool, load in sorted(state.regional_loads.items())
+    ]
+
+
 def _operation_rows(state, now_ms):
     counts = {"issued": state.ledger.issued}
     for row in state.ledger.rows.values():
@@ -377,6 +415,7 @@
     "pools": _pool_rows,
     "requests": _request_rows,
     "leases": _lease_rows,
+    "regional_loads": _regional_load_rows,
     "quarantines": _quarantine_rows,
     "operations": _operation_rows,
     "counters": _counter_rows,
--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -3,12 +3,14 @@
 from bluebellbeam.borrowing import record_offer, usable_offers
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.reachability import has_lost_servers, has_room_at_lost_servers
+from bluebellbeam.node.regional_load import choose_offload, is_region_excluded
 from bluebellbeam.origins import live_versions
 from bluebellbeam.routing import cached_tokens, may_continue_at, prefill_speed
 
 __all__ = [
     "choose_faster_peer",
     "choose_forward_peer",
+    "choose_offload_peer",
     "exclude_region",
     "expected_forward_start_ms",
     "forward_targets",
@@ -96,11 +98,54 @@
     return member if remote_ms <= MAX_FORWARD_TIME_RATIO * local_ms else None
 
 
+def choose_offload_peer(state, request, now_ms):
+    """Return a daemon of another region to which a peak is offloaded, or None.
+
+    The region can start the request within its objective, the round trip included. All
+    daemons of a region use the same servers, so any of them will do: only few have
+    offered lately, and each offers no more than its part of the free slots.
+
+    Parameters
+    ----------
+    state : NodeState
+    request : Request
+    now_ms : int
+
+    Returns
+    -------
+    Member or None
+    """
+    region = choose_offload(state, request, now_ms)
+    if region is None:
+        return None
+    offers = [
+        offer
+        for offer in _usable_offers_by_lender(state, request, now_ms).values()
+        if offer.region == region
+    ]
+    if not offers:
+        return None
+    newest = max(offers, key=lambda offer: (offer.heard_ms, offer.lender))
+    left_ms = request.start_deadline_ms - now_ms
+    if forward_first_event_ms(state, request, newest) > left_ms:
+        return None
+    peers = [
+        row
+        for row in forward_targets(state, request, neighbours=False)
+        if row.region == region and not _has_refused(state, request, row, now_ms)
+    ]
+    return state.rng.choice(peers) if peers else None
+
+
 def _usable_offers_by_lender(state, request, now_ms):
     """Return the usable offers of other regions for a request, by lender."""
     allowed = request.allowed - {state.region}
     offers = usable_offers(state.borrower, request.pool, allowed, now_ms)
-    return {offer.lender: offer for offer in offers}
+    return {
+        offer.lender: offer
+        for offer in offers
+        if not is_region_excluded(state, request.pool, offer.region)
+    }
 
 
 def record_forward_offer(state, event, now_ms):
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -59,6 +59,7 @@
 )
 from bluebellbeam.node.readiness import tick_readiness
 from bluebellbeam.node.reconfiguration import apply_config_to_queued
+from bluebellbeam.node.regional_load import tick_regional_loads
 from bluebellbeam.node.server_checks import (
     handle_health_check,
     handle_leaving_stated,
@@ -124,6 +125,7 @@
             tick_leases(state, now_ms)
             tick_load_exchange(state, now_ms)
             tick_quarantine(state, now_ms)
+            tick_regional_loads(state, now_ms)
             dispatch_all_pools(state, now_ms)
             reject_all_hopeless(state, now_ms)
         tick_readiness(state, now_ms)
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -305,6 +305,8 @@
     rng : random.Random
     shared_machine_services : set of str
         Services whose servers report the duration of work on their machine.
+    regional_loads : dict of str to RegionalLoad
+        Demand and offloaded share, by pool whose servers share machines.
     queue_rates : dict of str to QueueRates
         Rates of arrivals and starts, by pool whose order depends on urgency.
     pending_commands : list
@@ -369,6 +371,7 @@
         "rng",
         "shared_machine_services",
         "queue_rates",
+        "regional_loads",
         "pending_commands",
         "baseline_choices",
         "entry_rankings",
@@ -444,6 +447,7 @@
         self.rng = random.Random(seed)
         self.shared_machine_services = set()
         self.queue_rates = {}
+        self.regional_loads = {}
         self.pending_commands = []
         self.baseline_choices = 0
         self.entry_rankings = 0
