--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -72,6 +72,7 @@
 )
 from bluebellbeam.node.readiness import tick_readiness
 from bluebellbeam.node.reconfiguration import apply_config_to_queued
+from bluebellbeam.node.regional_load import tick_regional_loads
 from bluebellbeam.node.server_checks import (
     handle_health_check,
     handle_leaving_stated,
@@ -188,6 +189,7 @@
             self._run("tick_load_exchange", tick_load_exchange, state, now_ms)
             self._run("tick_quarantine", tick_quarantine, state, now_ms)
             self._run("tick_quotas", _tick_quotas, state, now_ms)
+            self._run("tick_regional_loads", tick_regional_loads, state, now_ms)
             self._run("dispatch_all_pools", dispatch_all_pools, state, now_ms)
             self._run("reject_all_hopeless", reject_all_hopeless, state, now_ms)
         self._run("tick_readiness", tick_readiness, state, now_ms)
