Place prompts by subject on servers that report the duration of their work

All daemons chose among the least loaded servers by figures of some 200 ms age, so they chose the same ones, and shared prompt parts were computed at many servers.

For pools whose servers report a fourth load figure, a prompt prefers the server that a rendezvous hash of its subject gives, weighted by speed and bounded by load (routing/placement.py). A part that nearly all prompts share is no subject. Other pools are ranked as before.

--- a/benchmarks/decision.py
+++ b/benchmarks/decision.py
@@ -23,6 +23,7 @@
 from bluebellbeam.node import event as ev
 from bluebellbeam.provider.records import LoadReport, VmRecord
 from bluebellbeam.routing import rank_replicas, record_prefix, update_replicas
+from bluebellbeam.routing.completion import apply_duration, record_events
 from bluebellbeam.scenario.faults import start_example_simulation
 
 __all__ = ["main", "measure_decision_us", "measure_tick_us"]
@@ -36,12 +37,15 @@
 """Output tokens of the measured requests; two values give the cost per token."""
 
 
-def measure_decision_us(candidates, count=2000):
+def measure_decision_us(candidates, count=2000, placed=False):
     """Return the microseconds of one routing decision among `candidates` replicas.
 
     Parameters
     ----------
     candidates : int
+    placed : bool
+        Whether the replicas report the duration of their work, so that the decision
+        includes completion times and the placement by subject.
     count : int
         Number of timed decisions.
     """
@@ -75,6 +79,13 @@
     request.prompt_tokens = 4096
     request.max_output_tokens = 100
     request.blocks = tuple(range(500, 564))
+    if placed:
+        request.block_ends = tuple(64 * (number + 1) for number in range(64))
+        request.response_deadline_ms = 13_000
+        for record in records:
+            row = state.replicas.rows[record.name]
+            apply_duration(row, 100, 3000)
+            record_events(row, 10, 250, 40, 3000)
     if not rank_replicas(state, request, 3000):
         raise AssertionError("no replica is usable for the request")
     start = time.perf_counter()
@@ -230,6 +241,10 @@
             f"decision among {candidates} replicas: "
             f"{measure_decision_us(candidates):.1f} µs",
         )
+    placed_us = min(measure_decision_us(200, placed=True) for _ in range(3))
+    _print_line(
+        lines, f"decision among 200 replicas with placement: {placed_us:.1f} µs"
+    )
     tick_us = measure_tick_us()
     _print_line(
         lines,
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -293,6 +293,8 @@
         Planned model of each engine of the region.
     subset_key, placement_key : tuple or None
         Versions that the servers in use and the placement were computed for.
+    common_parts : dict of str to (int, int)
+        First prompt part that most prompts share, and its lead, by pool.
     trials : dict of str to Trials
         Evidence and trial requests by pool.
     slowness_ms : int
@@ -357,6 +359,7 @@
         "subset_key",
         "pool_service_ms",
         "trials",
+        "common_parts",
         "slowness_ms",
         "next_slow_tick_ms",
         "placement",
@@ -432,6 +435,7 @@
         self.subset_key = None
         self.pool_service_ms = {}
         self.trials = {}
+        self.common_parts = {}
         self.slowness_ms = 0
         self.next_slow_tick_ms = 0
         self.placement = {}
--- a/bluebellbeam/routing/completion.py
+++ b/bluebellbeam/routing/completion.py
@@ -52,6 +52,13 @@
 all streams of the server wait."""
 
 
+_NEAREST_LEVELS = tuple(
+    (*range(level, -1, -1), *range(level + 1, OCCUPANCY_LEVELS + 1))
+    for level in range(OCCUPANCY_LEVELS + 1)
+)
+"""Order in which levels are examined: lower ones first, the nearest at the start."""
+
+
 class EventPace:
     """Intervals between the events of the streams of one server.
 
@@ -162,17 +169,15 @@
     """
     pace = replica.event_pace
     level = _level(replica, running)
-    recent = [
-        item
-        for item, interval_ms in enumerate(pace.intervals_ms)
-        if interval_ms and now_ms - pace.observed_ms[item] <= MAX_INTERVAL_AGE_MS
-    ]
-    if not recent:
-        return None
-    lower = [item for item in recent if item <= level]
-    nearest = lower[-1] if lower else recent[0]
-    factor = max(1.0, (level + 1) / (nearest + 1)) if lower else 1.0
-    return pace.intervals_ms[nearest] * factor * _percent(pace, now_ms) / 100.0
+    oldest_ms = now_ms - MAX_INTERVAL_AGE_MS
+    observed_ms = pace.observed_ms
+    for nearest in _NEAREST_LEVELS[level]:
+        interval_ms = pace.intervals_ms[nearest]
+        if interval_ms and observed_ms[nearest] >= oldest_ms:
+            if nearest < level:
+                interval_ms *= (level + 1) / (nearest + 1)
+            return interval_ms * _percent(pace, now_ms) / 100.0
+    return None
 
 
 def completion_ms(replica, request, first_ms, now_ms):
--- a/bluebellbeam/routing/replica_ranking.py
+++ b/bluebellbeam/routing/replica_ranking.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from bluebellbeam.routing.affinity import server_preference
+from bluebellbeam.routing.affinity import AFFINITY_FACTOR, server_preference
 from bluebellbeam.routing.batch import has_batch_room, should_defer_batch
 from bluebellbeam.routing.brittle import has_brittle_room, is_brittle
 from bluebellbeam.routing.completion import exceeds_gap, may_complete
@@ -18,6 +18,7 @@
     prefill_speed,
     score_estimate,
 )
+from bluebellbeam.routing.placement import placed_server
 from bluebellbeam.routing.prefix import cached_tokens, longest_prefix_servers
 from bluebellbeam.routing.priority_separation import separation_penalty_ms
 from bluebellbeam.routing.server_limit import may_send_limited
@@ -29,6 +30,10 @@
 MAX_LEAST_LOADED = 4
 """Number of least loaded replicas that are scored."""
 
+MAX_LEAST_LOADED_IF_PLACED = 2
+"""That number for a prompt that is placed at an available server. With four, a decision
+among 200 servers takes longer than 50 µs."""
+
 MAX_PREFIX_SERVERS = 3
 """Number of replicas with the longest cached prefix that are scored."""
 
@@ -78,12 +83,16 @@
         Empty when no server of the daemon's region can, or when a batch request
         should stay queued.
     """
-    replicas = _candidate_replicas(state, request, now_ms)
     region = state.base.regions[state.region]
     speed = prefill_speed(state.base, request)
-    preferred, penalty_ms = (
-        server_preference(state, request, speed) if replicas else ("", 0.0)
-    )
+    placed = placed_server(state, request, now_ms)
+    replicas = _candidate_replicas(state, request, placed, now_ms)
+    preferred, penalty_ms = "", 0.0
+    if replicas and placed is None:
+        preferred, penalty_ms = server_preference(state, request, speed)
+    elif replicas and placed[0] and speed:
+        preferred = placed[0]
+        penalty_ms = AFFINITY_FACTOR * 1000.0 * placed[1] / speed
     gap_ms = request.route.pause_objective_ms if request.route is not None else 0
     scored = []
     for replica in replicas:
@@ -138,20 +147,30 @@
     )
 
 
-def _candidate_replicas(state, request, now_ms):
+def _candidate_replicas(state, request, placed, now_ms):
+    """Return the available servers to score.
+
+    `placed` is the result of :func:`placed_server`. With a server that the prompt is
+    placed at, fewer others are needed.
+    """
+    least, longest = MAX_LEAST_LOADED, MAX_PREFIX_SERVERS
+    found = []
+    if placed is not None and placed[0]:
+        replica = state.replicas.rows[placed[0]]
+        if is_available(state, replica, request, now_ms):
+            found.append(replica)
+            least, longest = MAX_LEAST_LOADED_IF_PLACED, 1
     pool = state.replicas.pool(request.pool)
     # The few servers that may continue a stream need not be among the least loaded.
     examined = None if request.stream_origin is not None else MAX_LEAST_LOADED * 3
-    found = []
+    wanted = len(found) + least
     for replica in islice(pool, examined):
-        if is_available(state, replica, request, now_ms):
+        if replica not in found and is_available(state, replica, request, now_ms):
             found.append(replica)
-            if len(found) == MAX_LEAST_LOADED:
+            if len(found) == wanted:
                 break
     if request.blocks:
-        for name in longest_prefix_servers(
-            state.prefixes, request.blocks, MAX_PREFIX_SERVERS
-        ):
+        for name in longest_prefix_servers(state.prefixes, request.blocks, longest):
             replica = state.replicas.rows.get(name)
             if replica is None or replica in found or request.pool not in replica.pools:
                 continue
