Treat servers without observations like the median of their pool

A server that was never observed kept pace 1 and the configured duration, so in a pool that was slow as a whole it seemed the fastest one. Its estimates now follow the median of the servers with recent observations, as those of a server that was not observed lately do.

--- a/bluebellbeam/recovery/outlier.py
+++ b/bluebellbeam/recovery/outlier.py
@@ -89,8 +89,9 @@
 
     An estimate without an observation for `MAX_ESTIMATE_AGE_MS` approaches the median
     of the servers of its pool that have a recent one. Without any of these, a pace
-    approaches 1 and a duration is forgotten. So no server keeps a bad estimate that
-    none of its responses can correct, since it is sent nothing.
+    approaches 1 and a duration is forgotten. A server that was never observed is
+    treated in the same way. So no server keeps a bad estimate that none of its
+    responses can correct, since it is sent nothing.
 
     Parameters
     ----------
@@ -108,14 +109,15 @@
             if r.service_ms and _is_fresh(r.served_ms, now_ms)
         )
         for row in rows:
-            if row.paced_ms is not None and not _is_fresh(row.paced_ms, now_ms):
+            if not _is_fresh(row.paced_ms, now_ms):
                 target = _median(paces) or 1.0
                 row.pace = target + (row.pace - target) * AGED_SHARE
                 row.delay_ms *= AGED_SHARE
-            if row.service_ms and not _is_fresh(row.served_ms, now_ms):
+            if not (row.service_ms and _is_fresh(row.served_ms, now_ms)):
                 if times:
                     target = _median(times)
-                    row.service_ms = target + (row.service_ms - target) * AGED_SHARE
+                    known_ms = row.service_ms or target
+                    row.service_ms = target + (known_ms - target) * AGED_SHARE
                 elif now_ms - row.served_ms > MAX_DURATION_AGE_MS:
                     row.service_ms = 0.0
             _set_slowness(table, row, paces, times, now_ms)
