Apply new regions to running requests, and bound the numbers in headers

Cause: a review of keys and quotas found that a new configuration did not change the permitted regions of a request that already runs, so a second attempt could reach a server in a region that is no longer permitted; that a token count of 308 digits made later requests of its workspace fail, and one of 5,000 digits raised ValueError; and that rejecting late requests summed the weights of all workspaces for each request. Change: regions of running requests are narrowed with each configuration, counts in headers have at most nine digits in one function, the sum is computed once. The word for requests that cannot start in time is now 'late'.

--- a/bluebellbeam/daemon/codec.py
+++ b/bluebellbeam/daemon/codec.py
@@ -14,6 +14,7 @@
     LoadHeader,
     parse_load_header,
 )
+from bluebellbeam.utils.counts import parse_count
 from bluebellbeam.utils.hashing import hash_text
 
 __all__ = [
@@ -258,7 +259,7 @@
     tokens = first.get("x-tokens", "").split(",")
     return RequestHead(
         request_id=first.get("x-request-id", ""),
-        left_ms=int(left) if left.isdecimal() else None,
+        left_ms=parse_count(left),
         parts=tuple(parse_prompt_parts(first.get("x-prompt-parts", ""))),
         prompt_tokens=_parse_count(tokens, 0),
         max_output_tokens=_parse_count(tokens, 1),
@@ -272,7 +273,7 @@
 
 def _parse_count(fields, index):
     text = fields[index].strip() if index < len(fields) else ""
-    return int(text) if text.isdecimal() else 0
+    return parse_count(text, 0)
 
 
 def parse_prompt_parts(text):
@@ -282,8 +283,9 @@
     """
     for item in text.split(","):
         name, _, tokens = item.strip().partition(":")
-        if name and tokens.isdecimal():
-            yield name, int(tokens)
+        count = parse_count(tokens)
+        if name and count is not None:
+            yield name, count
 
 
 def _write_request(head, upstream):
--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -15,6 +15,7 @@
 import structlog
 
 from bluebellbeam.exception import UpstreamError
+from bluebellbeam.utils.counts import parse_count
 
 __all__ = [
     "UpstreamConnection",
@@ -427,10 +428,9 @@
             continue
         for item in value.split(","):
             key, _, seconds = item.strip().partition("=")
-            if key == "timeout" and seconds.isdecimal():
-                return int(seconds) * 1000
-            if key.isdecimal():
-                return int(key) * 1000
+            idle_s = parse_count(seconds if key == "timeout" else key)
+            if idle_s is not None:
+                return idle_s * 1000
     return None
 
 
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -29,6 +29,7 @@
 from bluebellbeam.node.errors import ERRORS, make_error
 from bluebellbeam.node.routed import key_workspace
 from bluebellbeam.node.urgency import engine_urgency
+from bluebellbeam.utils.counts import parse_count
 
 __all__ = ["run_routed_attempt"]
 
@@ -290,7 +291,7 @@
     error = make_error(
         code,
         outcome="not_run",
-        retry_after_ms=int(retry) if retry.isdecimal() else 0,
+        retry_after_ms=parse_count(retry, 0),
     )
     progress.settled = True
     driver.handle(
--- a/bluebellbeam/daemon/routed_forward.py
+++ b/bluebellbeam/daemon/routed_forward.py
@@ -8,6 +8,7 @@
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.routed import key_workspace
 from bluebellbeam.routing import StreamOrigin
+from bluebellbeam.utils.counts import parse_count
 
 __all__ = [
     "CODE_HEADER",
@@ -155,7 +156,7 @@
     first = dict(reversed(connection.headers))
     _report_offer(driver, command, first.get(OFFER_HEADER, ""))
     sends = first.get(SENDS_HEADER, "")
-    progress.sends = int(sends) if sends.isdecimal() else None
+    progress.sends = parse_count(sends)
     if ORIGIN_HEADER in first:
         progress.origin = msgspec.json.decode(first[ORIGIN_HEADER], type=StreamOrigin)
 
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -92,7 +92,7 @@
     tick_lookups,
     tick_versions,
 )
-from bluebellbeam.node.urgency import reject_all_hopeless
+from bluebellbeam.node.urgency import reject_all_late
 from bluebellbeam.operations import expire_operations, issue_operation
 from bluebellbeam.routing import apply_cache_events, prune_leaving
 from bluebellbeam.routing.policies import EstimatePolicy
@@ -191,7 +191,7 @@
             self._run("tick_quotas", _tick_quotas, state, now_ms)
             self._run("tick_regional_loads", tick_regional_loads, state, now_ms)
             self._run("dispatch_all_pools", dispatch_all_pools, state, now_ms)
-            self._run("reject_all_hopeless", reject_all_hopeless, state, now_ms)
+            self._run("reject_all_late", reject_all_late, state, now_ms)
         self._run("tick_readiness", tick_readiness, state, now_ms)
         self._run("tick_shutdown", tick_shutdown, state, now_ms)
         if now_ms >= state.next_slow_tick_ms:
--- a/bluebellbeam/node/reconfiguration.py
+++ b/bluebellbeam/node/reconfiguration.py
@@ -17,6 +17,7 @@
     """
     for request in list(state.requests.values()):
         if request.state != "queued":
+            _narrow_regions(state, request)
             continue
         if request.route is not None:
             _apply_to_routed(state, request, now_ms)
@@ -31,6 +32,15 @@
             _fail_queued(state, request, error, now_ms)
 
 
+def _narrow_regions(state, request):
+    """Keep further attempts of a routed request that runs to the permitted regions."""
+    if request.route is None or request.workspace not in state.base.workspaces:
+        return
+    route = match_route(state.config.routes, request.host, request.path)
+    if route is not None:
+        request.allowed &= allowed_regions(state, request, route)
+
+
 def _apply_to_routed(state, request, now_ms):
     """Apply a new configuration to a queued routed request.
 
--- a/bluebellbeam/node/tests/test_caller_keys.py
+++ b/bluebellbeam/node/tests/test_caller_keys.py
@@ -216,6 +216,19 @@
             self.send("acme", request_id=f"q{i}")
         self.harness.commands.clear()
 
+    def test_further_attempts_follow_new_home_regions(self):
+        """Guards against a second attempt in a region that is no longer permitted."""
+        harness = Harness(base=keyed_base(acme={}))
+        harness.publish_servers(server("s1"), server("s2"))
+        request = {"key_digest": digest("acme"), "path": "/o/x"}
+        first = started_attempts(harness.send_request(request_id="h1", **request))[0]
+        base = keyed_base(acme={"home_regions": ["west"]})
+        harness.publish("config", split_documents(base, {}))
+        commands = harness.fail_attempt(first.attempt_id, sent=False)
+        self.assertEqual(started_attempts(commands), [])
+        error = final_errors(commands)[0]
+        self.assertEqual(error.outcome, "not_run")
+
     def test_queued_request_follows_new_home_regions(self):
         self.queue_requests()
         queued = [
--- a/bluebellbeam/node/urgency.py
+++ b/bluebellbeam/node/urgency.py
@@ -18,14 +18,14 @@
     "displace_less_urgent",
     "engine_urgency",
     "queue_urgency",
-    "reject_all_hopeless",
-    "reject_hopeless",
+    "reject_all_late",
+    "reject_late",
     "request_urgency",
     "set_queue_order",
     "urgency_wait_ms",
 ]
 
-HOPELESS_FACTOR = 1.25
+LATE_START_FACTOR = 1.25
 """A queued request is rejected once its expected wait exceeds the time that it may
 still wait by this factor; estimates of a wait are rough."""
 
@@ -139,13 +139,13 @@
     return 1000.0 * min((more_urgent + same) / left, guaranteed_s)
 
 
-def reject_all_hopeless(state, now_ms):
-    """Reject the hopeless requests of every queue; see :func:`reject_hopeless`."""
+def reject_all_late(state, now_ms):
+    """Reject the requests of every queue that cannot start in time; see :func:`reject_late`."""
     for pool in [pool for pool, queue in state.queues.items() if queue.size]:
-        reject_hopeless(state, pool, now_ms)
+        reject_late(state, pool, now_ms)
 
 
-def reject_hopeless(state, pool, now_ms):
+def reject_late(state, pool, now_ms):
     """Reject the queued requests that cannot start in time, the least urgent first.
 
     Their callers can then still try later or elsewhere. Requests that have been sent
@@ -157,13 +157,14 @@
     for urgency, requests in by_urgency:
         share = GUARANTEED_SHARE / len(by_urgency)
         weights, positions = _flow_weights(queue, urgency), {}
+        total_weight = sum(weights.values())
         kept = 0
         for request in requests:
             own = positions.get(request.workspace, 0)
-            fair = own * sum(weights.values()) / weights[request.workspace]
+            fair = own * total_weight / weights[request.workspace]
             same = min(kept, fair)
             wait_ms = _wait_ms(state, request, ahead, same, share, now_ms)
-            if wait_ms is not None and _is_hopeless(state, request, wait_ms, now_ms):
+            if wait_ms is not None and _is_late(state, request, wait_ms, now_ms):
                 _reject_queued(state, queue, request, wait_ms, now_ms)
                 continue
             kept += 1
@@ -181,9 +182,9 @@
     }
 
 
-def _is_hopeless(state, request, wait_ms, now_ms):
+def _is_late(state, request, wait_ms, now_ms):
     left_ms = request.start_deadline_ms - now_ms
-    if wait_ms <= HOPELESS_FACTOR * left_ms or request.attempts:
+    if wait_ms <= LATE_START_FACTOR * left_ms or request.attempts:
         return False
     if request.origin:
         return True
--- a/bluebellbeam/platform/headers.py
+++ b/bluebellbeam/platform/headers.py
@@ -11,6 +11,7 @@
 )
 from bluebellbeam.platform.tenants import MAX_KEY_BYTES, digest_key
 from bluebellbeam.provider.records import BrittleStatement, LimitStatement, LoadHeader
+from bluebellbeam.utils.counts import parse_count
 
 __all__ = [
     "BRITTLE_HEADER",
@@ -120,10 +121,10 @@
     key_digest, key_fault = _read_key(pairs)
     return RequestHead(
         request_id=first.get(REQUEST_ID_HEADER, ""),
-        left_ms=int(left) if left.isdecimal() else None,
+        left_ms=parse_count(left),
         parts=tuple(parse_prompt_parts(first.get(PROMPT_PARTS_HEADER, ""))),
-        prompt_tokens=_parse_count(prompt),
-        max_output_tokens=_parse_count(output),
+        prompt_tokens=parse_count(prompt.strip(), 0),
+        max_output_tokens=parse_count(output.strip(), 0),
         resume_after=first.get(RESUME_AFTER_HEADER, ""),
         resumes=first.get(RESUMES_HEADER, ""),
         passed=tuple(
@@ -152,11 +153,6 @@
     return tuple(p for p in pairs if p[0] not in (KEY_HEADER, TENANT_HEADER))
 
 
-def _parse_count(text):
-    text = text.strip()
-    return int(text) if text.isdecimal() else 0
-
-
 def _write_request(head, upstream):
     pairs = list(head.passed)
     pairs.append((TARGET_HEADER, upstream.server))
--- a/bluebellbeam/platform/health.py
+++ b/bluebellbeam/platform/health.py
@@ -11,6 +11,7 @@
     read_limit,
     states_leaving,
 )
+from bluebellbeam.utils.counts import parse_count
 from bluebellbeam.utils.http_body import read_body
 
 __all__ = ["check_health"]
@@ -61,7 +62,7 @@
     except (TimeoutError, aiohttp.ClientError, OSError):
         return ev.LoadReadFailed(command.server, command.incarnation)
     incarnation = command.incarnation
-    warm_up_left_ms = int(warm_up) if warm_up.isdecimal() else 0
+    warm_up_left_ms = parse_count(warm_up, 0)
     return ev.HealthCheckAnswered(
         command.server,
         name,
--- a/bluebellbeam/provider/records.py
+++ b/bluebellbeam/provider/records.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from bluebellbeam.utils.counts import parse_count
+
 __all__ = [
     "EVACUATED_PREFIX",
     "CacheEvents",
@@ -127,9 +129,10 @@
 def parse_load_header(text):
     """Return the :class:`LoadHeader` of a header value, None if it is malformed."""
     fields = text.split(" ")
-    if len(fields) != 4 or not all(item.isdecimal() for item in fields[:3]):
+    counts = [parse_count(item) for item in fields[:3]]
+    if len(fields) != 4 or None in counts:
         return None
-    running, waiting, tokens = (int(item) for item in fields[:3])
+    running, waiting, tokens = counts
     return LoadHeader(running, waiting, tokens, fields[3] == "leaving")
 
 
