--- a/bluebellbeam/admission/queue.py
+++ b/bluebellbeam/admission/queue.py
@@ -231,10 +231,14 @@
     flows.sort(key=lambda flow: _urgency_order(queue, flow))
     late = []
     for flow in flows:
+        if not flow.requests:
+            continue
+        if flow.requests[0].latest_start_ms >= now_ms:
+            yield from _first_requests(flow.requests, may_pass)
+            continue
         requests = list(flow.requests)
         late_count = bisect_left(requests, now_ms, key=_latest_start_ms)
-        if late_count:
-            late.append(requests[:late_count])
+        late.append(requests[:late_count])
         yield from _first_requests(requests[late_count:], may_pass)
     for requests in late:
         yield from _first_requests(requests, may_pass)
@@ -266,11 +270,12 @@
 
 def _count_served(queue, request):
     """Update the guaranteed shares for a request that is served."""
-    waiting = _waiting_with_urgency(queue)
-    classes = len({flow.urgency for flow in waiting})
-    workspaces = len({flow.workspace for flow in waiting})
-    count_served(queue.class_aging, request.urgency, classes)
-    count_served(queue.workspace_aging, request.workspace, workspaces)
+    classes, workspaces = set(), set()
+    for flow in _waiting_with_urgency(queue):
+        classes.add(flow.urgency)
+        workspaces.add(flow.workspace)
+    count_served(queue.class_aging, request.urgency, len(classes))
+    count_served(queue.workspace_aging, request.workspace, len(workspaces))
 
 
 def _waiting_with_urgency(queue):
--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -115,7 +115,7 @@
     -------
     Member or None
     """
-    region = choose_offload(state, request, now_ms)
+    region = choose_offload(state, request)
     if region is None:
         return None
     offers = [
--- a/bluebellbeam/node/regional_load.py
+++ b/bluebellbeam/node/regional_load.py
@@ -287,7 +287,7 @@
         load.excluded[row.region] = now_ms
 
 
-def choose_offload(state, request, now_ms):
+def choose_offload(state, request):
     """Return the region that a new request is offloaded to, or None to stay local."""
     if request.origin or request.attempts:
         return None
@@ -296,8 +296,6 @@
     load = state.regional_loads.get(request.pool)
     if load is None:
         return None
-    if now_ms - load.updated_ms >= UPDATE_INTERVAL_MS:
-        _update(state, request.pool, load, now_ms)
     share = offloaded_share(load, request.route.name)
     if not share or state.rng.random() >= share:
         return None
