--- a/bluebellbeam/node/urgency.py
+++ b/bluebellbeam/node/urgency.py
@@ -140,7 +140,7 @@
 
 
 def reject_all_late(state, now_ms):
-    """Reject the requests of every queue that cannot start in time; see :func:`reject_late`."""
+    """Reject late requests in every queue; see :func:`reject_late`."""
     for pool in [pool for pool, queue in state.queues.items() if queue.size]:
         reject_late(state, pool, now_ms)
 
