Review configurations in bluebellbeam check

Cause: the check found only faults for which a daemon refuses a configuration. Entries without effect, limits that contradict each other and the effect of a new version on callers were seen only after publication.

--- a/bluebellbeam/cli/main.py
+++ b/bluebellbeam/cli/main.py
@@ -70,24 +70,53 @@
 @click.option(
     "--overlay", "overlays", type=_FILE, multiple=True, help="Overlay of a site."
 )
-def check(settings_file, base_file, overlays):
-    """Validate settings, a base file and overlays.
+@click.option(
+    "--platform", "platform_file", type=_FILE, help="Configuration of a platform."
+)
+@click.option("--against", type=_FILE, help="Version to compare with.")
+@click.option("--format", "output", type=click.Choice(["text", "json"]))
+def check(settings_file, base_file, overlays, platform_file, against, output):
+    """Validate and review settings, a base file and overlays.
 
     Every fault is printed with its JSON path and a suggested fix, and the
-    exit code is 2 if there is any.
+    exit code is 2 if there is any; warnings are printed on standard error.
+
+    With --platform, --against or --format, errors, warnings and differences
+    are printed on standard output, and the exit code is 0 without any, 1 with
+    errors, 2 with warnings only and 3 with differences only.
 
-    Example: bluebellbeam check --base base.json --overlay burnaby-hall.json
+    --platform checks a platform's configuration, with the store in --settings.
+    --against compares with another base file, or with --platform another
+    configuration of the platform.
+
+    Example: bluebellbeam check --base next.json --against now.json
     """
+    from bluebellbeam.cli import review
     from bluebellbeam.cli.files import load_effective, load_settings
 
-    if not settings_file and not base_file:
-        raise click.UsageError("--settings or --base is required")
+    if not (settings_file or base_file or platform_file):
+        raise click.UsageError("--settings, --base or --platform is required")
     if overlays and not base_file:
         raise click.UsageError("--overlay requires --base")
+    if platform_file and (base_file or not settings_file):
+        raise click.UsageError("--platform requires --settings and excludes --base")
+    if against and not (base_file or platform_file):
+        raise click.UsageError("--against requires --base or --platform")
+    if platform_file or against or output:
+        if platform_file:
+            findings = review.review_platform_files(
+                settings_file, platform_file, against
+            )
+        else:
+            findings = review.review_files(settings_file, base_file, overlays, against)
+        click.echo(review.format_findings(findings, output or "text"))
+        raise SystemExit(review.review_status(findings))
     if settings_file:
         load_settings(settings_file)
     if base_file:
         load_effective(base_file, overlays, "")
+        for finding in review.review_files(None, base_file, overlays, None):
+            click.echo(str(finding), err=True)
     click.echo("valid")
 
 
--- a/bluebellbeam/cli/plan.py
+++ b/bluebellbeam/cli/plan.py
@@ -1,8 +1,9 @@
 """Comparison of two configurations from their files, without a daemon."""
 
+from bluebellbeam.config.differences import added_and_removed, region_changes
 from bluebellbeam.orders.plan import required_names
 
-__all__ = ["plan_lines"]
+__all__ = ["load_lines", "plan_lines"]
 
 
 def plan_lines(before, after, sites, weight_store_mb_per_s):
@@ -28,30 +29,29 @@
     for site, old, new in sites:
         lines.extend(_workspace_changes(site, old, new))
     lines.extend(_home_region_changes(before, after))
-    lines.extend(_model_loads(before, after, weight_store_mb_per_s))
+    lines.extend(load_lines(before, after, weight_store_mb_per_s))
     if before.objective != after.objective:
         lines.append(f"objective changes: {before.objective} -> {after.objective}")
     return lines or ["no change"]
 
 
 def _added_and_removed(kind, old, new):
-    lines = [f"{kind} {name}: added" for name in sorted(new.keys() - old.keys())]
-    lines += [f"{kind} {name}: removed" for name in sorted(old.keys() - new.keys())]
-    return lines
+    added, removed = added_and_removed(old, new)
+    lines = [f"{kind} {name}: added" for name in added]
+    return lines + [f"{kind} {name}: removed" for name in removed]
 
 
 def _workspace_changes(site, old, new):
     lines = []
     for name in sorted(old.workspaces.keys() & new.workspaces.keys()):
         prefix = f"site {site}: workspace {name}"
-        old_regions = set(old.workspaces[name].allowed_regions)
-        new_regions = set(new.workspaces[name].allowed_regions)
-        if new_regions - old_regions:
-            added = ", ".join(sorted(new_regions - old_regions))
-            lines.append(f"site {site}: workspace {name}: data rule WIDENED by {added}")
-        if old_regions - new_regions:
-            removed = ", ".join(sorted(old_regions - new_regions))
-            lines.append(f"{prefix}: data rule narrowed by {removed}")
+        added, removed = region_changes(
+            old.workspaces[name].allowed_regions, new.workspaces[name].allowed_regions
+        )
+        if added:
+            lines.append(f"{prefix}: data rule WIDENED by {', '.join(added)}")
+        if removed:
+            lines.append(f"{prefix}: data rule narrowed by {', '.join(removed)}")
         limits = (old.workspaces[name].borrow_slots, new.workspaces[name].borrow_slots)
         if limits[0] != limits[1]:
             lines.append(f"{prefix}: borrow_slots {limits[0]} -> {limits[1]}")
@@ -68,7 +68,15 @@
     return lines
 
 
-def _model_loads(before, after, rate_mb_per_s):
+def load_lines(before, after, rate_mb_per_s):
+    """Return the loads of model replicas that a change causes as lines of text.
+
+    Parameters
+    ----------
+    before, after : Base
+    rate_mb_per_s : float
+        Rate at which the weight store serves loads.
+    """
     lines = []
     total_mb = 0
     for name, model in sorted(after.models.items()):
