Group workspaces by regions in the review, and test its completeness

Change: workspaces are grouped by the regions in which they may run. Tests for calls of another prefix, nested covering routes and warnings about the other version; a property test that two versions have a difference unless they are equal.

--- a/bluebellbeam/cli/tests/test_check_command.py
+++ b/bluebellbeam/cli/tests/test_check_command.py
@@ -66,6 +66,13 @@
         self.assertEqual(code, 2)
         self.assertIn("difference: ", output)
 
+    def test_warnings_about_the_other_version_are_left_out(self):
+        self._add_warning()
+        args = ["--base", BASE, "--against", self.write(self.base)]
+        code, output = self.check(*args)
+        self.assertEqual(code, 3)
+        self.assertNotIn("warning: ", output)
+
     def test_errors_of_the_other_version(self):
         self._add_error()
         path = self.write(self.base)
@@ -164,7 +171,7 @@
             code, text = self._check(*args)
             self.assertEqual(code, 3)
             self.assertIn("workspaces.acme", text)
-            self.assertIn("1 keys revoked", text)
+            self.assertIn("1 key revoked", text)
             self.assertNotIn("key-", text)
 
     def test_error(self):
--- a/bluebellbeam/config/differences.py
+++ b/bluebellbeam/config/differences.py
@@ -96,7 +96,7 @@
         found.extend(_compare_keys(name, old[name].key_digests, (), owners))
     for name in added:
         count = len(new[name].key_digests)
-        text = f"workspace added with {count} keys"
+        text = f"workspace added with {_keys(count)}"
         found.append(Fault(f"$.workspaces.{name}", text, "its requests are accepted"))
     for name in sorted(old.keys() & new.keys()):
         if old[name] != new[name]:
@@ -348,16 +348,22 @@
     found = []
     revoked = len(lost) - sum(moved.values())
     if revoked:
-        found.append(Fault(path, f"{revoked} keys revoked", "their requests get 401"))
+        found.append(Fault(path, f"{_keys(revoked)} revoked", "their requests get 401"))
     for owner, count in sorted(moved.items()):
-        text = f"{count} keys moved to workspace '{owner}'"
+        text = f"{_keys(count)} moved to workspace '{owner}'"
         found.append(Fault(path, text, "its regions and quota apply to them"))
     added = len(set(new) - set(old))
     if added:
-        found.append(Fault(path, f"{added} keys added", "their requests are accepted"))
+        found.append(
+            Fault(path, f"{_keys(added)} added", "their requests are accepted")
+        )
     return found
 
 
+def _keys(count):
+    return "1 key" if count == 1 else f"{count} keys"
+
+
 def _compare_quota(path, old, new):
     found = []
     for field in ("rate_tokens_per_s", "burst_tokens"):
--- a/bluebellbeam/config/review.py
+++ b/bluebellbeam/config/review.py
@@ -211,20 +211,32 @@
                 text = f"home region '{region}' is not among its allowed regions"
                 fix = "no request runs there; allow the region or remove it"
                 found.append(Fault(f"{path}.home_regions[{i}]", text, fix))
-    regions = {name: workspace_regions(item) for name, item in base.workspaces.items()}
+    # Workspaces are grouped, since each of many routes serves all with a key.
+    keyed = _group_by_regions(
+        (name, item) for name, item in base.workspaces.items() if item.key_digests
+    )
     for i, route in enumerate(base.routes):
         path = f"$.routes[{i}].home_regions"
-        names = _route_workspaces(base, route)
-        permitted = frozenset().union(*(regions[name] for name in names))
+        own = base.workspaces.get(route.workspace)
+        groups = keyed if route.anonymous or not route.workspace else {}
+        if own is not None and not (groups and own.key_digests):
+            regions = workspace_regions(own)
+            groups = groups | {regions: [*groups.get(regions, ()), route.workspace]}
+        permitted = frozenset().union(*groups)
         for k, region in enumerate(route.home_regions):
             if region not in served:
                 found.append(_unserved(f"{path}[{k}]", region))
-            elif names and region not in permitted:
+            elif groups and region not in permitted:
                 text = f"no workspace of {_label(route)} permits region '{region}'"
                 fix = "no request runs there; permit the region or remove it"
                 found.append(Fault(f"{path}[{k}]", text, fix))
         homes = frozenset(route.home_regions) or frozenset(base.regions)
-        barred = [name for name in names if not homes & regions[name]]
+        barred = [
+            name
+            for regions, names in groups.items()
+            if not homes & regions
+            for name in names
+        ]
         if barred:
             text = f"{_label(route)} has no region in common with {_list_names(barred)}"
             fix = "its requests of them are rejected; permit a common region"
@@ -426,15 +438,12 @@
     return allowed & homes if homes else allowed
 
 
-def _route_workspaces(base, route):
-    """Return the names of the workspaces whose requests `route` accepts."""
-    if route.workspace and not route.anonymous:
-        return [route.workspace] if route.workspace in base.workspaces else []
-    return [
-        name
-        for name, item in base.workspaces.items()
-        if item.key_digests or name == route.workspace
-    ]
+def _group_by_regions(items):
+    """Return the names of workspaces by the regions in which they may run."""
+    groups = {}
+    for name, workspace in items:
+        groups.setdefault(workspace_regions(workspace), []).append(name)
+    return groups
 
 
 def _smallest_head_bytes(routes):
--- a/bluebellbeam/config/tests/test_differences.py
+++ b/bluebellbeam/config/tests/test_differences.py
@@ -2,8 +2,10 @@
 import unittest
 
 import msgspec
+from hypothesis import given, settings
+from returns.pipeline import is_successful
 
-from bluebellbeam.config import Base, Workspace
+from bluebellbeam.config import Base, Workspace, decode_effective
 from bluebellbeam.config.differences import (
     compare_bases,
     compare_caller_limits,
@@ -12,7 +14,13 @@
     compare_services,
     compare_workspaces,
 )
-from bluebellbeam.config.tests.test_review import DIGEST, make_base
+from bluebellbeam.config.tests.test_review import (
+    BASE_CHANGES,
+    DIGEST,
+    change_document,
+    full_base,
+    make_base,
+)
 
 OTHER_DIGEST = "cd" * 32
 
@@ -74,6 +82,15 @@
             "its requests use route 'r-all'"
         )
 
+    def test_longest_of_several_covering_routes_takes_the_requests(self):
+        deep = copy.deepcopy(self.before["routes"][1])
+        deep |= {"name": "r-deep", "path_prefix": "/chat/deep/"}
+        self.before["routes"].append(deep)
+        self.expect(
+            "$.routes[shop.example/chat/deep/]: route 'r-deep' gone; "
+            "its requests use route 'r-chat'"
+        )
+
     def test_requests_without_a_covering_route_get_404(self):
         del self.after["routes"][0]
         self.expect("$.routes[shop.example/]: route 'r-all' gone; its requests get 404")
@@ -141,8 +158,8 @@
     def test_revoked_key_is_counted_and_not_shown(self):
         self.new["key_digests"] = [OTHER_DIGEST]
         self.expect(
-            f"{self.path}.key_digests: 1 keys revoked; their requests get 401",
-            f"{self.path}.key_digests: 1 keys added; their requests are accepted",
+            f"{self.path}.key_digests: 1 key revoked; their requests get 401",
+            f"{self.path}.key_digests: 1 key added; their requests are accepted",
         )
         self.assertNotIn(DIGEST, "".join(self.found()))
 
@@ -152,7 +169,7 @@
         self.after["workspaces"]["other"] = other
         found = self.found()
         self.assertIn(
-            f"{self.path}.key_digests: 1 keys moved to workspace 'other'; "
+            f"{self.path}.key_digests: 1 key moved to workspace 'other'; "
             "its regions and quota apply to them",
             found,
         )
@@ -162,7 +179,7 @@
         self.after["workspaces"] = {}
         self.expect(
             f"{self.path}: workspace gone; its requests are rejected",
-            f"{self.path}.key_digests: 1 keys revoked; their requests get 401",
+            f"{self.path}.key_digests: 1 key revoked; their requests get 401",
         )
 
     def test_quota_that_is_lowered_raised_introduced_or_removed(self):
@@ -260,3 +277,40 @@
             "$.objective.cost_ms_per_unit: cost_ms_per_unit 100.0 -> 5.0; "
             "daemons choose servers differently",
         )
+
+
+def _without_order(base):
+    """Return `base` as data in which the order of routes and names is the same."""
+    found = msgspec.to_builtins(base)
+    found["routes"] = {(r["host"], r["path_prefix"]): r for r in found["routes"]}
+    for workspace in found["workspaces"].values():
+        for field in ("allowed_regions", "models", "services", "key_digests"):
+            workspace[field] = set(workspace[field])
+    return found
+
+
+class TestCompleteness(unittest.TestCase):
+    def test_versions_have_a_difference_unless_they_are_equal(self):
+        """Guards against changes that take effect although none was shown."""
+        outcomes = {True: 0, False: 0}
+
+        @settings(derandomize=True, max_examples=600, deadline=None)
+        @given(BASE_CHANGES)
+        def compare(changes):
+            document = full_base()
+            for place, value, remove in changes:
+                change_document(document, place, copy.deepcopy(value), remove)
+            raw = msgspec.json.encode(document)
+            if not is_successful(decode_effective(raw, {}, "")):
+                return
+            old = msgspec.convert(full_base(), Base)
+            new = msgspec.json.decode(raw, type=Base)
+            equal = _without_order(old) == _without_order(new)
+            for pair in ((old, new), (new, old)):
+                self.assertEqual(not compare_bases(*pair), equal, changes)
+            outcomes[equal] += 1
+
+        compare()
+        # Both outcomes must occur, or the comparison shows little.
+        self.assertGreater(outcomes[False], 50, outcomes)
+        self.assertGreater(outcomes[True], 5, outcomes)
--- a/bluebellbeam/config/tests/test_review.py
+++ b/bluebellbeam/config/tests/test_review.py
@@ -193,6 +193,21 @@
         self.route["home_regions"] = ["west"]
         self.expect("$.routes[1].home_regions", "'w0', 'w1', 'w2' and 2 more")
 
+    def test_anonymous_route_serves_its_workspace_and_those_with_keys(self):
+        """Guards against groups of workspaces that replace each other."""
+        self.acme["allowed_regions"] = ["east"]
+        self.base["workspaces"]["open"] = {"allowed_regions": ["east"]}
+        self.route |= {"workspace": "open", "anonymous": True}
+        self.route["home_regions"] = ["west"]
+        found = self.found()
+        self.assertIn("'acme', 'open'", found["$.routes[1].home_regions"])
+
+    def test_keys_do_not_apply_to_a_route_with_a_workspace(self):
+        self.acme["allowed_regions"] = ["east"]
+        self.base["workspaces"]["open"] = {"allowed_regions": ["west"]}
+        self.route |= {"workspace": "open", "home_regions": ["west"]}
+        self.assertEqual(self.found(), {})
+
     def test_replicas_in_a_region_without_a_failure_domain_are_reported(self):
         self.base["regions"]["north"] = {}
         model = {"version": "v1", "replicas": {"east": 1, "north": 1}}
@@ -231,6 +246,13 @@
         )
         self.expect("$.services.portal.calls[0]", "idempotent call 1")
 
+    def test_call_of_another_prefix_is_not_covered(self):
+        self._set_calls(
+            {"method": "PUT", "path_prefix": "/b"},
+            {"method": "PUT", "path_prefix": "/a", "idempotent": True},
+        )
+        self.assertEqual(self.found(), {})
+
     def test_call_of_another_method_is_not_covered(self):
         self._set_calls(
             {"method": "POST", "path_prefix": "/a/b"},
@@ -403,7 +425,7 @@
 _VALUES = st.one_of(_NUMBERS, _NAMES, st.lists(_NAMES, max_size=3), st.just({}))
 
 
-def _full_base():
+def full_base():
     """Return a base with every kind of entry, to be changed at any of its values."""
     base = make_base()
     base["models"] = {"m": {"version": "v1", "replicas": {"east": 1}}}
@@ -446,7 +468,7 @@
     ]
 
 
-def _change(document, place, value, remove):
+def change_document(document, place, value, remove):
     """Set or remove the value at `place`, unless an earlier change removed it."""
     *parents, last = place
     for key in parents:
@@ -470,8 +492,8 @@
     "objective": {"latency_weight": 1},
     "workspaces": {"open": {"allowed_regions": ["east"], "borrow_slots": 1}},
 }
-_BASE_CHANGES = st.lists(
-    st.tuples(st.sampled_from(_places(_full_base())), _VALUES, st.booleans()),
+BASE_CHANGES = st.lists(
+    st.tuples(st.sampled_from(_places(full_base())), _VALUES, st.booleans()),
     max_size=3,
 )
 _OVERLAY_CHANGES = st.lists(
@@ -502,13 +524,13 @@
         """Guards against a check that passes what a daemon refuses, or fails itself."""
 
         @settings(derandomize=True, max_examples=600, deadline=None)
-        @given(_BASE_CHANGES, _OVERLAY_CHANGES)
+        @given(BASE_CHANGES, _OVERLAY_CHANGES)
         def compare(base_changes, overlay_changes):
-            base, overlay = _full_base(), copy.deepcopy(_OVERLAY)
+            base, overlay = full_base(), copy.deepcopy(_OVERLAY)
             for place, value, remove in base_changes:
-                _change(base, place, copy.deepcopy(value), remove)
+                change_document(base, place, copy.deepcopy(value), remove)
             for place, value, remove in overlay_changes:
-                _change(overlay, place, copy.deepcopy(value), remove)
+                change_document(overlay, place, copy.deepcopy(value), remove)
             raw = {"here.json": msgspec.json.encode(overlay)}
             self._compare(msgspec.json.encode(base), raw)
 
@@ -519,6 +541,6 @@
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(st.binary(max_size=100))
     def test_arbitrary_bytes(self, raw):
-        base_raw = msgspec.json.encode(_full_base())
+        base_raw = msgspec.json.encode(full_base())
         self._compare(raw, {})
         self._compare(base_raw, {"here.json": raw})
--- a/bluebellbeam/platform/tests/test_review.py
+++ b/bluebellbeam/platform/tests/test_review.py
@@ -92,8 +92,8 @@
         self.assertEqual(
             found,
             [
-                "$.workspaces.acme.key_digests: 1 keys revoked; their requests get 401",
-                "$.workspaces.acme.key_digests: 1 keys added; "
+                "$.workspaces.acme.key_digests: 1 key revoked; their requests get 401",
+                "$.workspaces.acme.key_digests: 1 key added; "
                 "their requests are accepted",
             ],
         )
@@ -136,6 +136,7 @@
             _, findings = review_platform(raw, ACCESS, "hall-e")
             errors = [item.message for item in findings if item.severity == "error"]
             self.assertEqual(errors, expected)
+            self.assertNotIn(KEY, " ".join(map(str, findings)))
             outcomes["refused" if errors else "accepted"] += 1
 
         compare()
