Use a stable hash of prompts in tests with simulated servers

The hash of a string differs between processes, so the preferred servers did too and the runs were not repeatable.

--- a/bluebellbeam/node/tests/engine_region.py
+++ b/bluebellbeam/node/tests/engine_region.py
@@ -6,6 +6,7 @@
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.tests.harness import Harness, make_base, server
 from bluebellbeam.provider.records import LoadHeader
+from bluebellbeam.utils.hashing import hash_text
 
 SLOTS = 64
 STEP_MS = 3.09
@@ -118,7 +119,7 @@
                 request_id,
                 prompt_tokens=prompt,
                 max_output_tokens=output,
-                blocks=(hash(request_id),),
+                blocks=(hash_text(request_id),),
                 block_ends=(prompt,),
             )
         )
--- a/bluebellbeam/node/tests/slow_region.py
+++ b/bluebellbeam/node/tests/slow_region.py
@@ -7,6 +7,7 @@
     LimitedRegion,
     LimitedServer,
 )
+from bluebellbeam.utils.hashing import hash_text
 
 DAEMONS, SERVERS, SLOTS = 3, 4, 8
 RATE_PER_S = 30.0
@@ -81,7 +82,7 @@
             ]
             values = {
                 "blocks": tuple(
-                    hash("/".join(names[: i + 1])) for i in range(len(ends))
+                    hash_text("/".join(names[: i + 1])) for i in range(len(ends))
                 ),
                 "block_ends": tuple(ends),
                 "prompt_tokens": ends[-1],
