Charge a quota in requests by requests

Cause: the quota code never read `quota_unit`, so a workspace with 5 requests/s and a burst of 10 was charged the tokens of its requests, and one of 9,190 tokens got 429. The margin of the burst and the overdraft, both in tokens, applied too: 30 of 30 requests without a refill were admitted where 10 are allowed.

Change: a request costs 1 in that unit. `Limit` carries the overdraft, 0 for requests, and the least capacity of a part of the bucket, 1 for requests: a region without contact had room for half a request of a burst of 2 and would have admitted none.

--- a/bluebellbeam/admission/quota.py
+++ b/bluebellbeam/admission/quota.py
@@ -81,18 +81,27 @@
 
 
 class Limit(Struct, frozen=True):
-    """Quota of a workspace.
+    """Quota of a workspace, in tokens or in requests.
+
+    For a quota in requests each request costs 1, and what is called tokens elsewhere
+    in this module is requests.
 
     Parameters
     ----------
     rate_per_s : float
-        In tokens per second.
     burst : float
-        Capacity of the bucket in tokens, `BURST_MARGIN_TOKENS` included.
+        Capacity of the bucket, for tokens with `BURST_MARGIN_TOKENS`.
+    overdraft : float
+        Debt allowed for requests larger than the bucket, over all ledgers.
+    min_capacity : float
+        Least capacity of the part of the bucket that a ledger or daemon has. It is 1
+        for a quota in requests, since a region's part of a small burst may be less.
     """
 
     rate_per_s: float
     burst: float
+    overdraft: float = OVERDRAFT_TOKENS
+    min_capacity: float = 0.0
 
 
 class RegionCounts(Struct, frozen=True):
@@ -274,8 +283,13 @@
     elapsed_s = max(0, now_ms - ledger.updated_ms) / 1000.0
     ledger.updated_ms = now_ms
     level = ledger.level + fraction * limit.rate_per_s * elapsed_s
-    floor = -MAX_DEBT_S * limit.rate_per_s - OVERDRAFT_TOKENS
-    ledger.level = max(floor, min(fraction * limit.burst, level))
+    floor = -MAX_DEBT_S * limit.rate_per_s - limit.overdraft
+    ledger.level = max(floor, min(_capacity(limit, fraction), level))
+
+
+def _capacity(limit, fraction):
+    """Return the capacity of a part of the bucket."""
+    return max(limit.min_capacity, fraction * limit.burst)
 
 
 def _connected_shares(ledger, counts):
@@ -369,8 +383,8 @@
     ledger.requested_ms = now_ms
     connected = _unseen(ledger, now_ms)
     share = ledger.fraction if connected is None else 1.0
-    excess = max(0.0, cost - ledger.fraction * limit.burst)
-    need = cost - min(excess, OVERDRAFT_TOKENS / max(1, len(counts.daemons)) * share)
+    excess = max(0.0, cost - _capacity(limit, ledger.fraction))
+    need = cost - min(excess, limit.overdraft / max(1, len(counts.daemons)) * share)
     room = _spendable(ledger, limit, counts, now_ms)
     if connected == 0:
         room = ledger.level
@@ -548,7 +562,7 @@
     """
     share = 0.5 / max(1, daemons)
     refill = share * limit.rate_per_s * (now_ms - held.own_updated_ms) / 1000.0
-    burst = share * (limit.burst + OVERDRAFT_TOKENS)
+    burst = max(limit.min_capacity, share * (limit.burst + limit.overdraft))
     held.own_level = min(burst, held.own_level + max(0.0, refill))
     held.own_updated_ms = now_ms
     if held.own_level >= cost:
--- a/bluebellbeam/admission/tests/test_quota.py
+++ b/bluebellbeam/admission/tests/test_quota.py
@@ -79,3 +79,10 @@
         self.assertEqual(take_without_ledger(held, LIMIT, 10, 1000, 0), 200)
         self.assertEqual(take_without_ledger(held, LIMIT, 10, 1000, 200), 0)
         self.assertEqual(take_without_ledger(held, LIMIT, 10, 1000, 200), 200)
+
+    def test_part_of_a_small_burst_admits_single_requests(self):
+        limit = Limit(5, 10, overdraft=0, min_capacity=1)
+        held = make_held_tokens(0)
+        self.assertEqual(take_without_ledger(held, limit, 50, 1, 0), 20_000)
+        self.assertEqual(take_without_ledger(held, limit, 50, 1, 60_000), 0)
+        self.assertGreater(take_without_ledger(held, limit, 50, 1, 60_000), 0)
--- a/bluebellbeam/node/quotas.py
+++ b/bluebellbeam/node/quotas.py
@@ -257,10 +257,25 @@
         workspace.burst_tokens and workspace.rate_tokens_per_s
     ):
         return None
+    if workspace.quota_unit == "request":
+        return Limit(
+            workspace.rate_tokens_per_s,
+            workspace.burst_tokens,
+            overdraft=0.0,
+            min_capacity=1.0,
+        )
     burst = workspace.burst_tokens + BURST_MARGIN_TOKENS
     return Limit(workspace.rate_tokens_per_s, burst)
 
 
+def _request_cost(workspace, request):
+    """Return what a request costs in the unit of the quota of its workspace."""
+    if workspace.quota_unit == "request":
+        return 1
+    tokens = request.prompt_tokens + request.max_output_tokens
+    return tokens or workspace.plain_request_tokens
+
+
 def charge_quota(state, request, now_ms):
     """Charge a request of a caller to the quota of its workspace.
 
@@ -281,9 +296,7 @@
     limit = quota_limit(state, request.workspace)
     if limit is None:
         return True, None
-    workspace = state.base.workspaces[request.workspace]
-    cost = request.prompt_tokens + request.max_output_tokens
-    cost = cost or workspace.plain_request_tokens
+    cost = _request_cost(state.base.workspaces[request.workspace], request)
     table = state.quotas
     held = table.held.get(request.workspace)
     if held is None:
--- a/bluebellbeam/node/tests/quota_schedules.py
+++ b/bluebellbeam/node/tests/quota_schedules.py
@@ -22,7 +22,10 @@
 def workspace(rate, burst):
     """Return the fields of a workspace that the quota code reads."""
     return SimpleNamespace(
-        rate_tokens_per_s=rate, burst_tokens=burst, plain_request_tokens=200
+        rate_tokens_per_s=rate,
+        burst_tokens=burst,
+        plain_request_tokens=200,
+        quota_unit="token",
     )
 
 
--- a/bluebellbeam/node/tests/test_quotas.py
+++ b/bluebellbeam/node/tests/test_quotas.py
@@ -159,6 +159,38 @@
         self.assertFalse(self.messages((TokenRequest, QuotaReport)))
 
 
+class TestRequestQuota(QuotaCase):
+    """A quota in requests, which was charged in tokens before."""
+
+    def start_with(self, rate, burst):
+        base = make_quota_base(burst=burst, rate=rate)
+        base["workspaces"]["all"]["quota_unit"] = "request"
+        self.start(base=base)
+
+    def test_large_request_costs_one(self):
+        self.start_with(5, 10)
+        self.table.region_since_ms -= 1000
+        self.assertTrue(started_attempts(self.send(9190)))
+        self.assertEqual(self.harness.state.requests["r1"].charged_tokens, 1)
+
+    def test_margin_and_overdraft_of_tokens_do_not_apply(self):
+        self.start_with(5, 10)
+        self.send(1)
+        self.harness.tick(10_000)
+        started = [bool(started_attempts(self.send(1, f"s{i}"))) for i in range(30)]
+        self.assertEqual(sum(started), 10)
+
+    def test_region_with_a_part_of_a_small_burst_admits_single_requests(self):
+        # Without contact to the other region, a quarter of the burst is half a request.
+        self.start_with(4, 2)
+        self.harness.announce_peer("vm-w", "west")
+        self.harness.tick(5000)
+        self.assertTrue(started_attempts(self.send(9190)))
+        self.assertTrue(final_errors(self.send(9190, "r2")))
+        self.harness.tick(1100)
+        self.assertTrue(started_attempts(self.send(9190, "r3")))
+
+
 class TestRemoteLedger(QuotaCase):
     """A daemon that has to ask peer vm-5 for tokens."""
 
