Grant no tokens of a workspace that the ledger daemon does not know

Cause: a daemon without a configuration, or with one older than the workspace, had no limit for it and answered every request for its tokens with "granted".

Change: the answer has no row for such a workspace. The daemon that asked tries the next candidate, then its own part of the quota. A workspace that is known without a limit had its limit removed and is granted as before.

--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -308,7 +308,8 @@
     number : int
     rows : tuple of (str, tuple of int, int)
         Workspace; time in ms until each waiting request may be granted, 0 if it is
-        granted; and further tokens granted. The order is that of the request.
+        granted; and further tokens granted. The order is that of the request. A
+        workspace that the sender does not know has no row.
     """
 
     number: int
--- a/bluebellbeam/node/quotas.py
+++ b/bluebellbeam/node/quotas.py
@@ -117,15 +117,18 @@
     cost, extra : int
         Its tokens, and further ones that the daemon expects to need.
     since_ms : int
+    skipped : set of str
+        Daemons that do not know the workspace, which are not asked again.
     """
 
-    __slots__ = ("request", "cost", "extra", "since_ms")
+    __slots__ = ("request", "cost", "extra", "since_ms", "skipped")
 
     def __init__(self, request, cost, extra, since_ms):
         self.request = request
         self.cost = cost
         self.extra = extra
         self.since_ms = since_ms
+        self.skipped = set()
 
 
 class PendingQuery:
@@ -340,15 +343,19 @@
 def _ask(state, waiting, now_ms):
     """Ask the ledger for the tokens of a request; see :func:`charge_quota`."""
     workspace = waiting.request.workspace
-    daemon = _choose_ledger(state, workspace, now_ms)
+    daemon = _choose_ledger(state, workspace, now_ms, waiting.skipped)
     if daemon is None:
         return True, _charge_own(state, waiting, now_ms)
     if daemon == state.identity.vm:
         held = state.quotas.held[workspace]
         returned, held.tokens = held.tokens, 0
-        waits, extra = _grant(
+        granted = _grant(
             state, workspace, (waiting.cost,), waiting.extra, returned, now_ms
         )
+        if granted is None:
+            # The configuration no longer has the workspace; admission checks that.
+            return True, None
+        waits, extra = granted
         _hold(held, extra, now_ms)
         return True, _settle(state, waiting, waits[0], now_ms)
     state.quotas.queued.setdefault(daemon, []).append(waiting)
@@ -426,11 +433,15 @@
 
 
 def handle_token_request(state, sender, message, now_ms):
-    """Grant tokens from the ledgers of this daemon, and respond."""
+    """Grant tokens from the ledgers of this daemon, and respond.
+
+    The response has no row for a workspace that this daemon does not know.
+    """
     rows = []
     for workspace, costs, extra, returned in message.rows:
-        waits, granted = _grant(state, workspace, costs, extra, returned, now_ms)
-        rows.append((workspace, waits, granted))
+        granted = _grant(state, workspace, costs, extra, returned, now_ms)
+        if granted is not None:
+            rows.append((workspace, *granted))
     if message.number:
         grant = TokenGrant(message.number, tuple(rows))
         send_to_member(state, sender, (grant,))
@@ -441,13 +452,15 @@
 
     Returns
     -------
-    waits : tuple of int
-        Time in ms until each request may be granted; 0 if it is granted.
-    extra : int
-        Further tokens granted.
+    (tuple of int, int) or None
+        Time in ms until each request may be granted, 0 if it is granted; and further
+        tokens granted. None if this daemon does not know the workspace, in particular
+        before it has a configuration. A known workspace without a limit had it removed.
     """
     limit = quota_limit(state, workspace)
     if limit is None:
+        if state.config is None or workspace not in state.base.workspaces:
+            return None
         return tuple(0 for _ in costs), 0
     ledger = _find_ledger(state, workspace, now_ms)
     counts = _region_counts(state, now_ms)
@@ -494,6 +507,13 @@
     if query is None:
         return []
     ended = []
+    unknown = []
+    answered = {row[0] for row in message.rows}
+    for workspace, items in query.rows.items():
+        if workspace not in answered and not query.timed_out:
+            for waiting in items:
+                waiting.skipped.add(sender)
+            unknown += items
     for workspace, waits, extra in message.rows:
         held = table.held.get(workspace)
         if held is None:
@@ -508,7 +528,7 @@
     if table.current.get(sender) == message.number:
         del table.current[sender]
         _send_query(state, sender, now_ms)
-    return ended
+    return ended + _ask_again(state, unknown, now_ms)
 
 
 def handle_unreachable_ledger(state, daemon, now_ms):
@@ -755,11 +775,11 @@
             _log_contact(state, "lose contact with ledgers", row)
 
 
-def _choose_ledger(state, workspace, now_ms):
+def _choose_ledger(state, workspace, now_ms, skipped=()):
     """Return the daemon of the region to ask for tokens, or None."""
     until_ms = state.quotas.unreachable_until_ms
     for daemon in _owners(state, workspace, state.region):
-        if until_ms.get(daemon, 0) <= now_ms:
+        if daemon not in skipped and until_ms.get(daemon, 0) <= now_ms:
             return daemon
     return None
 
--- a/bluebellbeam/node/tests/test_quotas.py
+++ b/bluebellbeam/node/tests/test_quotas.py
@@ -251,12 +251,47 @@
         self.assertFalse(started_attempts(self.deliver(self.ledger, grant)))
         self.assertEqual(self.table.held["all"].tokens, 2000)
 
+    def test_next_candidate_is_asked_if_the_ledger_does_not_know_the_workspace(self):
+        self.start(tuple(f"vm-{i}" for i in range(2, 12)))
+        self.send(2000)
+        for count in (1, 2):
+            asked = self.messages(TokenRequest)
+            self.assertEqual(len({name for name, _ in asked}), count)
+            ledger, query = asked[-1]
+            commands = self.deliver(ledger, TokenGrant(query.number, ()))
+        # Neither of them knows it: the own part of the quota is still empty.
+        self.assertEqual([e.code for e in final_errors(commands)], ["rate_limited"])
+
     def test_answer_about_an_unknown_workspace_is_ignored(self):
         grant = TokenGrant(self.query.number, (("gone", (0,), 5),))
         self.deliver(self.ledger, grant)
         self.assertNotIn("gone", self.table.held)
 
 
+class TestHolderWithoutLimit(QuotaCase):
+    """Guards against a ledger that grants all requests of a workspace it lacks."""
+
+    def ask(self, workspace):
+        self.harness.announce_peer("vm-2", "east")
+        self.harness.commands.clear()
+        self.deliver("vm-2", TokenRequest(4, ((workspace, (900, 50), 10, 0),)))
+        [(_, grant)] = self.messages(TokenGrant)
+        return grant
+
+    def test_unknown_workspace_is_not_granted(self):
+        self.start()
+        self.assertEqual(self.ask("new"), TokenGrant(4, ()))
+
+    def test_daemon_without_configuration_grants_nothing(self):
+        self.start()
+        self.harness.state.config = None
+        self.assertEqual(self.ask("all"), TokenGrant(4, ()))
+
+    def test_workspace_whose_limit_was_removed_is_granted(self):
+        self.start(base=make_base())
+        self.assertEqual(self.ask("all"), TokenGrant(4, (("all", (0, 0), 0),)))
+
+
 class TestReports(QuotaCase):
     def test_report_is_answered_in_the_same_exchange(self):
         self.start()
