Charge a request before it displaces others or counts as demand

Cause: the queue limit was applied before the quota was charged, so a request over its quota displaced a queued one of another workspace and was then rejected itself. Requests that waited for tokens skipped the limit. Arrivals were recorded before the charge, so refused traffic raised expected waits and offloading.

Change: for workspaces with a quota the queue limit applies, and the arrival is recorded, after the charge, also after a wait for tokens. A request that is rejected before the charge for another reason, such as its deadline, still counts as demand. Order and records are unchanged for workspaces without a quota and for forwards.

The set-up of TestFullQueue moved to a base class, its tests are the same.

--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -121,27 +121,47 @@
         Error of an earlier check.
     now_ms : int
     """
-    if request.urgency:
-        record_queue_arrival(state, request, now_ms)
-    if request.route is not None and has_shared_machines(state, request.service):
-        record_routed_demand(state, request, now_ms)
+    has_quota = not request.origin and (
+        quota_limit(state, request.workspace) is not None
+    )
+    if not has_quota:
+        _record_arrival(state, request, now_ms)
     if error is None and request.origin:
         error = _check_forwarded(state, request, now_ms)
     if error is None:
         error = check_quarantine(state, request, now_ms)
-    if error is None and not request.origin:
-        error = _check_limits(state, request, now_ms)
+    if error is None and not request.origin and not has_quota:
+        error = _check_queue_size(state, request, now_ms)
+        error = error or _check_rate(state, request, now_ms)
     if error is None:
         error = _check_deadline(state, request, now_ms)
-    if error is None and not request.origin:
+    if has_quota and error is not None:
+        # Not charged: demand that this daemon cannot serve, not traffic over the quota.
+        _record_arrival(state, request, now_ms)
+    elif has_quota:
         ended, error = charge_quota(state, request, now_ms)
         if not ended:
             request.state = "waiting"
             state.requests[request.request_id] = request
             return
+        if error is None:
+            _record_arrival(state, request, now_ms)
+            error = _check_queue_size(state, request, now_ms)
     _admit_charged(state, request, error, now_ms)
 
 
+def _record_arrival(state, request, now_ms):
+    """Count a request as demand on its pool.
+
+    A request over the quota of its workspace is not counted: it would raise the
+    expected waits of others, and cause offloading to other regions.
+    """
+    if request.urgency:
+        record_queue_arrival(state, request, now_ms)
+    if request.route is not None and has_shared_machines(state, request.service):
+        record_routed_demand(state, request, now_ms)
+
+
 def admit_charged(state, request, error, now_ms):
     """Queue a request that has waited for tokens, or answer it at once.
 
@@ -158,8 +178,11 @@
     request.state = "queued"
     if error is None:
         error = _resolve(state, request, request.arrival_ms)
+        _record_arrival(state, request, now_ms)
     if error is None:
         error = _check_deadline(state, request, now_ms)
+    if error is None:
+        error = _check_queue_size(state, request, now_ms)
     _admit_charged(state, request, error, now_ms)
 
 
@@ -406,9 +429,12 @@
     return None
 
 
-def _check_limits(state, request, now_ms):
-    """Return an error if the queue is full or the token rate is used up, else None."""
-    workspace = state.base.workspaces[request.workspace]
+def _check_queue_size(state, request, now_ms):
+    """Return an error if the queue is full, else None.
+
+    A less urgent request is rejected in favour of this one, which must therefore have
+    been charged to its quota.
+    """
     queue = state.queues.get(request.pool)
     if (
         queue is not None
@@ -417,10 +443,14 @@
     ):
         wait_ms = local_wait_ms(state, request.pool, request) or 0
         return make_error("queue_full", retry_after_ms=int(wait_ms))
+    return None
+
+
+def _check_rate(state, request, now_ms):
+    """Return an error if the rate of a workspace without a burst is used up."""
+    workspace = state.base.workspaces[request.workspace]
     if not workspace.rate_tokens_per_s or not request.model:
         return None
-    if quota_limit(state, request.workspace) is not None:
-        return None
     role, active_count = workspace_role(state, request.workspace)
     rate = local_rate(workspace.rate_tokens_per_s, active_count, role == "active")
     tokens = request.prompt_tokens + request.max_output_tokens
--- a/bluebellbeam/node/queue_rates.py
+++ b/bluebellbeam/node/queue_rates.py
@@ -34,7 +34,7 @@
     Attributes
     ----------
     arrivals : dict of tuple to DecayingRate
-        Arrivals by urgency, including rejected ones.
+        Arrivals by urgency, including rejected ones except those over their quota.
     starts : DecayingRate
         Requests that left the queue for a server or a peer.
     backlog_since_ms, backlog_seen_ms : int or None
--- a/bluebellbeam/node/tests/test_queue_order.py
+++ b/bluebellbeam/node/tests/test_queue_order.py
@@ -3,6 +3,9 @@
 
 from msgspec.structs import replace
 
+from bluebellbeam.node.command import SendToPeer
+from bluebellbeam.node.event import PeerMessagesReceived
+from bluebellbeam.node.message import Envelope, TokenGrant, TokenRequest
 from bluebellbeam.node.tests.harness import final_errors
 from bluebellbeam.node.tests.overloaded_pool import (
     OBJECTIVE_MS,
@@ -118,8 +121,8 @@
                 self.assertGreaterEqual(min(delays_ms), 400)
 
 
-class TestFullQueue(unittest.TestCase):
-    """A more urgent request displaces the least urgent one from a full queue."""
+class FullQueueCase(unittest.TestCase):
+    """A queue that is full of requests of workspace b, the less urgent one."""
 
     def setUp(self):
         rows = (("chat", "a", 0, 1.0), ("report", "b", 2, 1.0))
@@ -139,6 +142,10 @@
             self.harness.send_request("/report/x", f"r{number}")
         self.assertEqual(self.harness.state.queues["s/portal"].size, 2)
 
+
+class TestFullQueue(FullQueueCase):
+    """A more urgent request displaces the least urgent one from a full queue."""
+
     def test_urgent_request_is_queued_and_the_other_told_at_once(self):
         commands = self.harness.send_request("/chat/x", "c1")
         (error,) = final_errors(commands)
@@ -152,5 +159,78 @@
         self.assertNotIn("r9", self.harness.state.requests)
 
 
+class TestFullQueueWithQuota(FullQueueCase):
+    """Guards against requests over their quota that displace others or raise demand."""
+
+    def setUp(self):
+        super().setUp()
+        state = self.harness.state
+        limits = {"rate_tokens_per_s": 1000, "burst_tokens": 1000}
+        workspaces = dict(state.base.workspaces)
+        workspaces["a"] = replace(workspaces["a"], **limits)
+        state.config = replace(
+            state.config, base=replace(state.base, workspaces=workspaces)
+        )
+        self.queue = state.queues["s/portal"]
+        self.arrivals = state.queue_rates["s/portal"].arrivals
+        self.arrivals.clear()
+
+    def wait_for_tokens(self):
+        """Let c1 wait for the tokens of another daemon; return the query."""
+        self.harness.state.quotas.region_since_ms = self.harness.now_ms
+        others = [f"vm-{i}" for i in range(2, 12)]
+        self.harness.announce_peer("vm-11", "east", others=others[:-1])
+        self.harness.commands.clear()
+        self.harness.send_request("/chat/x", "c1", prompt_tokens=500)
+        self.assertEqual(self.queue.size, 2)
+        self.assertFalse(self.arrivals)
+        return next(
+            (command.vm, message)
+            for command in self.harness.commands
+            if isinstance(command, SendToPeer)
+            for message in command.messages
+            if isinstance(message, TokenRequest)
+        )
+
+    def answer(self, wait_ms):
+        ledger, query = self.wait_for_tokens()
+        grant = TokenGrant(query.number, (("a", (wait_ms,), 0),))
+        envelope = Envelope(ledger, 5, (grant,))
+        return self.harness.handle(PeerMessagesReceived(envelope))
+
+    def test_request_over_its_quota_displaces_none(self):
+        self.harness.state.quotas.region_since_ms = self.harness.now_ms
+        commands = self.harness.send_request("/chat/x", "c1", prompt_tokens=90_000)
+        self.assertEqual([e.code for e in final_errors(commands)], ["rate_limited"])
+        self.assertEqual(self.queue.size, 2)
+        self.assertFalse(self.arrivals)
+
+    def test_request_that_waited_for_its_tokens_displaces_another(self):
+        commands = self.answer(0)
+        self.assertEqual([e.code for e in final_errors(commands)], ["queue_full"])
+        self.assertIn("c1", self.harness.state.requests)
+        self.assertEqual(self.queue.size, 2)
+        self.assertEqual(len(self.arrivals), 1)
+
+    def test_request_that_waited_in_vain_displaces_none(self):
+        commands = self.answer(2000)
+        self.assertEqual([e.code for e in final_errors(commands)], ["rate_limited"])
+        self.assertEqual(self.queue.size, 2)
+        self.assertFalse(self.arrivals)
+
+    def test_request_without_room_in_the_queue_is_refunded(self):
+        state = self.harness.state
+        workspaces = dict(state.base.workspaces)
+        workspaces["b"] = replace(workspaces["a"])
+        state.config = replace(
+            state.config, base=replace(state.base, workspaces=workspaces)
+        )
+        state.quotas.region_since_ms = self.harness.now_ms - 1000
+        commands = self.harness.send_request("/report/x", "r9", prompt_tokens=500)
+        self.assertEqual([e.code for e in final_errors(commands)], ["queue_full"])
+        self.assertEqual(state.quotas.refunded_tokens, 500)
+        self.assertEqual(len(self.arrivals), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
