End every wait for tokens, and refund the workspace that was charged

Causes: a refund went to the workspace of the request at that time, which a new configuration may have changed. A request that a short answer left out waited until its deadline, as did those after an exception in the admission of another one. An answer was accepted from any daemon. The silence of a ledger was measured from its last answer, however old, so one late answer made it unreachable for 1 s.

Change: the request keeps the workspace that was charged. An answer counts only from the daemon that was asked, and requests that it leaves out end their wait as after a time-out. Each request is admitted separately; one with an exception is answered with `internal`, and the exception is raised after the others. Silence is measured from the first unanswered token request.

--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -4,7 +4,7 @@
 the scenarios under virtual time and in the benchmarks.
 """
 
-from bluebellbeam.admission import prune_buckets, prune_flows
+from bluebellbeam.admission import prune_buckets, prune_flows, remove_request
 from bluebellbeam.feeds import Delta, Snapshot
 from bluebellbeam.node import event as ev
 from bluebellbeam.node import message as msg
@@ -25,7 +25,11 @@
 from bluebellbeam.node.brittle_services import handle_brittle_stated
 from bluebellbeam.node.command import Log, SendErrorResponse
 from bluebellbeam.node.discovery import handle_announce, handle_member_pull
-from bluebellbeam.node.dispatch import dispatch_all_pools, dispatch_server_pools
+from bluebellbeam.node.dispatch import (
+    dispatch_all_pools,
+    dispatch_server_pools,
+    fail_request,
+)
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.feed_sync import (
     handle_delta,
@@ -255,9 +259,28 @@
 
 
 def _admit_charged(state, ended, now_ms):
-    """Admit the requests that have waited for tokens, each with its error or None."""
+    """Admit the requests that have waited for tokens, each with its error or None.
+
+    An exception in one of them ends this request only, and is raised after the others.
+    """
+    failures = []
     for request, error in ended:
-        admit_charged(state, request, error, now_ms)
+        try:
+            admit_charged(state, request, error, now_ms)
+        except Exception as failure:
+            failures.append(failure)
+            _end_failed(state, request, now_ms)
+    if len(failures) > 1:
+        raise ExceptionGroup("admission of requests that waited for tokens", failures)
+    if failures:
+        raise failures[0]
+
+
+def _end_failed(state, request, now_ms):
+    """Answer a request whose admission raised an exception, unless it has ended."""
+    if request.state == "queued" and request.pool in state.queues:
+        remove_request(state.queues[request.pool], request)
+    fail_request(state, request, make_error("internal"), now_ms)
 
 
 def _handle_event(state, event, now_ms):
--- a/bluebellbeam/node/quotas.py
+++ b/bluebellbeam/node/quotas.py
@@ -64,8 +64,9 @@
 tick of 50 ms, so that no request waits for more than 100 ms."""
 
 SILENCE_MS = 400
-"""Time without any answer after which a ledger counts as unreachable. A single late
-answer of a busy daemon does not start another ledger."""
+"""Time without any answer after which a ledger counts as unreachable, from the first
+token request that it has not answered. A single late answer of a busy daemon does not
+start another ledger."""
 
 UNREACHABLE_MS = 1000
 """Time for which an unreachable ledger is not asked again."""
@@ -167,8 +168,8 @@
         Number of the token request that a daemon has not answered, by daemon.
     queued : dict of str to list of Waiting
         Requests for the next token request, by daemon.
-    answered_ms : dict of str to int
-        Time of the last answer, by daemon that was asked.
+    unanswered_since_ms : dict of str to int
+        Time of the first token request since the last answer, by daemon.
     unreachable_until_ms : dict of str to int
     report_sent_ms : dict of str to int
         Time of the first report without a response, by daemon.
@@ -204,7 +205,7 @@
         "queries",
         "current",
         "queued",
-        "answered_ms",
+        "unanswered_since_ms",
         "unreachable_until_ms",
         "report_sent_ms",
         "silent",
@@ -228,7 +229,7 @@
         self.queries = {}
         self.current = {}
         self.queued = {}
-        self.answered_ms = {}
+        self.unanswered_since_ms = {}
         self.unreachable_until_ms = {}
         self.report_sent_ms = {}
         self.silent = set()
@@ -320,7 +321,7 @@
         return
     request.charged_tokens = 0
     state.quotas.refunded_tokens += tokens
-    held = state.quotas.held.get(request.workspace)
+    held = state.quotas.held.get(request.charged_workspace)
     if held is None:
         return
     if request.charged_ledger:
@@ -332,6 +333,7 @@
 
 def _record_charge(request, cost, by_ledger):
     request.charged_tokens = cost
+    request.charged_workspace = request.workspace
     request.charged_ledger = by_ledger
 
 
@@ -418,7 +420,7 @@
     table.next_number += 1
     table.queries[number] = PendingQuery(daemon, now_ms, rows)
     table.current[daemon] = number
-    table.answered_ms.setdefault(daemon, now_ms)
+    table.unanswered_since_ms.setdefault(daemon, now_ms)
     message = TokenRequest(
         number, tuple(_query_row(state, name, items) for name, items in rows.items())
     )
@@ -501,34 +503,55 @@
         Requests that no longer wait, with the error if they are rejected.
     """
     table = state.quotas
-    query = table.queries.pop(message.number, None)
-    table.answered_ms[sender] = now_ms
-    table.unreachable_until_ms.pop(sender, None)
-    if query is None:
+    query = table.queries.get(message.number)
+    if query is None or query.daemon != sender:
         return []
+    del table.queries[message.number]
+    table.unanswered_since_ms.pop(sender, None)
+    table.unreachable_until_ms.pop(sender, None)
+    rows = {workspace: (waits, extra) for workspace, waits, extra in message.rows}
     ended = []
-    unknown = []
-    answered = {row[0] for row in message.rows}
+    again = []
     for workspace, items in query.rows.items():
-        if workspace not in answered and not query.timed_out:
+        if workspace in rows:
+            waits, extra = rows[workspace]
+            _hold(table.held[workspace], extra, now_ms)
+            ended += _apply_waits(state, query, workspace, waits, now_ms)
+        elif not query.timed_out:
             for waiting in items:
                 waiting.skipped.add(sender)
-            unknown += items
-    for workspace, waits, extra in message.rows:
-        held = table.held.get(workspace)
-        if held is None:
-            continue
-        _hold(held, extra, now_ms)
-        for waiting, wait_ms in zip(query.rows.get(workspace, ()), waits, strict=False):
-            if query.timed_out:
-                _hold(held, 0 if wait_ms else waiting.cost, now_ms)
-                continue
-            error = _settle(state, waiting, wait_ms, now_ms)
-            ended.append((waiting.request, error))
+            again += items
     if table.current.get(sender) == message.number:
         del table.current[sender]
         _send_query(state, sender, now_ms)
-    return ended + _ask_again(state, unknown, now_ms)
+    return ended + _ask_again(state, again, now_ms)
+
+
+def _apply_waits(state, query, workspace, waits, now_ms):
+    """Apply the answer of a ledger about one workspace; return the ended requests.
+
+    A request that the row does not answer stops waiting as after a time-out.
+    """
+    items = query.rows[workspace]
+    held = state.quotas.held[workspace]
+    ended = []
+    for waiting, wait_ms in zip(items, waits, strict=False):
+        if query.timed_out:
+            _hold(held, 0 if wait_ms else waiting.cost, now_ms)
+        else:
+            error = _settle(state, waiting, wait_ms, now_ms)
+            ended.append((waiting.request, error))
+    unanswered = [] if query.timed_out else items[len(waits) :]
+    return ended + _end_wait(state, unanswered, now_ms)
+
+
+def _end_wait(state, items, now_ms):
+    """Charge requests without an answer to the part that needs no ledger."""
+    return [
+        (item.request, _charge_own(state, item, now_ms))
+        for item in items
+        if item.request.state != "ended"
+    ]
 
 
 def handle_unreachable_ledger(state, daemon, now_ms):
@@ -644,13 +667,10 @@
         table.current.pop(query.daemon, None)
         late += [item for items in query.rows.values() for item in items]
         late += table.queued.pop(query.daemon, [])
-        if now_ms - table.answered_ms[query.daemon] >= SILENCE_MS:
+        since_ms = table.unanswered_since_ms.get(query.daemon, query.sent_ms)
+        if now_ms - since_ms >= SILENCE_MS:
             table.unreachable_until_ms[query.daemon] = now_ms + UNREACHABLE_MS
-    return [
-        (item.request, _charge_own(state, item, now_ms))
-        for item in late
-        if item.request.state != "ended"
-    ]
+    return _end_wait(state, late, now_ms)
 
 
 def _return_unused(state, now_ms):
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -119,7 +119,9 @@
     key_fault : str
         Why there is no `key_digest`, or empty.
     charged_tokens : int
-        Tokens charged to the quota of its workspace, or 0.
+        Tokens charged to the quota of a workspace, or 0.
+    charged_workspace : str
+        Workspace that was charged; a new configuration may change `workspace`.
     charged_ledger : bool
         Whether they were granted by a ledger.
     """
@@ -177,6 +179,7 @@
         "key_fault",
         "has_key",
         "charged_tokens",
+        "charged_workspace",
         "charged_ledger",
     )
 
@@ -234,6 +237,7 @@
         self.running_attempts = []
         self.stalled = False
         self.charged_tokens = 0
+        self.charged_workspace = ""
         self.charged_ledger = False
         self.is_trial = False
 
--- a/bluebellbeam/node/tests/test_quotas.py
+++ b/bluebellbeam/node/tests/test_quotas.py
@@ -1,9 +1,11 @@
 import unittest
+from unittest.mock import patch
 
 from bluebellbeam.admission.quota import BURST_MARGIN_TOKENS, HELD_MS
 from bluebellbeam.config import split_documents
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
+from bluebellbeam.node import node as node_module
 from bluebellbeam.node.dump import dump_state
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.message import (
@@ -27,6 +29,10 @@
 RATE = 30_000
 
 
+class PlantedError(Exception):
+    """Error that a test plants."""
+
+
 def make_quota_base(burst=60_000, rate=RATE):
     base = make_base()
     base["workspaces"]["all"] |= {
@@ -131,6 +137,30 @@
         self.harness.tick(5000)
         self.assertEqual(self.table.refunded_tokens, 0)
 
+    def test_refund_goes_to_the_workspace_that_was_charged(self):
+        # The tokens of a queued request whose route got another workspace were lost
+        # or given to that one.
+        self.start()
+        self.harness.state.replicas.rows["portal-1"].slots = 1
+        self.harness.state.pool_service_ms["s/portal"] = 10.0
+        self.send(0)
+        self.harness.tick(5000)
+        for number in range(4):
+            self.send(100, f"s{number}")
+        self.send(20_000, "r3")
+        self.assertEqual(self.harness.state.requests["r3"].state, "queued")
+        base = make_quota_base()
+        base["workspaces"]["other"] = dict(base["workspaces"]["all"])
+        base["routes"][0]["workspace"] = "other"
+        granted = self.table.ledgers["all"].granted
+        self.harness.publish("config", split_documents(base, {}))
+        request = self.harness.state.requests["r3"]
+        self.assertEqual(request.workspace, "other")
+        self.harness.tick(5000)
+        self.assertNotIn("r3", self.harness.state.requests)
+        # The other queued requests are refunded too.
+        self.assertLessEqual(self.table.ledgers["all"].granted, granted - 20_000)
+
     def test_forwarded_request_is_not_charged(self):
         self.start()
         self.harness.announce_peer("vm-w", "west")
@@ -262,6 +292,63 @@
         # Neither of them knows it: the own part of the quota is still empty.
         self.assertEqual([e.code for e in final_errors(commands)], ["rate_limited"])
 
+    def test_short_answer_ends_the_wait_of_the_other_requests(self):
+        # They waited until their deadline.
+        self.send(300, "r2")
+        self.send(400, "r3")
+        grant = TokenGrant(self.query.number, (("all", (0,), 0),))
+        self.deliver(self.ledger, grant)
+        _, query = self.messages(TokenRequest)[1]
+        grant = TokenGrant(query.number, (("all", (0,), 0),))
+        commands = self.deliver(self.ledger, grant)
+        self.assertEqual(len(started_attempts(commands)), 1)
+        self.assertEqual([e.code for e in final_errors(commands)], ["rate_limited"])
+
+    def test_answer_of_another_daemon_is_ignored(self):
+        grant = TokenGrant(self.query.number, (("all", (0,), 700),))
+        [other, *_] = [name for name in self.PEERS if name != self.ledger]
+        self.assertFalse(started_attempts(self.deliver(other, grant)))
+        self.assertEqual(self.table.held["all"].tokens, 0)
+        self.assertTrue(started_attempts(self.deliver(self.ledger, grant)))
+
+    def test_exception_in_one_request_does_not_stop_the_others(self):
+        self.send(300, "r2")
+        self.send(400, "r3")
+        grant = TokenGrant(self.query.number, (("all", (0,), 0),))
+        self.deliver(self.ledger, grant)
+        _, query = self.messages(TokenRequest)[1]
+        raised = []
+        self.harness.node.on_exception = lambda _, error: raised.append(error)
+        admit = node_module.admit_charged
+
+        def fail_for_r2(state, request, error, now_ms):
+            if request.request_id == "r2":
+                raise PlantedError
+            admit(state, request, error, now_ms)
+
+        with patch.object(node_module, "admit_charged", fail_for_r2):
+            grant = TokenGrant(query.number, (("all", (0, 0), 0),))
+            commands = self.deliver(self.ledger, grant)
+        self.assertEqual(len(started_attempts(commands)), 1)
+        self.assertEqual([e.code for e in final_errors(commands)], ["internal"])
+        self.assertNotIn("r2", self.harness.state.requests)
+        self.assertIsInstance(raised[0], PlantedError)
+
+    def test_one_late_answer_does_not_make_the_ledger_unreachable(self):
+        # The time without an answer included the time without a query.
+        grant = TokenGrant(self.query.number, (("all", (0,), 0),))
+        self.deliver(self.ledger, grant)
+        self.harness.tick(1000)
+        self.send(300, "r2")
+        self.harness.tick(2 * ANSWER_TIMEOUT_MS)
+        self.assertNotIn(self.ledger, self.table.unreachable_until_ms)
+
+    def test_ledger_that_answers_no_query_becomes_unreachable(self):
+        for number in range(10):
+            self.harness.tick(50)
+            self.send(300, f"s{number}")
+        self.assertIn(self.ledger, self.table.unreachable_until_ms)
+
     def test_answer_about_an_unknown_workspace_is_ignored(self):
         grant = TokenGrant(self.query.number, (("gone", (0,), 5),))
         self.deliver(self.ledger, grant)
