--- a/bluebellbeam/node/quotas.py
+++ b/bluebellbeam/node/quotas.py
@@ -64,8 +64,9 @@
 tick of 50 ms, so that no request waits for more than 100 ms."""
 
 SILENCE_MS = 400
-"""Time without any answer after which a ledger counts as unreachable. A single late
-answer of a busy daemon does not start another ledger."""
+"""Time without any answer after which a ledger counts as unreachable, from the first
+token request that it has not answered. A single late answer of a busy daemon does not
+start another ledger."""
 
 UNREACHABLE_MS = 1000
 """Time for which an unreachable ledger is not asked again."""
@@ -117,15 +118,18 @@
     cost, extra : int
         Its tokens, and further ones that the daemon expects to need.
     since_ms : int
+    skipped : set of str
+        Daemons that do not know the workspace, which are not asked again.
     """
 
-    __slots__ = ("request", "cost", "extra", "since_ms")
+    __slots__ = ("request", "cost", "extra", "since_ms", "skipped")
 
     def __init__(self, request, cost, extra, since_ms):
         self.request = request
         self.cost = cost
         self.extra = extra
         self.since_ms = since_ms
+        self.skipped = set()
 
 
 class PendingQuery:
@@ -164,8 +168,8 @@
         Number of the token request that a daemon has not answered, by daemon.
     queued : dict of str to list of Waiting
         Requests for the next token request, by daemon.
-    answered_ms : dict of str to int
-        Time of the last answer, by daemon that was asked.
+    unanswered_since_ms : dict of str to int
+        Time of the first token request since the last answer, by daemon.
     unreachable_until_ms : dict of str to int
     report_sent_ms : dict of str to int
         Time of the first report without a response, by daemon.
@@ -201,7 +205,7 @@
         "queries",
         "current",
         "queued",
-        "answered_ms",
+        "unanswered_since_ms",
         "unreachable_until_ms",
         "report_sent_ms",
         "silent",
@@ -225,7 +229,7 @@
         self.queries = {}
         self.current = {}
         self.queued = {}
-        self.answered_ms = {}
+        self.unanswered_since_ms = {}
         self.unreachable_until_ms = {}
         self.report_sent_ms = {}
         self.silent = set()
@@ -257,10 +261,25 @@
         workspace.burst_tokens and workspace.rate_tokens_per_s
     ):
         return None
+    if workspace.quota_unit == "request":
+        return Limit(
+            workspace.rate_tokens_per_s,
+            workspace.burst_tokens,
+            overdraft=0.0,
+            min_capacity=1.0,
+        )
     burst = workspace.burst_tokens + BURST_MARGIN_TOKENS
     return Limit(workspace.rate_tokens_per_s, burst)
 
 
+def _request_cost(workspace, request):
+    """Return what a request costs in the unit of the quota of its workspace."""
+    if workspace.quota_unit == "request":
+        return 1
+    tokens = request.prompt_tokens + request.max_output_tokens
+    return tokens or workspace.plain_request_tokens
+
+
 def charge_quota(state, request, now_ms):
     """Charge a request of a caller to the quota of its workspace.
 
@@ -281,9 +300,7 @@
     limit = quota_limit(state, request.workspace)
     if limit is None:
         return True, None
-    workspace = state.base.workspaces[request.workspace]
-    cost = request.prompt_tokens + request.max_output_tokens
-    cost = cost or workspace.plain_request_tokens
+    cost = _request_cost(state.base.workspaces[request.workspace], request)
     table = state.quotas
     held = table.held.get(request.workspace)
     if held is None:
@@ -304,7 +321,7 @@
         return
     request.charged_tokens = 0
     state.quotas.refunded_tokens += tokens
-    held = state.quotas.held.get(request.workspace)
+    held = state.quotas.held.get(request.charged_workspace)
     if held is None:
         return
     if request.charged_ledger:
@@ -316,6 +333,7 @@
 
 def _record_charge(request, cost, by_ledger):
     request.charged_tokens = cost
+    request.charged_workspace = request.workspace
     request.charged_ledger = by_ledger
 
 
@@ -327,15 +345,19 @@
 def _ask(state, waiting, now_ms):
     """Ask the ledger for the tokens of a request; see :func:`charge_quota`."""
     workspace = waiting.request.workspace
-    daemon = _choose_ledger(state, workspace, now_ms)
+    daemon = _choose_ledger(state, workspace, now_ms, waiting.skipped)
     if daemon is None:
         return True, _charge_own(state, waiting, now_ms)
     if daemon == state.identity.vm:
         held = state.quotas.held[workspace]
         returned, held.tokens = held.tokens, 0
-        waits, extra = _grant(
+        granted = _grant(
             state, workspace, (waiting.cost,), waiting.extra, returned, now_ms
         )
+        if granted is None:
+            # The configuration no longer has the workspace; admission checks that.
+            return True, None
+        waits, extra = granted
         _hold(held, extra, now_ms)
         return True, _settle(state, waiting, waits[0], now_ms)
     state.quotas.queued.setdefault(daemon, []).append(waiting)
@@ -398,7 +420,7 @@
     table.next_number += 1
     table.queries[number] = PendingQuery(daemon, now_ms, rows)
     table.current[daemon] = number
-    table.answered_ms.setdefault(daemon, now_ms)
+    table.unanswered_since_ms.setdefault(daemon, now_ms)
     message = TokenRequest(
         number, tuple(_query_row(state, name, items) for name, items in rows.items())
     )
@@ -413,11 +435,15 @@
 
 
 def handle_token_request(state, sender, message, now_ms):
-    """Grant tokens from the ledgers of this daemon, and respond."""
+    """Grant tokens from the ledgers of this daemon, and respond.
+
+    The response has no row for a workspace that this daemon does not know.
+    """
     rows = []
     for workspace, costs, extra, returned in message.rows:
-        waits, granted = _grant(state, workspace, costs, extra, returned, now_ms)
-        rows.append((workspace, waits, granted))
+        granted = _grant(state, workspace, costs, extra, returned, now_ms)
+        if granted is not None:
+            rows.append((workspace, *granted))
     if message.number:
         grant = TokenGrant(message.number, tuple(rows))
         send_to_member(state, sender, (grant,))
@@ -428,13 +454,15 @@
 
     Returns
     -------
-    waits : tuple of int
-        Time in ms until each request may be granted; 0 if it is granted.
-    extra : int
-        Further tokens granted.
+    (tuple of int, int) or None
+        Time in ms until each request may be granted, 0 if it is granted; and further
+        tokens granted. None if this daemon does not know the workspace, in particular
+        before it has a configuration. A known workspace without a limit had it removed.
     """
     limit = quota_limit(state, workspace)
     if limit is None:
+        if state.config is None or workspace not in state.base.workspaces:
+            return None
         return tuple(0 for _ in costs), 0
     ledger = _find_ledger(state, workspace, now_ms)
     counts = _region_counts(state, now_ms)
@@ -475,27 +503,55 @@
         Requests that no longer wait, with the error if they are rejected.
     """
     table = state.quotas
-    query = table.queries.pop(message.number, None)
-    table.answered_ms[sender] = now_ms
-    table.unreachable_until_ms.pop(sender, None)
-    if query is None:
+    query = table.queries.get(message.number)
+    if query is None or query.daemon != sender:
         return []
+    del table.queries[message.number]
+    table.unanswered_since_ms.pop(sender, None)
+    table.unreachable_until_ms.pop(sender, None)
+    rows = {workspace: (waits, extra) for workspace, waits, extra in message.rows}
     ended = []
-    for workspace, waits, extra in message.rows:
-        held = table.held.get(workspace)
-        if held is None:
-            continue
-        _hold(held, extra, now_ms)
-        for waiting, wait_ms in zip(query.rows.get(workspace, ()), waits, strict=False):
-            if query.timed_out:
-                _hold(held, 0 if wait_ms else waiting.cost, now_ms)
-                continue
-            error = _settle(state, waiting, wait_ms, now_ms)
-            ended.append((waiting.request, error))
+    again = []
+    for workspace, items in query.rows.items():
+        if workspace in rows:
+            waits, extra = rows[workspace]
+            _hold(table.held[workspace], extra, now_ms)
+            ended += _apply_waits(state, query, workspace, waits, now_ms)
+        elif not query.timed_out:
+            for waiting in items:
+                waiting.skipped.add(sender)
+            again += items
     if table.current.get(sender) == message.number:
         del table.current[sender]
         _send_query(state, sender, now_ms)
-    return ended
+    return ended + _ask_again(state, again, now_ms)
+
+
+def _apply_waits(state, query, workspace, waits, now_ms):
+    """Apply the answer of a ledger about one workspace; return the ended requests.
+
+    A request that the row does not answer stops waiting as after a time-out.
+    """
+    items = query.rows[workspace]
+    held = state.quotas.held[workspace]
+    ended = []
+    for waiting, wait_ms in zip(items, waits, strict=False):
+        if query.timed_out:
+            _hold(held, 0 if wait_ms else waiting.cost, now_ms)
+        else:
+            error = _settle(state, waiting, wait_ms, now_ms)
+            ended.append((waiting.request, error))
+    unanswered = [] if query.timed_out else items[len(waits) :]
+    return ended + _end_wait(state, unanswered, now_ms)
+
+
+def _end_wait(state, items, now_ms):
+    """Charge requests without an answer to the part that needs no ledger."""
+    return [
+        (item.request, _charge_own(state, item, now_ms))
+        for item in items
+        if item.request.state != "ended"
+    ]
 
 
 def handle_unreachable_ledger(state, daemon, now_ms):
@@ -611,13 +667,10 @@
         table.current.pop(query.daemon, None)
         late += [item for items in query.rows.values() for item in items]
         late += table.queued.pop(query.daemon, [])
-        if now_ms - table.answered_ms[query.daemon] >= SILENCE_MS:
+        since_ms = table.unanswered_since_ms.get(query.daemon, query.sent_ms)
+        if now_ms - since_ms >= SILENCE_MS:
             table.unreachable_until_ms[query.daemon] = now_ms + UNREACHABLE_MS
-    return [
-        (item.request, _charge_own(state, item, now_ms))
-        for item in late
-        if item.request.state != "ended"
-    ]
+    return _end_wait(state, late, now_ms)
 
 
 def _return_unused(state, now_ms):
@@ -742,11 +795,11 @@
             _log_contact(state, "lose contact with ledgers", row)
 
 
-def _choose_ledger(state, workspace, now_ms):
+def _choose_ledger(state, workspace, now_ms, skipped=()):
     """Return the daemon of the region to ask for tokens, or None."""
     until_ms = state.quotas.unreachable_until_ms
     for daemon in _owners(state, workspace, state.region):
-        if until_ms.get(daemon, 0) <= now_ms:
+        if daemon not in skipped and until_ms.get(daemon, 0) <= now_ms:
             return daemon
     return None
 
--- a/bluebellbeam/node/tests/test_quotas.py
+++ b/bluebellbeam/node/tests/test_quotas.py
@@ -1,9 +1,11 @@
 import unittest
+from unittest.mock import patch
 
 from bluebellbeam.admission.quota import BURST_MARGIN_TOKENS, HELD_MS
 from bluebellbeam.config import split_documents
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
+from bluebellbeam.node import node as node_module
 from bluebellbeam.node.dump import dump_state
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.message import (
@@ -27,6 +29,10 @@
 RATE = 30_000
 
 
+class PlantedError(Exception):
+    """Error that a test plants."""
+
+
 def make_quota_base(burst=60_000, rate=RATE):
     base = make_base()
     base["workspaces"]["all"] |= {
@@ -131,6 +137,30 @@
         self.harness.tick(5000)
         self.assertEqual(self.table.refunded_tokens, 0)
 
+    def test_refund_goes_to_the_workspace_that_was_charged(self):
+        # The tokens of a queued request whose route got another workspace were lost
+        # or given to that one.
+        self.start()
+        self.harness.state.replicas.rows["portal-1"].slots = 1
+        self.harness.state.pool_service_ms["s/portal"] = 10.0
+        self.send(0)
+        self.harness.tick(5000)
+        for number in range(4):
+            self.send(100, f"s{number}")
+        self.send(20_000, "r3")
+        self.assertEqual(self.harness.state.requests["r3"].state, "queued")
+        base = make_quota_base()
+        base["workspaces"]["other"] = dict(base["workspaces"]["all"])
+        base["routes"][0]["workspace"] = "other"
+        granted = self.table.ledgers["all"].granted
+        self.harness.publish("config", split_documents(base, {}))
+        request = self.harness.state.requests["r3"]
+        self.assertEqual(request.workspace, "other")
+        self.harness.tick(5000)
+        self.assertNotIn("r3", self.harness.state.requests)
+        # The other queued requests are refunded too.
+        self.assertLessEqual(self.table.ledgers["all"].granted, granted - 20_000)
+
     def test_forwarded_request_is_not_charged(self):
         self.start()
         self.harness.announce_peer("vm-w", "west")
@@ -159,6 +189,38 @@
         self.assertFalse(self.messages((TokenRequest, QuotaReport)))
 
 
+class TestRequestQuota(QuotaCase):
+    """A quota in requests, which was charged in tokens before."""
+
+    def start_with(self, rate, burst):
+        base = make_quota_base(burst=burst, rate=rate)
+        base["workspaces"]["all"]["quota_unit"] = "request"
+        self.start(base=base)
+
+    def test_large_request_costs_one(self):
+        self.start_with(5, 10)
+        self.table.region_since_ms -= 1000
+        self.assertTrue(started_attempts(self.send(9190)))
+        self.assertEqual(self.harness.state.requests["r1"].charged_tokens, 1)
+
+    def test_margin_and_overdraft_of_tokens_do_not_apply(self):
+        self.start_with(5, 10)
+        self.send(1)
+        self.harness.tick(10_000)
+        started = [bool(started_attempts(self.send(1, f"s{i}"))) for i in range(30)]
+        self.assertEqual(sum(started), 10)
+
+    def test_region_with_a_part_of_a_small_burst_admits_single_requests(self):
+        # Without contact to the other region, a quarter of the burst is half a request.
+        self.start_with(4, 2)
+        self.harness.announce_peer("vm-w", "west")
+        self.harness.tick(5000)
+        self.assertTrue(started_attempts(self.send(9190)))
+        self.assertTrue(final_errors(self.send(9190, "r2")))
+        self.harness.tick(1100)
+        self.assertTrue(started_attempts(self.send(9190, "r3")))
+
+
 class TestRemoteLedger(QuotaCase):
     """A daemon that has to ask peer vm-5 for tokens."""
 
@@ -219,12 +281,104 @@
         self.assertFalse(started_attempts(self.deliver(self.ledger, grant)))
         self.assertEqual(self.table.held["all"].tokens, 2000)
 
+    def test_next_candidate_is_asked_if_the_ledger_does_not_know_the_workspace(self):
+        self.start(tuple(f"vm-{i}" for i in range(2, 12)))
+        self.send(2000)
+        for count in (1, 2):
+            asked = self.messages(TokenRequest)
+            self.assertEqual(len({name for name, _ in asked}), count)
+            ledger, query = asked[-1]
+            commands = self.deliver(ledger, TokenGrant(query.number, ()))
+        # Neither of them knows it: the own part of the quota is still empty.
+        self.assertEqual([e.code for e in final_errors(commands)], ["rate_limited"])
+
+    def test_short_answer_ends_the_wait_of_the_other_requests(self):
+        # They waited until their deadline.
+        self.send(300, "r2")
+        self.send(400, "r3")
+        grant = TokenGrant(self.query.number, (("all", (0,), 0),))
+        self.deliver(self.ledger, grant)
+        _, query = self.messages(TokenRequest)[1]
+        grant = TokenGrant(query.number, (("all", (0,), 0),))
+        commands = self.deliver(self.ledger, grant)
+        self.assertEqual(len(started_attempts(commands)), 1)
+        self.assertEqual([e.code for e in final_errors(commands)], ["rate_limited"])
+
+    def test_answer_of_another_daemon_is_ignored(self):
+        grant = TokenGrant(self.query.number, (("all", (0,), 700),))
+        [other, *_] = [name for name in self.PEERS if name != self.ledger]
+        self.assertFalse(started_attempts(self.deliver(other, grant)))
+        self.assertEqual(self.table.held["all"].tokens, 0)
+        self.assertTrue(started_attempts(self.deliver(self.ledger, grant)))
+
+    def test_exception_in_one_request_does_not_stop_the_others(self):
+        self.send(300, "r2")
+        self.send(400, "r3")
+        grant = TokenGrant(self.query.number, (("all", (0,), 0),))
+        self.deliver(self.ledger, grant)
+        _, query = self.messages(TokenRequest)[1]
+        raised = []
+        self.harness.node.on_exception = lambda _, error: raised.append(error)
+        admit = node_module.admit_charged
+
+        def fail_for_r2(state, request, error, now_ms):
+            if request.request_id == "r2":
+                raise PlantedError
+            admit(state, request, error, now_ms)
+
+        with patch.object(node_module, "admit_charged", fail_for_r2):
+            grant = TokenGrant(query.number, (("all", (0, 0), 0),))
+            commands = self.deliver(self.ledger, grant)
+        self.assertEqual(len(started_attempts(commands)), 1)
+        self.assertEqual([e.code for e in final_errors(commands)], ["internal"])
+        self.assertNotIn("r2", self.harness.state.requests)
+        self.assertIsInstance(raised[0], PlantedError)
+
+    def test_one_late_answer_does_not_make_the_ledger_unreachable(self):
+        # The time without an answer included the time without a query.
+        grant = TokenGrant(self.query.number, (("all", (0,), 0),))
+        self.deliver(self.ledger, grant)
+        self.harness.tick(1000)
+        self.send(300, "r2")
+        self.harness.tick(2 * ANSWER_TIMEOUT_MS)
+        self.assertNotIn(self.ledger, self.table.unreachable_until_ms)
+
+    def test_ledger_that_answers_no_query_becomes_unreachable(self):
+        for number in range(10):
+            self.harness.tick(50)
+            self.send(300, f"s{number}")
+        self.assertIn(self.ledger, self.table.unreachable_until_ms)
+
     def test_answer_about_an_unknown_workspace_is_ignored(self):
         grant = TokenGrant(self.query.number, (("gone", (0,), 5),))
         self.deliver(self.ledger, grant)
         self.assertNotIn("gone", self.table.held)
 
 
+class TestHolderWithoutLimit(QuotaCase):
+    """Guards against a ledger that grants all requests of a workspace it lacks."""
+
+    def ask(self, workspace):
+        self.harness.announce_peer("vm-2", "east")
+        self.harness.commands.clear()
+        self.deliver("vm-2", TokenRequest(4, ((workspace, (900, 50), 10, 0),)))
+        [(_, grant)] = self.messages(TokenGrant)
+        return grant
+
+    def test_unknown_workspace_is_not_granted(self):
+        self.start()
+        self.assertEqual(self.ask("new"), TokenGrant(4, ()))
+
+    def test_daemon_without_configuration_grants_nothing(self):
+        self.start()
+        self.harness.state.config = None
+        self.assertEqual(self.ask("all"), TokenGrant(4, ()))
+
+    def test_workspace_whose_limit_was_removed_is_granted(self):
+        self.start(base=make_base())
+        self.assertEqual(self.ask("all"), TokenGrant(4, (("all", (0, 0), 0),)))
+
+
 class TestReports(QuotaCase):
     def test_report_is_answered_in_the_same_exchange(self):
         self.start()
