--- a/bluebellbeam/cli/main.py
+++ b/bluebellbeam/cli/main.py
@@ -104,8 +104,10 @@
         raise click.UsageError("--against requires --base or --platform")
     if platform_file or against or output:
         if platform_file:
+            from bluebellbeam.platform.review import review_platform
+
             findings = review.review_platform_files(
-                settings_file, platform_file, against
+                review_platform, settings_file, platform_file, against
             )
         else:
             findings = review.review_files(settings_file, base_file, overlays, against)
--- a/bluebellbeam/cli/review.py
+++ b/bluebellbeam/cli/review.py
@@ -64,11 +64,14 @@
     )
 
 
-def review_platform_files(settings_path, platform_path, against_path):
+def review_platform_files(review, settings_path, platform_path, against_path):
     """Return what is found in a platform's configuration.
 
     Parameters
     ----------
+    review : callable
+        Maps the bytes of a configuration, the store, the site and the name of the
+        document to the base configuration or None, and the findings.
     settings_path : str
         Settings with a `store`, which states the failure domains and retry limits.
     platform_path : str
@@ -79,8 +82,6 @@
     list of Finding
         As those of :func:`review_files`.
     """
-    from bluebellbeam.platform.review import review_platform
-
     settings, findings = _review_settings(settings_path)
     if settings is None:
         return findings
@@ -93,7 +94,7 @@
         if isinstance(raw, Finding):
             reviewed.append((None, [raw]))
         else:
-            made = review_platform(raw, settings.store, settings.site, str(path))
+            made = review(raw, settings.store, settings.site, str(path))
             reviewed.append(made)
     base, found = reviewed[0]
     findings += found
--- a/bluebellbeam/daemon/tests/test_duplicate_responses.py
+++ b/bluebellbeam/daemon/tests/test_duplicate_responses.py
@@ -2,6 +2,7 @@
 import unittest
 
 import aiohttp
+import structlog
 from structlog.testing import capture_logs
 
 from bluebellbeam.daemon.connection_pool import make_connection_pool
@@ -82,6 +83,11 @@
 class TestDuplicateResponse(unittest.IsolatedAsyncioTestCase):
     """Guards against a caller that gets bytes of a response to another request."""
 
+    def setUp(self):
+        # A command that ran before may have raised the log level of this process.
+        self.addCleanup(structlog.configure, **structlog.get_config())
+        structlog.reset_defaults()
+
     async def fetch_twice(self, method, response, extra, when):
         """Return the body of two requests in a row, the server and the log lines."""
         server = DuplicatingServer(response, extra, when)
--- a/bluebellbeam/daemon/tests/test_exceptions.py
+++ b/bluebellbeam/daemon/tests/test_exceptions.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 from unittest.mock import Mock, patch
 
+import structlog
 from structlog.testing import capture_logs
 
 from bluebellbeam.daemon import driver as driver_module
@@ -35,6 +36,11 @@
 class TestPeriodicTasks(unittest.IsolatedAsyncioTestCase):
     """Guards against an exception that ends a periodic task of the daemon."""
 
+    def setUp(self):
+        # A command that ran before may have raised the log level of this process.
+        self.addCleanup(structlog.configure, **structlog.get_config())
+        structlog.reset_defaults()
+
     async def test_each_task_goes_on_and_logs_the_exception(self):
         places = {
             "_run_ticks": lambda driver, planted: setattr(driver.node, "tick", planted),
