--- a/bluebellbeam/admission/quota.py
+++ b/bluebellbeam/admission/quota.py
@@ -161,7 +161,7 @@
     acknowledged : int
         Own grants that it has subtracted.
     heard_ms : int
-    told_granted : int
+    reported_granted : int
         Own grants in the last report to it.
     use : Use
     """
@@ -172,7 +172,7 @@
         "granted",
         "acknowledged",
         "heard_ms",
-        "told_granted",
+        "reported_granted",
         "use",
     )
 
@@ -182,7 +182,7 @@
         self.granted = granted
         self.acknowledged = acknowledged
         self.heard_ms = now_ms
-        self.told_granted = 0
+        self.reported_granted = 0
         self.use = Use(now_ms)
 
 
@@ -207,9 +207,9 @@
         Part of the quota of each region, from the last time that all had contact.
     peers : dict of str to PeerLedger
         Other ledgers of the workspace, by daemon.
-    told_ms : dict of str to int
+    reported_ms : dict of str to int
         Time of the last report to each daemon.
-    told_use : float
+    reported_use : float
         Tokens used per second at the time of the last report.
     requested_ms : int
         Time of the last request for tokens.
@@ -224,8 +224,8 @@
         "fraction",
         "shares",
         "peers",
-        "told_ms",
-        "told_use",
+        "reported_ms",
+        "reported_use",
         "requested_ms",
     )
 
@@ -238,8 +238,8 @@
         self.fraction = 0.0
         self.shares = {}
         self.peers = {}
-        self.told_ms = {}
-        self.told_use = 0.0
+        self.reported_ms = {}
+        self.reported_use = 0.0
         self.requested_ms = now_ms
 
 
@@ -299,7 +299,7 @@
     of its own, each of three regions with a sudden load took two thirds of the burst.
     """
     use = dict.fromkeys(counts.daemons, 0.0)
-    use[counts.own] = ledger.told_use
+    use[counts.own] = ledger.reported_use
     for peer in ledger.peers.values():
         if peer.region in use:
             use[peer.region] += peer.use.per_s
--- a/bluebellbeam/node/quotas.py
+++ b/bluebellbeam/node/quotas.py
@@ -617,10 +617,10 @@
 def _report_row(state, workspace, receiver, now_ms):
     ledger = state.quotas.ledgers[workspace]
     peer = ledger.peers.get(receiver)
-    ledger.told_ms[receiver] = now_ms
-    ledger.told_use = use_per_s(ledger.use, now_ms)
+    ledger.reported_ms[receiver] = now_ms
+    ledger.reported_use = use_per_s(ledger.use, now_ms)
     if peer is not None:
-        peer.told_granted = ledger.granted
+        peer.reported_granted = ledger.granted
     return QuotaReportRow(
         workspace,
         ledger.epoch,
@@ -737,9 +737,9 @@
     one therefore waits longer and usually only responds.
     """
     peer = ledger.peers.get(daemon)
-    told_ms = ledger.told_ms.get(daemon, -IDLE_MS)
-    changed = ledger.granted - (peer.told_granted if peer else 0)
-    since_ms = now_ms - told_ms
+    reported_ms = ledger.reported_ms.get(daemon, -IDLE_MS)
+    changed = ledger.granted - (peer.reported_granted if peer else 0)
+    since_ms = now_ms - reported_ms
     first = state.identity.vm < daemon
     interval_ms = REPORT_INTERVAL_MS if first else PASSIVE_REPORT_INTERVAL_MS
     if not changed and now_ms - ledger.requested_ms > REPORT_INTERVAL_MS * 4:
