--- a/bluebellbeam/node/tests/test_queue_order.py
+++ b/bluebellbeam/node/tests/test_queue_order.py
@@ -146,7 +146,7 @@
 class TestFullQueue(FullQueueCase):
     """A more urgent request displaces the least urgent one from a full queue."""
 
-    def test_urgent_request_is_queued_and_the_other_told_at_once(self):
+    def test_urgent_request_is_queued_and_the_other_rejected_at_once(self):
         commands = self.harness.send_request("/chat/x", "c1")
         (error,) = final_errors(commands)
         self.assertEqual((error.code, error.outcome), ("queue_full", "not_run"))
