Log when a daemon stops using a server, and when it reaches none of a service

No line says that a server is not used any more because it does not respond, and none that a daemon reaches no server of a service; what was logged are the refusals that follow. No decision changes.

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -23,6 +23,7 @@
     record_lost_prompt,
     record_refused_connection,
 )
+from bluebellbeam.node.reachability import record_failed_contact
 from bluebellbeam.node.regional_load import exclude_rejecting_region
 from bluebellbeam.node.retries import REFUSED_RETRY_AFTER_MS, add_sends, consume_retry
 from bluebellbeam.node.server_checks import apply_response_load
@@ -40,7 +41,6 @@
 from bluebellbeam.routing import (
     StreamOrigin,
     record_full,
-    record_miss,
     record_response,
 )
 from bluebellbeam.routing.completion import record_events, record_stream_end
@@ -213,7 +213,7 @@
 def _record_server_refusal(state, row, event, now_ms):
     """Update the load and health of a backend server that refused a request."""
     if event.error.code == "server_changed":
-        record_miss(state.replicas, row)
+        record_failed_contact(state, row, event.error.code)
         return
     pause_brittle_server(state, row, now_ms)
     if event.load is not None:
@@ -241,7 +241,7 @@
     if row is not None:
         record_failure(state.replicas, row, state.policy, now_ms, state.rng)
         if not event.sent or (row.listed and event.lost_connection):
-            record_miss(state.replicas, row)
+            record_failed_contact(state, row, event.reason)
     if event.lost_connection and event.sent:
         record_lost_prompt(state, attempt, now_ms)
     elif event.refused_connection:
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -74,6 +74,7 @@
     handle_unreachable_ledger,
     tick_quotas,
 )
+from bluebellbeam.node.reachability import tick_reachability
 from bluebellbeam.node.readiness import tick_readiness
 from bluebellbeam.node.reconfiguration import apply_config_to_queued
 from bluebellbeam.node.regional_load import tick_regional_loads
@@ -189,6 +190,7 @@
         self._run("tick_lookups", _tick_lookups, state, now_ms)
         if state.config is not None:
             self._run("tick_server_checks", tick_server_checks, state, now_ms)
+            self._run("tick_reachability", tick_reachability, state)
             self._run("tick_leases", tick_leases, state, now_ms)
             self._run("tick_load_exchange", tick_load_exchange, state, now_ms)
             self._run("tick_quarantine", tick_quarantine, state, now_ms)
--- a/bluebellbeam/node/reachability.py
+++ b/bluebellbeam/node/reachability.py
@@ -4,9 +4,15 @@
 its neighbours still reach.
 """
 
-from bluebellbeam.routing import may_continue_at
+from bluebellbeam.node.command import Log
+from bluebellbeam.routing import may_continue_at, record_miss
 
-__all__ = ["has_lost_servers", "has_room_at_lost_servers"]
+__all__ = [
+    "has_lost_servers",
+    "has_room_at_lost_servers",
+    "record_failed_contact",
+    "tick_reachability",
+]
 
 
 def has_lost_servers(state, request):
@@ -44,3 +50,40 @@
         and not row.leaving
         and row.failure_domain not in state.evacuated
     )
+
+
+def record_failed_contact(state, row, reason):
+    """Record a health check of a server or connection to it without a response.
+
+    Parameters
+    ----------
+    state : NodeState
+    row : Replica
+    reason : str
+        For the log, in case the server is not used any more.
+    """
+    was_reached = row.identified
+    record_miss(state.replicas, row)
+    if was_reached and not row.identified:
+        fields = {"misses": row.misses, "reason": reason}
+        state.log_server(row, "stop using server: it does not respond", **fields)
+
+
+def tick_reachability(state):
+    """Log the services of which this daemon has lost or regained all servers."""
+    reached = {}
+    for row in state.replicas.rows.values():
+        if not row.leaving:
+            name = row.service or row.role
+            reached[name] = reached.get(name, False) or row.identified
+    for name, is_reached in reached.items():
+        was_reached = state.reached_services.get(name)
+        if was_reached is None and not is_reached:
+            # Servers count as reached from their first response on.
+            continue
+        state.reached_services[name] = is_reached
+        if was_reached not in (None, is_reached):
+            text = "a server is reached again" if is_reached else "no server is reached"
+            state.emit(Log("routing", text, fields={"service": name}))
+    for name in [name for name in state.reached_services if name not in reached]:
+        del state.reached_services[name]
--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -4,6 +4,7 @@
 from bluebellbeam.node.brittle_services import apply_brittle
 from bluebellbeam.node.command import Log, ReadLoad
 from bluebellbeam.node.feed_sync import listed_backends
+from bluebellbeam.node.reachability import record_failed_contact
 from bluebellbeam.node.server_limits import apply_limit
 from bluebellbeam.node.state import backends_feed
 from bluebellbeam.recovery import record_failure, refresh_slowness
@@ -17,7 +18,6 @@
     may_send_limited,
     needs_check,
     pause_replica,
-    record_miss,
     record_warm_up,
     reindex,
     remove_server_blocks,
@@ -318,5 +318,5 @@
     if row is not None and not _has_just_responded(row, now_ms):
         if row.identified:
             state.log_server(row, "load read or health check failed", misses=row.misses)
-        record_miss(state.replicas, row)
+        record_failed_contact(state, row, "health check")
         record_failure(state.replicas, row, state.policy, now_ms, state.rng)
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -232,6 +232,9 @@
         as learned by gossip, to any other.
     list_stale_ms : int or None
         Time at which the list of backend servers was last out of date; None if never.
+    reached_services : dict of str to bool
+        Whether this daemon reaches a server of a service, of those with listed servers
+        of which it has reached one before.
     next_exchange_ms : int
         Time of the next load exchange.
     exchange_offset : int
@@ -358,6 +361,7 @@
         "unlisted_since_ms",
         "source_response_ms",
         "list_stale_ms",
+        "reached_services",
         "next_exchange_ms",
         "exchange_offset",
         "last_loads_nonempty",
@@ -439,6 +443,7 @@
         self.unlisted_since_ms = {}
         self.source_response_ms = None
         self.list_stale_ms = None
+        self.reached_services = {}
         self.next_exchange_ms = 0
         self.exchange_offset = 0
         self.last_loads_nonempty = False
--- a/bluebellbeam/node/tests/test_lost_servers.py
+++ b/bluebellbeam/node/tests/test_lost_servers.py
@@ -1,6 +1,7 @@
 import unittest
 
 from bluebellbeam.config import split_documents
+from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.message import Envelope, ServerLoads
@@ -19,6 +20,28 @@
         harness.handle(ev.LoadReadFailed(name))
 
 
+class TestLogOfReachedServers(unittest.TestCase):
+    def test_loss_and_return_of_the_last_server_are_logged_once(self):
+        harness = Harness()
+        harness.publish_servers(server("s1"), server("s2"))
+        harness.tick(50)
+        lose_servers(harness, "s1")
+        harness.tick(50)
+        self.assertNotIn("no server is reached", self.sentences(harness))
+        lose_servers(harness, "s2")
+        for _ in range(3):
+            harness.tick(50)
+        harness.handle(ev.HealthCheckAnswered("s2", "s2", 1))
+        harness.tick(50)
+        found = self.sentences(harness)
+        self.assertEqual(found.count("no server is reached"), 1)
+        self.assertEqual(found.count("a server is reached again"), 1)
+        self.assertEqual(found.count("stop using server: it does not respond"), 2)
+
+    def sentences(self, harness):
+        return [c.sentence for c in harness.commands if isinstance(c, cmd.Log)]
+
+
 class TestForwardedRequest(unittest.TestCase):
     def setUp(self):
         self.harness = Harness()
