Add failing tests of daemons that lost their servers, for three causes

Three ways in which callers of cut daemons are not served though a neighbour or another region could serve them: servers that are listed during the cut count as reached, failed connections of a forward are reported as a region without servers, and all tries of a request are spent at neighbours that are cut off as well.

--- a/bluebellbeam/node/tests/test_lost_servers.py
+++ b/bluebellbeam/node/tests/test_lost_servers.py
@@ -74,6 +74,55 @@
         self.assertEqual(started_attempts(self.forward())[0].server, "s2")
 
 
+class TestFailedConnectionsOfAForward(unittest.TestCase):
+    def test_failed_connections_are_not_reported_as_a_region_without_servers(self):
+        harness = Harness()
+        harness.publish_servers(server("s1"))
+        harness.announce_peer("e2", region="east")
+        commands = harness.send_request(
+            request_id="f1", origin="e2", allowed=frozenset({"east"}), revision=1
+        )
+        attempt = started_attempts(commands)[0]
+        event = ev.AttemptFailed(attempt.attempt_id, False, lost_connection=True)
+        error = final_errors(harness.handle(event))[0]
+        self.assertEqual(
+            (error.code, error.outcome), ("servers_unreachable", "not_run")
+        )
+
+
+class TestLargeRegionCutOff(unittest.TestCase):
+    """A daemon that reaches no server, in a region of 44 whose others do not either."""
+
+    def setUp(self):
+        self.harness = Harness()
+        self.harness.publish_servers(server("s1"))
+        others = tuple(f"e{number}" for number in range(3, 45))
+        self.harness.announce_peer("e2", region="east", others=others)
+        self.harness.announce_peer("w1", others=("w2",))
+        lose_servers(self.harness, "s1")
+
+    def regions_of_attempts(self, key):
+        """Return the regions at which a request is tried until one accepts it."""
+        found = []
+        commands = self.harness.send_request(request_id=key)
+        while attempts := started_attempts(commands):
+            self.assertEqual(len(attempts), 1)
+            peer = attempts[0].peer
+            found.append(self.harness.state.members.rows[peer].region)
+            if found[-1] == "west":
+                break
+            self.harness.now_ms += 2
+            error = make_error("servers_unreachable", retry_after_ms=1000)
+            event = ev.AttemptRefused(attempts[0].attempt_id, error, sends=0)
+            commands = self.harness.handle(event)
+        return found
+
+    def test_every_request_reaches_another_region(self):
+        for number in range(60):
+            self.assertIn("west", self.regions_of_attempts(f"n{number}"), number)
+            self.harness.tick(100)
+
+
 class TestRequestOfACaller(unittest.TestCase):
     def setUp(self):
         self.harness = Harness()
--- a/bluebellbeam/platform/tests/test_cut_daemons.py
+++ b/bluebellbeam/platform/tests/test_cut_daemons.py
@@ -5,6 +5,7 @@
 
 from bluebellbeam.daemon.connection import UpstreamConnectionError
 from bluebellbeam.node import event as ev
+from bluebellbeam.platform.tests.fake_platform import Replica
 from bluebellbeam.platform.tests.loopback import PlatformCase
 
 REQUESTS = 40
@@ -143,6 +144,43 @@
         self.run_with(step, daemons=("hall-e", "hall-e_2", "hall-w"))
 
 
+class TestCutWhileServersAreReplaced(CutCase):
+    async def replace_servers(self, deployment, duration_s, interval_s=0.15):
+        """Replace the servers of a model in turn, without an interruption."""
+        names = ["llm-hall-e-1", "llm-hall-e-2"]
+        end_s = deployment.now_s() + duration_s
+        number = 2
+        while deployment.now_s() < end_s:
+            number += 1
+            names.append(f"llm-hall-e-{number}")
+            replica = await Replica(names[-1], events=6).start()
+            deployment.replicas[replica.name] = replica
+            entry = replica.entry("llm", "hall-e", born=number)
+            deployment.store.put(f"servers/{replica.name}", entry)
+            deployment.store.remove(f"servers/{names.pop(0)}")
+            await asyncio.sleep(interval_s)
+
+    def test_neighbours_that_are_cut_off_as_well_do_not_hide_one_that_is_not(self):
+        async def step(deployment):
+            await self.wait_until_known(deployment)
+            self.fill_servers(deployment, "hall-w")
+            for name in ("hall-e", "hall-e_2", "hall-e_3"):
+                cut_from_servers(deployment, name, "hang")
+            replaced = asyncio.ensure_future(self.replace_servers(deployment, 4.0))
+            await self.count_served(deployment, "hall-e", count=20)
+            names = ("hall-e", "hall-e_2", "hall-e_3", "hall-e_4")
+            found = await asyncio.gather(
+                *(self.count_served(deployment, name) for name in names)
+            )
+            await replaced
+            self.assertGreaterEqual(found[3], 0.9 * REQUESTS, found)
+            self.assertGreaterEqual(min(found[:3]), SHARE_OF_OTHERS * found[3], found)
+
+        self.run_with(
+            step, daemons=("hall-e", "hall-e_2", "hall-e_3", "hall-e_4", "hall-w")
+        )
+
+
 class TestForwardToADaemonWithoutServers(CutCase):
     def test_it_refuses_at_once_and_another_daemon_serves_the_request(self):
         async def step(deployment):
