Report failed connections of a forward as servers not reached

What callers saw: requests at a daemon that is cut off from its servers are refused though another daemon of the same region, or of the one asked, reaches free servers. Cause: a daemon whose connections to servers fail while it holds a forwarded request answers no_backend, the code for a region without servers. The sender then leaves out all daemons of that region. One daemon's failed connections were taken for knowledge of a list. Evidence: test_failed_connections_are_not_reported_as_a_region_without_servers failed with no_backend; it passes now. Why it works: servers_unreachable only rests the daemon that sent it; the next attempt goes to another one. no_backend still stands for an empty list.

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -267,7 +267,11 @@
         return "upstream_truncated"
     if event.reason == "timeout":
         return "upstream_timeout"
-    return "upstream_failed" if event.sent else "no_backend"
+    if event.sent:
+        return "upstream_failed"
+    # The daemon that forwarded it takes `no_backend` as a statement on the region.
+    is_routed_forward = request.origin and request.route is not None
+    return "servers_unreachable" if is_routed_forward else "no_backend"
 
 
 def _retry_or_fail(state, request, attempt, not_run, code, now_ms, reason=""):
