Try a request at two daemons of a region before another region

What callers saw: at a daemon of a large region that is cut off from its servers as a whole, every request is refused though other regions have room. Cause: neighbours have no distance, so they come first, and each of those that are cut off as well costs an attempt. A request has six; a region has up to 44 daemons. Evidence: test_every_request_reaches_another_region failed on the first request: six attempts in the own region. Why it works: after two failed attempts in a region the daemons of other regions come first, while there are any.

--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -22,6 +22,10 @@
 """Share of the route's objective that the expected local time to the first event must
 exceed before forwarding is considered."""
 
+MAX_TRIES_IN_REGION = 2
+"""Daemons of one region that a request is tried at while another region is left. All of
+a region may be cut off from its servers, and a request has few attempts."""
+
 MAX_FORWARD_TIME_RATIO = 0.7
 """Highest ratio of the expected time in another region to the local one at which
 a request is forwarded."""
@@ -162,7 +166,8 @@
     These are the ones of other allowed regions and, while this daemon does not reach
     every server for the request, those of its own region. Those at which an attempt of
     it has already failed are left out, and those of a region that is known to have no
-    server that may continue its stream.
+    server that may continue its stream. So are those of a region at which several
+    attempts have failed, while there are others.
 
     Parameters
     ----------
@@ -175,7 +180,7 @@
     neighbours = neighbours and (
         has_lost_servers(state, request) or has_room_at_lost_servers(state, request)
     )
-    return [
+    found = [
         row
         for row in usable_members(state.members)
         if row.name != own
@@ -185,6 +190,18 @@
         and row.name not in request.tried_targets
         and _may_continue_in(state, request, row.region)
     ]
+    tried = _often_tried_regions(state, request)
+    return [row for row in found if row.region not in tried] or found
+
+
+def _often_tried_regions(state, request):
+    """Return the regions with `MAX_TRIES_IN_REGION` failed attempts of a request."""
+    tries = {}
+    for name in request.tried_targets:
+        row = state.members.rows.get(name)
+        if row is not None:
+            tries[row.region] = tries.get(row.region, 0) + 1
+    return {region for region, count in tries.items() if count >= MAX_TRIES_IN_REGION}
 
 
 def _may_continue_in(state, request, region):
