Doubt new servers of a service of which no server is reached

What callers saw: at daemons that are cut off from all servers requests fail or are late while servers are being replaced, though a neighbour could serve all of them. Cause: a server counts as reached from the moment it is listed, until a connection to it fails. A cut daemon therefore sends requests to each new server, several at once, and each loses a connect timeout. Servers that have left the list meanwhile teach it nothing. Change: failed connections are also counted by service. While a daemon reaches no server of a service, or two connections have failed since the last response, a server that has not responded yet gets one request at a time and none that was forwarded; a health check follows if no request comes. The others go to neighbours. Why it works: what is known of the path of a daemon outlives the servers it was learnt at.

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -23,7 +23,10 @@
     record_lost_prompt,
     record_refused_connection,
 )
-from bluebellbeam.node.reachability import record_failed_contact
+from bluebellbeam.node.reachability import (
+    record_failed_connection,
+    record_failed_contact,
+)
 from bluebellbeam.node.regional_load import exclude_rejecting_region
 from bluebellbeam.node.retries import REFUSED_RETRY_AFTER_MS, add_sends, consume_retry
 from bluebellbeam.node.server_checks import apply_response_load
@@ -141,6 +144,7 @@
     row = attempt_replica(state, attempt)
     if row is not None:
         record_response(row, now_ms)
+        state.failed_connections.pop(row.service, None)
 
 
 def handle_attempt_finished(state, event, now_ms):
@@ -215,6 +219,7 @@
     if event.error.code == "server_changed":
         record_failed_contact(state, row, event.error.code)
         return
+    row.unproven = False
     pause_brittle_server(state, row, now_ms)
     if event.load is not None:
         apply_response_load(state, row, event.load, now_ms)
@@ -238,6 +243,8 @@
         add_sends(request, event.sends)
     request.emitted_tokens = max(request.emitted_tokens, event.emitted_tokens)
     row = attempt_replica(state, attempt)
+    if attempt.server and not event.sent:
+        record_failed_connection(state, request.service)
     if row is not None:
         record_failure(state.replicas, row, state.policy, now_ms, state.rng)
         if not event.sent or (row.listed and event.lost_connection):
--- a/bluebellbeam/node/reachability.py
+++ b/bluebellbeam/node/reachability.py
@@ -10,10 +10,15 @@
 __all__ = [
     "has_lost_servers",
     "has_room_at_lost_servers",
+    "record_failed_connection",
     "record_failed_contact",
     "tick_reachability",
 ]
 
+MAX_FAILED_CONNECTIONS = 2
+"""Failed connections to servers of a service, with no response from any since, after
+which servers that have not responded yet are not assumed to be reached."""
+
 
 def has_lost_servers(state, request):
     """Return whether servers of this region may serve a request, but none is reached.
@@ -23,7 +28,7 @@
     found = False
     for row in state.replicas.rows.values():
         if _may_serve(state, row, request):
-            if row.identified:
+            if row.identified and not row.unproven:
                 return False
             found = True
     return found
@@ -35,7 +40,7 @@
     What the neighbours send there is known from them.
     """
     return any(
-        not row.identified
+        (row.unproven or not row.identified)
         and row.free_slots() >= 1.0
         and _may_serve(state, row, request)
         for row in state.replicas.rows.values()
@@ -69,13 +74,21 @@
         state.log_server(row, "stop using server: it does not respond", **fields)
 
 
+def record_failed_connection(state, service):
+    """Count a failed connection to a server of `service`, listed still or not."""
+    failed = state.failed_connections
+    failed[service] = failed.get(service, 0) + 1
+
+
 def tick_reachability(state):
     """Log the services of which this daemon has lost or regained all servers."""
+    _doubt_new_servers(state)
     reached = {}
     for row in state.replicas.rows.values():
         if not row.leaving:
             name = row.service or row.role
-            reached[name] = reached.get(name, False) or row.identified
+            is_reached = row.identified and not row.unproven
+            reached[name] = reached.get(name, False) or is_reached
     for name, is_reached in reached.items():
         was_reached = state.reached_services.get(name)
         if was_reached is None and not is_reached:
@@ -87,3 +100,15 @@
             state.emit(Log("routing", text, fields={"service": name}))
     for name in [name for name in state.reached_services if name not in reached]:
         del state.reached_services[name]
+
+
+def _doubt_new_servers(state):
+    """Doubt servers without a response after failed connections to others.
+
+    In a service whose servers are replaced quickly, those at which connections failed
+    may have left the list before that is known.
+    """
+    for row in state.replicas.rows.values():
+        failed = state.failed_connections.get(row.service, 0)
+        if failed >= MAX_FAILED_CONNECTIONS and row.identified:
+            row.unproven = row.unproven or row.confirmed_ms is None
--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -43,6 +43,9 @@
 RECHECK_INTERVAL_MS = 250
 """Minimum time between two checks of an unconfirmed server."""
 
+CHECK_SPREAD_MS = 250
+"""Average time between the checks of the daemons of a region of one new server."""
+
 SLOWNESS_INTERVAL_MS = 500
 """Interval at which the servers of each pool are compared with each other."""
 
@@ -82,7 +85,9 @@
                 continue
             end_pause(state.replicas, row)
         is_checked = stale or (settling and needs_check(state, row))
-        if row.listed and row.identified and not is_checked:
+        if row.listed and row.identified and not (is_checked or row.unproven):
+            continue
+        if row.unproven and row.inflight:
             continue
         max_age_ms = policy.stale_check_ms if row.listed else interval_ms
         last_ms = max(row.checked_ms, row.reported_ms or -max_age_ms)
@@ -134,13 +139,29 @@
     before = {row.name: row.incarnation for row in state.replicas.rows.values()}
     used = [record for record in records if record.name in chosen_names]
     unlisted = _unlisted_servers(state, {record.name for record in records}, now_ms)
-    update_replicas(state.replicas, used, now_ms, unlisted)
+    lost = frozenset(
+        name for name, is_reached in state.reached_services.items() if not is_reached
+    )
+    update_replicas(state.replicas, used, now_ms, unlisted, lost)
+    _delay_checks(state, now_ms)
     for name, incarnation in before.items():
         row = state.replicas.rows.get(name)
         if row is None or row.incarnation != incarnation:
             remove_server_blocks(state.prefixes, name)
 
 
+def _delay_checks(state, now_ms):
+    """Delay the check of a new server that may not be reached.
+
+    Requests mostly show earlier whether it is, and the daemons of a region must not
+    all check a new server at once, which may be cold.
+    """
+    spread_ms = CHECK_SPREAD_MS * max(1, len(state.region_members()))
+    for row in state.replicas.rows.values():
+        if row.unproven and row.checked_ms < 0:
+            row.checked_ms = now_ms + state.rng.randrange(spread_ms)
+
+
 def _unlisted_servers(state, listed, now_ms):
     """Return the servers that are kept although they are no longer listed.
 
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -235,6 +235,8 @@
     reached_services : dict of str to bool
         Whether this daemon reaches a server of a service, of those with listed servers
         of which it has reached one before.
+    failed_connections : dict of str to int
+        Failed connections to servers of a service since the last response of one.
     next_exchange_ms : int
         Time of the next load exchange.
     exchange_offset : int
@@ -362,6 +364,7 @@
         "source_response_ms",
         "list_stale_ms",
         "reached_services",
+        "failed_connections",
         "next_exchange_ms",
         "exchange_offset",
         "last_loads_nonempty",
@@ -444,6 +447,7 @@
         self.source_response_ms = None
         self.list_stale_ms = None
         self.reached_services = {}
+        self.failed_connections = {}
         self.next_exchange_ms = 0
         self.exchange_offset = 0
         self.last_loads_nonempty = False
--- a/bluebellbeam/node/tests/test_lost_servers.py
+++ b/bluebellbeam/node/tests/test_lost_servers.py
@@ -74,6 +74,45 @@
         self.assertEqual(started_attempts(self.forward())[0].server, "s2")
 
 
+class TestServerListedWhileNoneIsReached(unittest.TestCase):
+    def setUp(self):
+        self.harness = Harness()
+        self.harness.publish_servers(server("s1"))
+        self.harness.announce_peer("e2", region="east")
+        self.harness.tick(50)
+        lose_servers(self.harness, "s1")
+        self.harness.tick(50)
+        self.harness.publish_servers(server("s1"), server("s2"))
+
+    def target(self, key, **values):
+        commands = self.harness.send_request(request_id=key, **values)
+        attempt = started_attempts(commands)[0]
+        return attempt.server or attempt.peer
+
+    def test_one_request_tries_it_while_the_neighbour_serves_the_others(self):
+        found = [self.target(f"n{number}") for number in range(4)]
+        self.assertEqual(found, ["s2", "e2", "e2", "e2"])
+
+    def test_it_serves_all_requests_after_its_first_response(self):
+        attempt = started_attempts(self.harness.send_request())[0]
+        self.harness.handle(ev.AttemptStarted(attempt.attempt_id))
+        found = [self.target(f"n{number}") for number in range(3)]
+        self.assertEqual(found, ["s2", "s2", "s2"])
+
+    def test_it_gets_no_forwarded_request_before_it_has_responded(self):
+        forwarded = {"origin": "e2", "allowed": frozenset({"east"}), "revision": 1}
+        error = final_errors(self.harness.send_request(request_id="f1", **forwarded))[0]
+        self.assertEqual(error.code, "servers_unreachable")
+
+    def test_it_is_checked_soon_without_a_request(self):
+        self.harness.commands.clear()
+        self.harness.tick(1000)
+        checked = [
+            c.server for c in self.harness.commands if isinstance(c, cmd.ReadLoad)
+        ]
+        self.assertIn("s2", checked)
+
+
 class TestFailedConnectionsOfAForward(unittest.TestCase):
     def test_failed_connections_are_not_reported_as_a_region_without_servers(self):
         harness = Harness()
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -85,6 +85,9 @@
         Whether the address is assumed to be this server's: it has responded with
         this name and incarnation, or the server is listed. Reset when another server
         responds there, when health checks are missed and when the address changes.
+    unproven : bool
+        Whether it was listed while this daemon reached no server of its service, and
+        has not responded since.
     listed : bool
         Whether it is guarded and the server list gives its slots, so it is used
         without a health check.
@@ -180,6 +183,7 @@
         "loading",
         "leaving",
         "identified",
+        "unproven",
         "paused_until_ms",
         "limit_per_s",
         "limit_stated_ms",
@@ -235,6 +239,7 @@
         self.loading = ""
         self.leaving = record.state == "leaving"
         self.identified = self.listed
+        self.unproven = False
         self.paused_until_ms = 0
         self.limit_per_s = None
         self.limit_stated_ms = 0
@@ -321,7 +326,9 @@
     return ReplicaTable()
 
 
-def update_replicas(table, records, now_ms=0, retained=frozenset()):
+def update_replicas(
+    table, records, now_ms=0, retained=frozenset(), lost_services=frozenset()
+):
     """Bring the table up to date with the backend servers in `records`.
 
     A server that is no longer in the server list is sent no new requests; it stays
@@ -335,6 +342,9 @@
     now_ms : int
     retained : frozenset of str
         Names of servers to keep in use although they are not in the list.
+    lost_services : frozenset of str
+        Services of which this daemon reaches no server. A server that is new in the
+        list is then not assumed to be reached.
     """
     seen = set()
     for record in records:
@@ -346,6 +356,7 @@
             if replica is not None:
                 drop_replica(table, replica.name)
             replica = Replica(record)
+            replica.unproven = replica.identified and record.service in lost_services
             if table.leaving_incarnations.get(record.name, 0) >= record.incarnation:
                 replica.leaving = True
             record_warm_up(replica, record.warm_up_left_ms, now_ms)
@@ -433,6 +444,7 @@
     """Record the time of a response of `replica`, and reset its count of misses."""
     replica.confirmed_ms = now_ms
     replica.misses = 0
+    replica.unproven = False
 
 
 def require_confirmation(table, replica):
--- a/bluebellbeam/routing/replica_ranking.py
+++ b/bluebellbeam/routing/replica_ranking.py
@@ -121,12 +121,15 @@
     """Return whether `replica` may be sent `request` now.
 
     A server that has not responded within the policy's `confirm_ms` may be
-    leaving or may have been replaced; it needs a health check before use.
+    leaving or may have been replaced; it needs a health check before use. One that
+    this daemon may not reach gets one request at a time, and no forwarded one.
     """
     if replica.failure_domain in state.evacuated:
         return False
     if not may_continue_at(replica, request.stream_origin):
         return False
+    if replica.unproven and (replica.inflight or request.origin):
+        return False
     if is_cold(replica, now_ms) and not may_send_cold(state, replica, now_ms):
         return False
     if not may_send_unchecked(state, replica, now_ms):
