Name lost requests by their content in the log

Each attempt of a caller has a new id, so no line shows that the same request was lost at every server that ended. Change: a request has names that depend on its method, host, path, caller and body, and a second one with its prompt; they are hashes, the same at every daemon, and go along with a forward. Failed attempts log them. No decision uses them.

--- a/bluebellbeam/daemon/callers.py
+++ b/bluebellbeam/daemon/callers.py
@@ -27,6 +27,7 @@
     make_error,
 )
 from bluebellbeam.node.state import BLOCK_TOKENS
+from bluebellbeam.quarantine import request_names
 from bluebellbeam.routing import match_route
 from bluebellbeam.utils.hashing import hash_text, prefix_blocks
 
@@ -154,6 +155,9 @@
         prompt_tokens=max(1, len(text) // BYTES_PER_TOKEN),
         max_output_tokens=body.expected_output_tokens(),
         blocks=blocks,
+        content_names=request_names(
+            workspace, request.method, "", request.path, request.body
+        ),
         priority="batch" if requested == "batch" else "interactive",
     )
     exchange = driver.accept(node_request, request.body, {}, "", body)
@@ -230,6 +234,13 @@
         path=full_path,
         operation_id=request.headers.get(OPERATION_HEADER, ""),
         fingerprint=fingerprint,
+        content_names=request_names(
+            workspace,
+            request.method,
+            service,
+            f"{full_path}?{request.query_string}",
+            request.body,
+        ),
     )
     exchange = driver.accept(
         node_request, request.body, headers, request.query_string, None
--- a/bluebellbeam/daemon/peers.py
+++ b/bluebellbeam/daemon/peers.py
@@ -138,6 +138,7 @@
         prompt_tokens=forwarded.prompt_tokens,
         max_output_tokens=forwarded.max_output_tokens,
         blocks=forwarded.blocks,
+        content_names=forwarded.content_names,
         priority=forwarded.priority,
         deadline_ms=now_ms + forwarded.left_ms,
         allowed=frozenset(forwarded.allowed),
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -36,6 +36,7 @@
 )
 from bluebellbeam.daemon.wire import encode_error
 from bluebellbeam.node import Request, current_offer, make_error
+from bluebellbeam.quarantine import request_names
 
 __all__ = [
     "METHODS",
@@ -159,6 +160,14 @@
         blocks=blocks,
         block_ends=ends,
         prompt_parts=shared_part_names(head.parts),
+        content_names=request_names(
+            head.key_digest or workspace,
+            request.method,
+            host,
+            request.raw_url.decode("latin-1"),
+            request.body,
+            head.parts,
+        ),
         resume_after=head.resume_after,
         resumes=head.resumes,
         key_digest=head.key_digest,
@@ -192,6 +201,7 @@
         revision=forward.revision,
         sends=forward.sends,
         stream_origin=forward.stream_origin,
+        content_names=forward.content_names,
         trial_part=forward.trial_part,
     )
 
--- a/bluebellbeam/daemon/routed_forward.py
+++ b/bluebellbeam/daemon/routed_forward.py
@@ -64,6 +64,8 @@
         Headers forwarded to the backend server unchanged.
     stream_origin : StreamOrigin or None
         Where the stream that the request continues began; None for a new one.
+    content_names : tuple of str
+        Names of the request by its content.
     trial_part : str
         Part of the prompt in quarantine that the request is a trial of, or empty.
     workspace : str
@@ -86,6 +88,7 @@
     last_event_id: str = ""
     passed: tuple[tuple[str, str], ...] = ()
     stream_origin: StreamOrigin | None = None
+    content_names: tuple[str, ...] = ()
     trial_part: str = ""
     workspace: str | UnsetType = UNSET
 
@@ -125,6 +128,7 @@
         last_event_id=exchange.last_event_id,
         passed=without_credentials(driver, exchange.head.passed),
         stream_origin=request.stream_origin,
+        content_names=request.content_names,
         trial_part=request.trial_part,
         workspace=key_workspace(request) or UNSET,
     )
--- a/bluebellbeam/daemon/upstream.py
+++ b/bluebellbeam/daemon/upstream.py
@@ -444,6 +444,7 @@
         prompt_tokens=request.prompt_tokens,
         max_output_tokens=request.max_output_tokens,
         blocks=request.blocks,
+        content_names=request.content_names,
         resume_tokens=command.resume_tokens,
         resume_text="".join(exchange.text) if command.resume_tokens else "",
         headers={
--- a/bluebellbeam/daemon/wire.py
+++ b/bluebellbeam/daemon/wire.py
@@ -76,6 +76,8 @@
         Model and adapter of a completion, or name of a plain service.
     blocks : tuple of int
         Hashes of the leading blocks of the prompt, for prefix caching.
+    content_names : tuple of str
+        Names of the request by its content.
     resume_tokens : int
         Tokens that the caller has received already, whose text is `resume_text`.
     headers : dict of str to str
@@ -101,6 +103,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     blocks: tuple[int, ...] = ()
+    content_names: tuple[str, ...] = ()
     resume_tokens: int = 0
     resume_text: str = ""
     headers: dict[str, str] = {}
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -329,16 +329,17 @@
 
 
 def _start_fields(request, attempt, now_ms):
-    """Return the log fields on how far a failed attempt of a prompt got.
+    """Return the log fields on how far a failed attempt at a server got.
 
-    They tell which prompts a server was about to answer when it ended.
+    They tell which requests a server was about to answer when it ended.
     """
-    if not request.prompt_parts or not attempt.server:
+    if not attempt.server:
         return {}
     started_ms = attempt.response_started_ms
     return {
         "answered_for_ms": None if started_ms is None else now_ms - started_ms,
         "prompt_parts": request.prompt_parts,
+        "content_names": request.content_names,
     }
 
 
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -37,6 +37,9 @@
         same size.
     prompt_parts : tuple of str
         Names of the parts that the prompt may have in common with others, in order.
+    content_names : tuple of str
+        Names of the request by its content, the most general one first; see
+        :func:`bluebellbeam.quarantine.request_names`.
     trial_part : str
         Part in quarantine that the request is a trial of, or empty.
     expected_ms : float
@@ -144,6 +147,7 @@
         "blocks",
         "block_ends",
         "prompt_parts",
+        "content_names",
         "trial_part",
         "host",
         "route",
@@ -201,6 +205,7 @@
         self.blocks = values.pop("blocks", ())
         self.block_ends = values.pop("block_ends", ())
         self.prompt_parts = values.pop("prompt_parts", ())
+        self.content_names = values.pop("content_names", ())
         self.trial_part = values.pop("trial_part", "")
         self.host = values.pop("host", "")
         self.route = None
--- a/bluebellbeam/quarantine/__init__.py
+++ b/bluebellbeam/quarantine/__init__.py
@@ -10,6 +10,7 @@
     make_evidence_table,
     record_served,
 )
+from bluebellbeam.quarantine.names import request_names
 from bluebellbeam.quarantine.parts import (
     PartQuarantine,
     QuarantineTable,
@@ -36,6 +37,7 @@
     "make_evidence_table",
     "make_quarantine_table",
     "record_served",
+    "request_names",
     "start_trial",
     "update_quarantines",
 ]
