--- a/bluebellbeam/node/tests/crashing_region.py
+++ b/bluebellbeam/node/tests/crashing_region.py
@@ -77,11 +77,16 @@
             parts.insert(self.rng.randrange(len(parts) + 1), bad)
             self.send("b", prompt_parts=tuple(parts))
 
+    def is_bad(self, request):
+        """Return whether a server ends when it begins to answer a request."""
+        names = {*request.prompt_parts, *request.content_names}
+        return bool(self.bad_parts & names)
+
     def execute(self, harness, commands):
         """Execute the commands of a daemon, and count refusals of harmless prompts."""
         for command in commands:
             error = getattr(command, "error", None)
-            if error is not None and error.code == "prompt_quarantined":
+            if error is not None and error.code.endswith("_quarantined"):
                 self.harmless_refused += command.request_id.startswith("s")
         super().execute(harness, commands)
 
@@ -97,7 +102,7 @@
                 )
                 self.schedule(NETWORK_MS, lambda: self.handle(harness, event))
                 return
-            if self.bad_parts & set(command.request.prompt_parts):
+            if self.is_bad(command.request):
                 vm = harness.state.identity.vm
                 self.bad_arrivals.append((self.now_ms, vm))
             running.append((harness, command))
@@ -114,7 +119,7 @@
         if command.attempt_id not in harness.state.attempts:
             running.remove((harness, command))
             return
-        if self.bad_parts & set(command.request.prompt_parts):
+        if self.is_bad(command.request):
             self.ends_ms.append(self.now_ms)
             self.end_server(command.server)
             return
@@ -178,14 +183,14 @@
         self.disturbed_ms[vm] = self.now_ms
         self.start(vm, incarnation)
 
-    def late_arrivals(self):
+    def late_arrivals(self, ends=5):
         """Return the requests that came too late, from daemons in touch.
 
-        They reached a server later than `CONTACT_MS` after the fifth end.
+        They reached a server later than `CONTACT_MS` after so many `ends`.
         """
-        if len(self.ends_ms) < 5:
+        if len(self.ends_ms) < ends:
             return []
-        from_ms = sorted(self.ends_ms)[4] + CONTACT_MS
+        from_ms = sorted(self.ends_ms)[ends - 1] + CONTACT_MS
         return [
             (at_ms, vm)
             for at_ms, vm in self.bad_arrivals
--- a/bluebellbeam/node/tests/limited_region.py
+++ b/bluebellbeam/node/tests/limited_region.py
@@ -184,13 +184,14 @@
         )
         self.send("r")
 
-    def send(self, prefix, **values):
+    def send(self, prefix, path="/p/x", **values):
         """Send a request to a random daemon.
 
         Parameters
         ----------
         prefix : str
             Prefix of its id.
+        path : str
         **values
             Fields of the request.
         """
@@ -201,7 +202,7 @@
         harness = self.daemons[self.rng.choice(running)]
         harness.now_ms = self.now_ms
         key = f"{prefix}{self.requests}"
-        self.execute(harness, harness.send_request("/p/x", key, **values))
+        self.execute(harness, harness.send_request(path, key, **values))
 
     def execute(self, harness, commands):
         """Execute the commands of a daemon, except those for its store and log."""
--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -181,6 +181,8 @@
     crash_part : str
         Name of a part of a prompt; the server ends when it begins to answer a prompt
         with it. Empty for none.
+    crash_body : bytes
+        Body of a request; the server ends when it begins to answer it. Empty for none.
     on_crash : callable or None
         Called with the server when it has ended in this way.
     """
@@ -212,6 +214,7 @@
         self.running = asyncio.Semaphore(self.slots)
         self.refusals_s = []
         self.crash_part = ""
+        self.crash_body = b""
         self.on_crash = None
         self.calls = {}
         self.server = None
@@ -362,6 +365,9 @@
         ):
             self.crash()
             return False
+        if self.crash_body and self.bodies[key][2] == self.crash_body:
+            self.crash()
+            return False
         if behaviour == "reset":
             writer.transport.abort()
             return False
--- a/bluebellbeam/platform/tests/test_crashing_prompts.py
+++ b/bluebellbeam/platform/tests/test_crashing_prompts.py
@@ -32,6 +32,12 @@
 
     Attributes
     ----------
+    service : str
+        Service of these servers.
+    path : str
+        Path of the requests.
+    first_bytes : bytes
+        Start of a response.
     ends_s : list of float
         Times of the ends.
     bad_arrivals_s : list of float
@@ -40,6 +46,10 @@
         Time at which each harmless request was sent, and whether its response began.
     """
 
+    service = "llm"
+    path = "/audit/1"
+    first_bytes = b"id:"
+
     def __init__(self, deployment, seed):
         self.deployment = deployment
         self.rng = random.Random(seed)
@@ -49,7 +59,7 @@
         self.tasks = []
         self.numbers = iter(range(3, 1000))
         for name, replica in deployment.replicas.items():
-            if name.startswith("llm"):
+            if name.startswith(self.service):
                 self.prepare(replica)
 
     def prepare(self, replica):
@@ -68,15 +78,15 @@
 
     async def _replace(self, name):
         store = self.deployment.store
-        zone = name.removeprefix("llm-").rpartition("-")[0]
+        zone = name.removeprefix(f"{self.service}-").rpartition("-")[0]
         await asyncio.sleep(LEASE_S)
         store.remove(f"servers/{name}")
         await asyncio.sleep(RESTART_S - LEASE_S)
         number = next(self.numbers)
         replica = self.deployment.replicas[name]
-        replica.name = f"llm-{zone}-{number}"
+        replica.name = f"{self.service}-{zone}-{number}"
         self.deployment.replicas[replica.name] = await replica.start()
-        entry = replica.entry("llm", zone, born=number)
+        entry = replica.entry(self.service, zone, born=number)
         store.put(f"servers/{replica.name}", entry)
 
     def spawn(self, coroutine):
@@ -113,21 +123,22 @@
         await self.send(key, ("shared", companion, BAD_PART, f"own-{key}"))
 
     async def send(self, key, parts):
+        """Send a request to a random daemon; return whether its response began."""
+        begun = await self.call(key, headers=self.headers(parts))
+        if BAD_PART in parts:
+            self.record_arrivals(key)
+        return begun
+
+    async def call(self, key, **values):
         """Send a request to a random daemon; return whether its response began."""
         zone = self.rng.choice(DAEMONS)
-        begun = False
         try:
-            async with self.deployment.call(
-                "/audit/1", key, zone, headers=self.headers(parts)
-            ) as response:
+            async with self.deployment.call(self.path, key, zone, **values) as response:
                 first = await response.content.readline()
-                begun = response.status == 200 and first.startswith(b"id:")
                 await response.read()
+                return response.status == 200 and first.startswith(self.first_bytes)
         except aiohttp.ClientError:
-            pass
-        if BAD_PART in parts:
-            self.record_arrivals(key)
-        return begun
+            return False
 
     def record_arrivals(self, key):
         for replica in set(self.deployment.replicas.values()):
