Quarantine requests that end servers, as prompt parts are

What callers saw: one request that ends each server which runs it, sent again and again, ended 17 and 13 servers of a service with three; up to all other requests of the service were refused or failed for a minute. Cause: the quarantine knows a request by the shared parts of its prompt only. A request without any was never recorded when its server ended, and none was ever refused. Change: the names of a request by its content count as what a server may have ended under, like parts. So they need three ends with no service in between, five if they were served before. Of names with as many ends a part comes before a request, and the general name of a request before the one with its prompt, since the former may come back with other prompts. A refusal says request_quarantined, 503, not run, and when the next trial is due. Decisions, exchange and trials are those of parts. Why it works: the ends are judged and exchanged already; what was missing is what the lost requests of different ends have in common.

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -19,8 +19,8 @@
 from bluebellbeam.node.prompt_quarantine import (
     ANSWERED_MS,
     is_quarantined,
-    record_answered_prompt,
-    record_lost_prompt,
+    record_answered_request,
+    record_lost_request,
     record_refused_connection,
 )
 from bluebellbeam.node.reachability import (
@@ -74,7 +74,13 @@
 """Error codes of a peer whose region has no server for the request."""
 
 NON_RETRYABLE_CODES = frozenset(
-    {"not_permitted", "region_not_permitted", "bad_request", "prompt_quarantined"}
+    {
+        "not_permitted",
+        "region_not_permitted",
+        "bad_request",
+        "prompt_quarantined",
+        "request_quarantined",
+    }
 )
 """Error codes for which there is no retry, since every other backend server would
 return them as well."""
@@ -157,7 +163,7 @@
     request = attempt.request
     _confirm_server(state, attempt, now_ms)
     if event.delimited or now_ms - attempt.response_started_ms >= ANSWERED_MS:
-        record_answered_prompt(state, attempt, now_ms)
+        record_answered_request(state, attempt, now_ms)
     row = attempt_replica(state, attempt)
     if row is not None:
         record_success(row)
@@ -250,7 +256,7 @@
         if not event.sent or (row.listed and event.lost_connection):
             record_failed_contact(state, row, event.reason)
     if event.lost_connection and event.sent:
-        record_lost_prompt(state, attempt, now_ms)
+        record_lost_request(state, attempt, now_ms)
     elif event.refused_connection:
         key = (attempt.server, attempt.server_incarnation)
         record_refused_connection(state, key, now_ms)
--- a/bluebellbeam/node/errors.py
+++ b/bluebellbeam/node/errors.py
@@ -131,6 +131,12 @@
         "Servers have ended under prompts with a part of this one.",
         retry=True,
     ),
+    "request_quarantined": ErrorKind(
+        503,
+        "not_run",
+        "Servers have ended when they began to run this request.",
+        retry=True,
+    ),
     "server_changed": ErrorKind(
         503, "not_run", "The backend server at the address has changed.", retry=True
     ),
--- a/bluebellbeam/node/prompt_quarantine.py
+++ b/bluebellbeam/node/prompt_quarantine.py
@@ -1,4 +1,7 @@
-"""Quarantine of prompt parts that end servers: evidence, exchange and refusals."""
+"""Quarantine of requests and prompt parts that end servers.
+
+Evidence, its exchange between daemons, and refusals.
+"""
 
 from bluebellbeam.admission import remove_request
 from bluebellbeam.membership import alive_peers
@@ -10,6 +13,7 @@
 from bluebellbeam.node.peer_send import send_to_member
 from bluebellbeam.node.state import backends_feed
 from bluebellbeam.quarantine import (
+    REQUEST_NAME_PREFIX,
     PartQuarantine,
     ServerEnd,
     add_end,
@@ -30,8 +34,8 @@
     "handle_prompt_evidence",
     "is_quarantined",
     "known_evidence",
-    "record_answered_prompt",
-    "record_lost_prompt",
+    "record_answered_request",
+    "record_lost_request",
     "record_refused_connection",
     "tick_quarantine",
 ]
@@ -62,28 +66,47 @@
 """Age up to which an end is repeated in probes."""
 
 
-def record_answered_prompt(state, attempt, now_ms):
-    """Record that a server has answered a prompt, or answers it since some time."""
-    request = attempt.request
-    if attempt.server and request.prompt_parts:
-        record_served(state.evidence, request.prompt_parts, now_ms)
+def record_answered_request(state, attempt, now_ms):
+    """Record that a server has answered a request, or answers it since some time."""
+    if attempt.server:
+        record_served(state.evidence, _positions(attempt.request), now_ms)
 
 
-def record_lost_prompt(state, attempt, now_ms):
+def record_lost_request(state, attempt, now_ms):
     """Record an attempt whose connection was lost.
 
-    If its response had run for a while, its prompt counts as served. Else the server
+    If its response had run for a while, its request counts as served. Else the server
     may have ended under it.
     """
-    parts = attempt.request.prompt_parts
-    if not attempt.server or not parts:
+    positions = _positions(attempt.request)
+    if not attempt.server or not positions:
         return
     started_ms = attempt.response_started_ms
     if started_ms is not None and now_ms - started_ms >= ANSWERED_MS:
-        record_served(state.evidence, parts, started_ms + ANSWERED_MS)
+        record_served(state.evidence, positions, started_ms + ANSWERED_MS)
         return
     key = (attempt.server, attempt.server_incarnation)
-    add_loss(state.evidence, *key, parts, now_ms)
+    add_loss(state.evidence, *key, positions, now_ms)
+
+
+def _positions(request):
+    """Return the positions of what a server may end under, by name.
+
+    These are the shared parts of the prompt, and the names of the request itself with
+    negative positions.
+    """
+    positions = {name: -1 - i for i, name in enumerate(request.content_names)}
+    for position, name in enumerate(request.prompt_parts):
+        positions[name] = position
+    return positions
+
+
+def _find_quarantine(state, request):
+    """Return the quarantine that concerns a request, or None."""
+    if not state.quarantines.rows:
+        return None
+    names = (*request.prompt_parts, *request.content_names)
+    return find_quarantine(state.quarantines, names)
 
 
 def record_refused_connection(state, key, now_ms):
@@ -143,9 +166,9 @@
 def _confirm(state, key, reason, now_ms):
     loss = confirm_loss(state.evidence, key)
     fields = {"server": key[0], "incarnation": key[1], "reason": reason}
-    fields["prompt_parts"] = sorted(loss.parts)
+    fields["names"] = sorted(loss.parts)
     fields["age_ms"] = now_ms - loss.at_ms
-    text = "a server ended before it had answered prompts"
+    text = "a server ended before it had answered requests"
     state.emit(Log("routing", text, fields=fields))
 
 
@@ -154,20 +177,26 @@
         state.quarantines, state.evidence, now_ms
     )
     for row in lifted:
-        fields = {"prompt_part": row.part, "lasted_ms": now_ms - row.since_ms}
-        state.emit(Log("routing", "use a prompt part again", fields=fields))
+        fields = {"name": row.part, "lasted_ms": now_ms - row.since_ms}
+        text = f"use a {_kind(row)} again"
+        state.emit(Log("routing", text, fields=fields))
     for row in retried:
-        _log_quarantine(state, row, "a trial of a prompt part has failed", now_ms)
+        _log_quarantine(state, row, f"a trial of a {_kind(row)} has failed", now_ms)
     for row in added:
         state.counters.quarantines += 1
-        _log_quarantine(state, row, "quarantine a prompt part", now_ms)
+        _log_quarantine(state, row, f"quarantine a {_kind(row)}", now_ms)
     if added:
         _fail_quarantined(state, now_ms)
 
 
+def _kind(row):
+    """Return what is in quarantine, for the log."""
+    return "request" if row.part.startswith(REQUEST_NAME_PREFIX) else "prompt part"
+
+
 def _log_quarantine(state, row, text, now_ms):
     fields = {
-        "prompt_part": row.part,
+        "name": row.part,
         "ends": row.ends,
         "failed_trials": row.failed_trials,
         "next_trial_in_ms": row.retry_ms - now_ms,
@@ -176,11 +205,11 @@
 
 
 def _fail_quarantined(state, now_ms):
-    """Fail the requests with a quarantined part whose response has not begun."""
+    """Fail the requests in quarantine whose response has not begun."""
     for request in list(state.requests.values()):
         if request.state == "waiting" or request.response_started:
             continue
-        row = find_quarantine(state.quarantines, request.prompt_parts)
+        row = _find_quarantine(state, request)
         if row is None or request.trial_part == row.part:
             continue
         if request.state == "queued":
@@ -190,21 +219,22 @@
 
 def _quarantine_error(row, now_ms):
     wait_ms = max(0, row.retry_ms - now_ms)
-    return make_error("prompt_quarantined", retry_after_ms=wait_ms)
+    code = f"{_kind(row).partition(' ')[0]}_quarantined"
+    return make_error(code, retry_after_ms=wait_ms)
 
 
 def is_quarantined(state, request):
-    """Return whether a request must not be sent to a server because of its prompt."""
-    row = find_quarantine(state.quarantines, request.prompt_parts)
+    """Return whether a request must not be sent to a server: it may end there."""
+    row = _find_quarantine(state, request)
     return row is not None and request.trial_part != row.part
 
 
 def check_quarantine(state, request, now_ms):
-    """Return an error if a part of the request's prompt is in quarantine, else None.
+    """Return an error if a request or a part of its prompt is in quarantine, else None.
 
     A request that is chosen as a trial is admitted all the same, and marked as one.
     """
-    row = find_quarantine(state.quarantines, request.prompt_parts)
+    row = _find_quarantine(state, request)
     if row is None:
         return None
     is_trial = request.origin and request.trial_part == row.part
@@ -212,8 +242,8 @@
         return _quarantine_error(row, now_ms)
     request.trial_part = row.part
     start_trial(state.quarantines, row, now_ms)
-    fields = {"prompt_part": row.part, "failed_trials": row.failed_trials}
-    state.log_request(request, "try a prompt part in quarantine", **fields)
+    fields = {"name": row.part, "failed_trials": row.failed_trials}
+    state.log_request(request, f"try a {_kind(row)} in quarantine", **fields)
     return None
 
 
@@ -294,7 +324,7 @@
 
 
 def handle_prompt_evidence(state, message, now_ms):
-    """Merge what another daemon knows of prompt parts that end servers."""
+    """Merge what another daemon knows of what servers end under."""
     for item in message.ends:
         at_ms = now_ms - item.age_ms
         end = ServerEnd(item.server, item.incarnation, at_ms, item.parts)
@@ -305,7 +335,8 @@
     for item in message.quarantines:
         row = _decode_quarantine(item, now_ms)
         if adopt_quarantine(state.quarantines, state.evidence, row):
-            _log_quarantine(state, row, "learn of a prompt part in quarantine", now_ms)
+            text = f"learn of a {_kind(row)} in quarantine"
+            _log_quarantine(state, row, text, now_ms)
             adopted = True
     if adopted:
         _fail_quarantined(state, now_ms)
--- a/bluebellbeam/quarantine/__init__.py
+++ b/bluebellbeam/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""Quarantine of prompt parts that end the servers that answer them."""
+"""Quarantine of requests and prompt parts that end the servers that run them."""
 
 from bluebellbeam.quarantine.evidence import (
     EvidenceTable,
@@ -10,7 +10,7 @@
     make_evidence_table,
     record_served,
 )
-from bluebellbeam.quarantine.names import request_names
+from bluebellbeam.quarantine.names import REQUEST_NAME_PREFIX, request_names
 from bluebellbeam.quarantine.parts import (
     PartQuarantine,
     QuarantineTable,
@@ -23,6 +23,7 @@
 )
 
 __all__ = [
+    "REQUEST_NAME_PREFIX",
     "EvidenceTable",
     "PartQuarantine",
     "QuarantineTable",
--- a/bluebellbeam/quarantine/evidence.py
+++ b/bluebellbeam/quarantine/evidence.py
@@ -1,8 +1,9 @@
-"""Ends of servers, and the prompt parts that they were about to answer.
+"""Ends of servers, and the requests and prompt parts that they were about to answer.
 
-A server that ends for reasons of its own loses harmless prompts as well. A harmful part
-differs from its companions in that servers end under it repeatedly, while prompts with
-the companions are served in between.
+A server that ends for reasons of its own loses harmless requests as well. A harmful
+part differs from its companions in that servers end under it repeatedly, while prompts
+with the companions are served in between. A request that comes again is treated like a
+part: it has names by its content, see :func:`bluebellbeam.quarantine.request_names`.
 """
 
 from collections import OrderedDict
@@ -43,7 +44,8 @@
         Time at which the first request was lost.
     parts : dict of str to int
         Position in its prompt of each shared part of the prompts that the server had
-        not begun to answer, or only just.
+        not begun to answer, or only just. The names of the requests themselves have
+        negative positions.
     """
 
     __slots__ = ("server", "incarnation", "at_ms", "parts")
@@ -97,19 +99,18 @@
     return EvidenceTable()
 
 
-def add_loss(table, server, incarnation, parts, now_ms):
+def add_loss(table, server, incarnation, positions, now_ms):
     """Record that a request was lost before its response had got under way.
 
     Parameters
     ----------
     table : EvidenceTable
     server, incarnation : str, int
-    parts : tuple of str
-        Shared parts of its prompt, in order.
+    positions : dict of str to int
+        Position of each shared part of its prompt, and of its own names.
     now_ms : int
     """
     key = (server, incarnation)
-    positions = {name: position for position, name in enumerate(parts)}
     end = table.ends.get(key)
     if end is not None:
         add_end(table, ServerEnd(server, incarnation, now_ms, positions))
--- a/bluebellbeam/quarantine/parts.py
+++ b/bluebellbeam/quarantine/parts.py
@@ -242,7 +242,8 @@
     Ends under a part in quarantine are explained by it and count against no other
     one. Of the parts with enough ends the one served longest ago is chosen, then the
     one with most ends, then the one that stands last in its prompts, since the first
-    parts are those that most prompts share.
+    parts are those that most prompts share. Requests come after parts, as a part may
+    come back in other requests.
     """
     times, positions = {}, {}
     for end in evidence.ends.values():
@@ -252,7 +253,7 @@
         for name, position in end.parts.items():
             if end.at_ms > evidence.served_ms.get(name, end.at_ms - 1):
                 times.setdefault(name, []).append(end.at_ms)
-                positions[name] = max(position, positions.get(name, 0))
+                positions[name] = max(position, positions.get(name, position))
     found = []
     for name, ends_ms in times.items():
         count = _count_separate(ends_ms)
