Limit the bytes of evidence on ended servers

Cause: each daemon that learnt a name sent the whole end with all its names to eight others, and repeated all recent ends beside every probe: 14,847 and 21,939 bytes a second in the worst ten seconds at 350 daemons, where 3,000 are the target for all control. Change: only names that are new are passed on; probes repeat only what counts against more than one end, eight ends at most; a rate with a burst limits all of it, and while it is exhausted names that count against several ends come first. Names of requests are shorter. Why it works: a decision needs the names that several ends have in common; all others are needed once, to find them.

--- a/bluebellbeam/node/prompt_quarantine.py
+++ b/bluebellbeam/node/prompt_quarantine.py
@@ -24,6 +24,7 @@
     find_quarantine,
     is_trial_due,
     record_served,
+    repeated_names,
     start_trial,
     update_quarantines,
 )
@@ -62,8 +63,15 @@
 MAX_SHARED_ENDS = 32
 """Largest number of ends in one message, the latest ones."""
 
+MAX_REPEATED_ENDS = 8
+"""Largest number of ends that are repeated in a probe, the latest ones."""
+
 RECENT_END_MS = 30_000
-"""Age up to which an end is repeated in probes."""
+"""Age up to which an end is shared, and repeated in probes."""
+
+EVIDENCE_BYTES_PER_S = 1000
+EVIDENCE_BURST_BYTES = 15_000
+"""Limit of the bytes of evidence that a daemon sends: rate and burst."""
 
 
 def record_answered_request(state, attempt, now_ms):
@@ -257,36 +265,109 @@
 
 
 def _share_changes(state, now_ms):
+    """Send what has changed to some members, as far as the byte limit allows.
+
+    What is left out is sent later. Names that count against several ends come first.
+    """
     evidence, quarantines = state.evidence, state.quarantines
     changed = evidence.changed_ends or evidence.changed_served or quarantines.changed
     if not changed or now_ms < state.next_evidence_ms:
         return
     state.next_evidence_ms = now_ms + SHARE_INTERVAL_MS
-    ends = [evidence.ends[key] for key in evidence.changed_ends]
+    _refill_credit(state, now_ms)
     rows = [quarantines.rows[part] for part in quarantines.changed]
-    message = _encode(state, ends, evidence.changed_served, rows, now_ms)
-    evidence.changed_ends.clear()
-    evidence.changed_served.clear()
+    ends = _relevant_changes(evidence, now_ms)
+    served = set(evidence.changed_served)
+    message = _encode(state, ends, served, rows, now_ms)
+    if not _has_credit(state, message, SHARE_FANOUT):
+        repeated = repeated_names(evidence)
+        ends = _with_names(ends, repeated)
+        served &= repeated
+        message = _encode(state, ends, served, rows, now_ms)
+        if not (ends or rows) or not _has_credit(state, message, SHARE_FANOUT):
+            return
+    _mark_shared(evidence, ends)
+    evidence.changed_served -= served
     quarantines.changed.clear()
     names = [row.name for row in alive_peers(state.members, state.identity.vm)]
     state.rng.shuffle(names)
-    for name in names[:SHARE_FANOUT]:
+    names = names[:SHARE_FANOUT]
+    state.evidence_credit -= _size_bytes(message) * len(names)
+    for name in names:
         send_to_member(state, name, (message,))
 
 
+def _refill_credit(state, now_ms):
+    """Add the bytes that may be sent since the last call."""
+    refill = (now_ms - state.evidence_credit_ms) * EVIDENCE_BYTES_PER_S / 1000.0
+    state.evidence_credit = min(EVIDENCE_BURST_BYTES, state.evidence_credit + refill)
+    state.evidence_credit_ms = now_ms
+
+
+def _has_credit(state, message, copies):
+    return _size_bytes(message) * copies <= state.evidence_credit
+
+
+def _size_bytes(message):
+    """Return the approximate size of an encoded message with evidence."""
+    names = sum(len(name) + 6 for end in message.ends for name in end.parts)
+    served = sum(len(name) + 8 for name in message.served)
+    return 20 + 40 * len(message.ends) + names + served + 60 * len(message.quarantines)
+
+
+def _relevant_changes(evidence, now_ms):
+    """Return the latest ends with the names to share; drop what is out of date."""
+    found = []
+    for key, names in list(evidence.changed_ends.items()):
+        end = evidence.ends[key]
+        if now_ms - end.at_ms > RECENT_END_MS:
+            del evidence.changed_ends[key]
+            continue
+        found.append(ServerEnd(*key, end.at_ms, {n: end.parts[n] for n in names}))
+    found.sort(key=lambda end: end.at_ms)
+    return found[-MAX_SHARED_ENDS:]
+
+
+def _with_names(ends, names):
+    """Return the ends that have any of `names`, with these only."""
+    found = []
+    for end in ends:
+        parts = {name: place for name, place in end.parts.items() if name in names}
+        if parts:
+            found.append(ServerEnd(end.server, end.incarnation, end.at_ms, parts))
+    return found
+
+
+def _mark_shared(evidence, ends):
+    for end in ends:
+        key = (end.server, end.incarnation)
+        left = evidence.changed_ends[key] - end.parts.keys()
+        if left:
+            evidence.changed_ends[key] = left
+        else:
+            del evidence.changed_ends[key]
+
+
 def known_evidence(state, now_ms):
     """Return the messages with the evidence to repeat beside a probe; mostly none.
 
-    They reach daemons that have just started or have missed a message.
+    They reach daemons that have just started or have missed a message. Names that
+    count against one end only are left out: they decide nothing yet.
     """
     evidence = state.evidence
+    rows = list(state.quarantines.rows.values())
     recent = [
         end for end in evidence.ends.values() if now_ms - end.at_ms <= RECENT_END_MS
     ]
-    rows = list(state.quarantines.rows.values())
-    if not recent and not rows:
+    ends = _with_names(recent, repeated_names(evidence)) if len(recent) > 1 else []
+    if not ends and not rows:
+        return ()
+    message = _encode(state, ends[-MAX_REPEATED_ENDS:], (), rows, now_ms)
+    _refill_credit(state, now_ms)
+    if not _has_credit(state, message, 1):
         return ()
-    return (_encode(state, recent, (), rows, now_ms),)
+    state.evidence_credit -= _size_bytes(message)
+    return (message,)
 
 
 def _encode(state, ends, served, rows, now_ms):
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -292,6 +292,10 @@
         Prompt parts whose prompts are refused.
     next_evidence_ms : int
         Time from which new evidence may be shared again.
+    evidence_credit : float
+        Bytes of evidence that may be sent now.
+    evidence_credit_ms : int
+        Time of that number.
     cache : dict
         See :meth:`cached`.
     decisions : OrderedDict
@@ -428,6 +432,8 @@
         "evidence",
         "quarantines",
         "next_evidence_ms",
+        "evidence_credit",
+        "evidence_credit_ms",
         "cache",
     )
 
@@ -514,6 +520,8 @@
         self.evidence = make_evidence_table()
         self.quarantines = make_quarantine_table()
         self.next_evidence_ms = 0
+        self.evidence_credit = 0.0
+        self.evidence_credit_ms = 0
         self.cache = {}
 
     @property
--- a/bluebellbeam/quarantine/__init__.py
+++ b/bluebellbeam/quarantine/__init__.py
@@ -9,6 +9,7 @@
     drop_loss,
     make_evidence_table,
     record_served,
+    repeated_names,
 )
 from bluebellbeam.quarantine.names import REQUEST_NAME_PREFIX, request_names
 from bluebellbeam.quarantine.parts import (
@@ -38,6 +39,7 @@
     "make_evidence_table",
     "make_quarantine_table",
     "record_served",
+    "repeated_names",
     "request_names",
     "start_trial",
     "update_quarantines",
--- a/bluebellbeam/quarantine/evidence.py
+++ b/bluebellbeam/quarantine/evidence.py
@@ -18,6 +18,7 @@
     "make_evidence_table",
     "prune_evidence",
     "record_served",
+    "repeated_names",
 ]
 
 MAX_ENDS = 128
@@ -68,8 +69,8 @@
         Ends of servers, by server and incarnation.
     served_ms : OrderedDict of str to int
         Time at which a prompt with a part was last served, by part.
-    changed_ends : set of (str, int)
-        Ends not shared with other daemons yet.
+    changed_ends : dict of (str, int) to set of str
+        Names not shared with other daemons yet, by the end that they belong to.
     changed_served : set of str
         Parts that were served after an end that counted against them, not shared yet.
     needs_review : bool
@@ -89,7 +90,7 @@
         self.losses = {}
         self.ends = OrderedDict()
         self.served_ms = OrderedDict()
-        self.changed_ends = set()
+        self.changed_ends = {}
         self.changed_served = set()
         self.needs_review = False
 
@@ -149,24 +150,23 @@
         table.ends[key] = known
         if len(table.ends) > MAX_ENDS:
             dropped, _ = table.ends.popitem(last=False)
-            table.changed_ends.discard(dropped)
-    elif not _add_parts(known, end.parts):
+            table.changed_ends.pop(dropped, None)
+    added = _add_parts(known, end.parts)
+    if not added:
         return False
     known.at_ms = min(known.at_ms, end.at_ms)
-    _add_parts(known, end.parts)
-    table.changed_ends.add(key)
+    table.changed_ends.setdefault(key, set()).update(added)
     table.needs_review = True
     return True
 
 
 def _add_parts(end, positions):
-    """Add parts to an end; return whether any of them is new."""
-    added = False
+    """Add parts to an end; return the names of those that are new."""
+    added = []
     for name, position in positions.items():
-        known = end.parts.get(name)
-        if known is None and len(end.parts) < MAX_PARTS_OF_END:
+        if name not in end.parts and len(end.parts) < MAX_PARTS_OF_END:
             end.parts[name] = position
-            added = True
+            added.append(name)
     return added
 
 
@@ -195,6 +195,19 @@
     )
 
 
+def repeated_names(table):
+    """Return the names that count against more than one end.
+
+    Names that were served after an end do not count against it.
+    """
+    counts = {}
+    for end in table.ends.values():
+        for name in end.parts:
+            if end.at_ms > table.served_ms.get(name, end.at_ms - 1):
+                counts[name] = counts.get(name, 0) + 1
+    return {name for name, count in counts.items() if count > 1}
+
+
 def prune_evidence(table, now_ms):
     """Remove outdated ends."""
     while table.ends:
@@ -202,4 +215,4 @@
         if now_ms - end.at_ms <= END_TTL_MS:
             return
         del table.ends[key]
-        table.changed_ends.discard(key)
+        table.changed_ends.pop(key, None)
--- a/bluebellbeam/quarantine/names.py
+++ b/bluebellbeam/quarantine/names.py
@@ -4,6 +4,7 @@
 hashed, so that a name tells nothing of the body or of the caller's key.
 """
 
+from base64 import urlsafe_b64encode
 from hashlib import blake2b
 
 __all__ = ["REQUEST_NAME_PREFIX", "request_names"]
@@ -11,7 +12,7 @@
 REQUEST_NAME_PREFIX = "r:"
 """Start of every such name. The name of a prompt part contains no colon."""
 
-DIGEST_BYTES = 12
+DIGEST_BYTES = 9
 
 
 def request_names(caller, method, host, target, body, prompt=()):
@@ -37,8 +38,12 @@
         raw = field.encode(errors="surrogateescape")
         digest.update(len(raw).to_bytes(4, "big") + raw)
     digest.update(body)
-    names = [REQUEST_NAME_PREFIX + digest.hexdigest()]
+    names = [_name(digest)]
     if prompt:
         digest.update(repr(prompt).encode(errors="surrogateescape"))
-        names.append(REQUEST_NAME_PREFIX + digest.hexdigest())
+        names.append(_name(digest))
     return tuple(names)
+
+
+def _name(digest):
+    return REQUEST_NAME_PREFIX + urlsafe_b64encode(digest.digest()).decode()
--- a/bluebellbeam/quarantine/parts.py
+++ b/bluebellbeam/quarantine/parts.py
@@ -225,7 +225,7 @@
     """Remove the ends that were attributed to a part whose quarantine has ended."""
     for key in [key for key, end in evidence.ends.items() if part in end.parts]:
         del evidence.ends[key]
-        evidence.changed_ends.discard(key)
+        evidence.changed_ends.pop(key, None)
 
 
 def _has_failed(row, evidence):
