Add a failing test of streams taken up after the restart of all daemons

Servers of v1 and v2 serve; those of v1 leave, all daemons end and start again. All four streams that began at v1 go on at v2, answered 200.

--- a/bluebellbeam/platform/tests/test_stream_versions.py
+++ b/bluebellbeam/platform/tests/test_stream_versions.py
@@ -148,6 +148,34 @@
         self.assertEqual(len(self.versions(deployment, first, key)), 1, key)
 
 
+class TestRestartOfAllDaemons(StreamVersionCase):
+    def test_stream_of_a_version_that_has_left_is_not_joined_to_another(self):
+        async def step(deployment):
+            await self.start_versions(deployment)
+            keys = [f"a{number}" for number in range(STREAMS)]
+            self.set_replicas(deployment, pause_ms=20)
+            await asyncio.gather(*(self.begin(deployment, key) for key in keys))
+            self.set_replicas(deployment, pause_ms=0)
+            self.assertEqual(self.versions(deployment, *keys), {"v1", "v2"})
+            for zone in DOMAINS:
+                deployment.store.remove(f"servers/llm-{zone}-1")
+            for zone in DOMAINS:
+                await deployment.daemons.pop(zone).close()
+            for zone in DOMAINS:
+                await deployment.start_daemon(zone)
+            await deployment.wait(
+                lambda: all(deployment.state(zone).ready for zone in DOMAINS)
+            )
+            joined = []
+            for key in keys:
+                await self.resume(deployment, f"{key}-2", key, "hall-w")
+                if len(self.versions(deployment, key, f"{key}-2")) > 1:
+                    joined.append(key)
+            self.assertEqual(joined, [])
+
+        self.run_with(step, daemons=("hall-e", "hall-w"))
+
+
 class TestStreamOfUnknownOrigin(StreamVersionCase):
     def test_stream_is_refused_while_two_versions_serve(self):
         async def step(deployment):
