Continue a stream of unknown origin only if earlier versions are known

What callers saw: two software versions served, those of the old one left, all daemons were killed and came back; streams that callers took up again were answered 200 and ran to the end, the rest of them written by another version. Cause: a stream whose origin nobody knows goes on at the only version of the last 30 s. A daemon that has just started has not seen the last 30 s, so the only version in its table is the one in service now. Change: the table of versions knows from when on it is complete. Before that, such a stream is refused (stream_origin_unknown, 503, not run), unless a member that is asked for the origin has run for long enough: it answers with the versions that it has seen. Why it works: what is assumed follows from having watched, not from the present list. The test of a service with one version expected a resumed stream to go on at daemons which had just started, the very condition of the fault. It now has daemons that have watched, and a second one expects the refusal of those that have not; a third has one daemon that knows the version for the other.

--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -169,10 +169,14 @@
         Key, service and software version of each stream.
     unknown : tuple of int
         Keys that the receiver has asked for and that the sender does not know.
+    versions : dict of str to tuple of str, or None
+        With unknown keys, all versions by service that the sender has seen lately;
+        None if it has not run for long enough to know them.
     """
 
     origins: tuple[tuple[int, str, str], ...] = ()
     unknown: tuple[int, ...] = ()
+    versions: dict[str, tuple[str, ...]] | None = None
 
 
 class OriginQuery(Struct, frozen=True, array_like=True, tag="oq"):
--- a/bluebellbeam/node/stream_origins.py
+++ b/bluebellbeam/node/stream_origins.py
@@ -9,11 +9,15 @@
     choose_holders,
     choose_sources,
     find_origin,
+    is_complete,
+    merge_seen_versions,
     only_version,
     prune_origins,
     prune_versions,
     record_origin,
     record_version,
+    seen_versions,
+    start_watch,
     stream_key,
 )
 from bluebellbeam.routing import StreamOrigin
@@ -124,7 +128,12 @@
             unknown.append(key)
         else:
             found.append((key, origin.service, origin.version))
-    send_to_member(state, sender, (StreamOrigins(tuple(found), tuple(unknown)),))
+    versions = None
+    if unknown and is_complete(state.versions, now_ms):
+        _record_local_versions(state, now_ms)
+        versions = seen_versions(state.versions)
+    message = StreamOrigins(tuple(found), tuple(unknown), versions)
+    send_to_member(state, sender, (message,))
 
 
 def handle_stream_origins(state, sender, message, now_ms):
@@ -145,6 +154,8 @@
             for request in lookup.requests:
                 _log_origin(state, request, origin, sender, took_ms)
                 ended.append((request, origin))
+    if message.versions is not None:
+        merge_seen_versions(state.versions, message.versions, now_ms)
     for key in message.unknown:
         ended += _drop_source(state, key, sender, now_ms)
     return ended
@@ -188,7 +199,7 @@
 def _assumed_origin(state, request, took_ms, now_ms):
     """Return the origin if the service had only one version lately, else None."""
     _record_local_versions(state, now_ms)
-    origin = only_version(state.versions, request.service)
+    origin = only_version(state.versions, request.service, now_ms)
     if origin is not None:
         _log_origin(state, request, origin, "only version", took_ms)
     return origin
@@ -220,6 +231,8 @@
 
 
 def _record_local_versions(state, now_ms):
+    if state.replicas.rows:
+        start_watch(state.versions, now_ms)
     for row in state.replicas.rows.values():
         if row.service:
             record_version(state.versions, row.service, row.version, now_ms)
--- a/bluebellbeam/origins/__init__.py
+++ b/bluebellbeam/origins/__init__.py
@@ -18,12 +18,16 @@
 )
 from bluebellbeam.origins.versions import (
     VersionTable,
+    is_complete,
     live_versions,
     make_version_table,
+    merge_seen_versions,
     only_version,
     prune_versions,
     record_live_versions,
     record_version,
+    seen_versions,
+    start_watch,
 )
 
 __all__ = [
@@ -33,14 +37,18 @@
     "choose_holders",
     "choose_sources",
     "find_origin",
+    "is_complete",
     "live_versions",
     "make_origin_table",
     "make_version_table",
+    "merge_seen_versions",
     "only_version",
     "prune_origins",
     "prune_versions",
     "record_live_versions",
     "record_origin",
     "record_version",
+    "seen_versions",
+    "start_watch",
     "stream_key",
 ]
--- a/bluebellbeam/platform/tests/test_stream_versions.py
+++ b/bluebellbeam/platform/tests/test_stream_versions.py
@@ -192,15 +192,34 @@
 
         self.run_with(step, daemons=("hall-e", "hall-w"))
 
-    def test_stream_is_continued_while_one_version_serves(self):
+    def check_one_version(self, watched, expected):
+        """Check streams of unknown origin while servers have one version.
+
+        `watched` are the daemons that have run for long enough to know that.
+        """
+
         async def step(deployment):
             await self.start_versions(deployment, ("v1", "v1"))
+            for name in watched:
+                deployment.state(name).versions.complete_ms = 0
             for resumes in ("nobody", ""):
                 found = await self.resume(deployment, f"b-{resumes}", resumes)
-                self.assertEqual(found, (200, IDS[2:]))
+                self.assertEqual(found, expected[resumes])
 
         self.run_with(step, daemons=("hall-e", "hall-w"))
 
+    def test_stream_is_continued_while_one_version_serves(self):
+        done = (200, IDS[2:])
+        self.check_one_version(("hall-e", "hall-w"), {"nobody": done, "": done})
+
+    def test_stream_is_continued_if_another_daemon_knows_the_only_version(self):
+        done = (200, IDS[2:])
+        self.check_one_version(("hall-w",), {"nobody": done, "": done})
+
+    def test_stream_is_refused_while_no_daemon_knows_earlier_versions(self):
+        refused = (503, [])
+        self.check_one_version((), {"nobody": refused, "": refused})
+
 
 if __name__ == "__main__":
     unittest.main()
