--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -24,11 +24,11 @@
     workspace_active_count,
     workspace_role,
 )
-from bluebellbeam.node.prompt_quarantine import check_quarantine
 from bluebellbeam.node.queue_rates import record_queue_arrival
 from bluebellbeam.node.quotas import charge_quota, quota_limit, refund_quota
 from bluebellbeam.node.reachability import has_lost_servers
 from bluebellbeam.node.regional_load import record_routed_demand
+from bluebellbeam.node.request_quarantine import check_quarantine
 from bluebellbeam.node.retry_after import START_MS, start_retry_after_ms
 from bluebellbeam.node.routed import expected_routed_start_ms, resolve_route
 from bluebellbeam.node.server_limits import record_restricted_servers
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -16,18 +16,18 @@
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.forwarding import exclude_region
 from bluebellbeam.node.lending import LENDER_BACKOFF_MS
-from bluebellbeam.node.prompt_quarantine import (
+from bluebellbeam.node.reachability import (
+    record_failed_connection,
+    record_failed_contact,
+)
+from bluebellbeam.node.regional_load import exclude_rejecting_region
+from bluebellbeam.node.request_quarantine import (
     ANSWERED_MS,
     is_quarantined,
     record_answered_request,
     record_lost_request,
     record_refused_connection,
 )
-from bluebellbeam.node.reachability import (
-    record_failed_connection,
-    record_failed_contact,
-)
-from bluebellbeam.node.regional_load import exclude_rejecting_region
 from bluebellbeam.node.retries import REFUSED_RETRY_AFTER_MS, add_sends, consume_retry
 from bluebellbeam.node.server_checks import apply_response_load
 from bluebellbeam.node.stream_origins import tell_origin
--- a/bluebellbeam/node/gossip.py
+++ b/bluebellbeam/node/gossip.py
@@ -25,7 +25,7 @@
 from bluebellbeam.node.lending import capacity_offers, local_demand
 from bluebellbeam.node.message import IndirectAck, IndirectProbe, Ping, Pong
 from bluebellbeam.node.peer_send import send_to_member
-from bluebellbeam.node.prompt_quarantine import known_evidence
+from bluebellbeam.node.request_quarantine import known_evidence
 from bluebellbeam.node.state import backends_feed
 from bluebellbeam.node.stream_origins import live_local_versions
 from bluebellbeam.origins import record_live_versions
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -62,11 +62,6 @@
     tick_orders,
 )
 from bluebellbeam.node.pause import detect_pause
-from bluebellbeam.node.prompt_quarantine import (
-    handle_prompt_evidence,
-    record_refused_connection,
-    tick_quarantine,
-)
 from bluebellbeam.node.quotas import (
     handle_quota_report,
     handle_token_grant,
@@ -78,6 +73,11 @@
 from bluebellbeam.node.readiness import tick_readiness
 from bluebellbeam.node.reconfiguration import apply_config_to_queued
 from bluebellbeam.node.regional_load import tick_regional_loads
+from bluebellbeam.node.request_quarantine import (
+    handle_prompt_evidence,
+    record_refused_connection,
+    tick_quarantine,
+)
 from bluebellbeam.node.server_checks import (
     handle_health_check,
     handle_leaving_stated,
--- a/bluebellbeam/node/tests/evidence_fleet.py
+++ b/bluebellbeam/node/tests/evidence_fleet.py
@@ -6,7 +6,7 @@
 
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node.message import PromptEvidence
-from bluebellbeam.node.prompt_quarantine import (
+from bluebellbeam.node.request_quarantine import (
     handle_prompt_evidence,
     known_evidence,
     tick_quarantine,
