Drop a ledger that another daemon holds and that is not asked any more

What workspaces got: a burst twice. A daemon held the ledger while the first candidate was away; that one came back, held its own ledger for 45 s, spent the burst and ended; the old ledger had refilled meanwhile and granted the burst again. Cause: an unused ledger was kept for 60 s, whoever should hold it. Change: a daemon that is not the first candidate drops its ledger two seconds after the last request for tokens. Why it works: while the first candidate is asked, its ledger alone stands for the bucket.

--- a/bluebellbeam/node/quotas.py
+++ b/bluebellbeam/node/quotas.py
@@ -98,6 +98,9 @@
 COUNT_INTERVAL_MS = 500
 """Interval at which the known daemons are counted."""
 
+CEDED_MS = 2000
+"""Time after which an unused ledger is removed that another daemon should hold."""
+
 IDLE_MS = 60_000
 """Time after which an unused ledger or row of held tokens is removed."""
 
@@ -180,6 +183,8 @@
     next_number : int
     owners : dict of (str, int) to tuple of str
         Daemons that may hold the ledgers of a group in a region, best first.
+    next_ceded_ms : int
+        Time of the next check for ledgers that another daemon should hold.
     owners_key : tuple
         Generation of the members that `owners` is for, and whether this daemon was
         leaving.
@@ -212,6 +217,7 @@
         "started",
         "next_number",
         "owners",
+        "next_ceded_ms",
         "owners_key",
         "region_members",
         "region_since_ms",
@@ -236,6 +242,7 @@
         self.started = []
         self.next_number = 1
         self.owners = {}
+        self.next_ceded_ms = 0
         self.owners_key = ()
         self.region_members = None
         self.region_since_ms = None
@@ -648,11 +655,29 @@
         return []
     ended = _end_slow_queries(state, now_ms)
     _return_unused(state, now_ms)
+    if now_ms >= table.next_ceded_ms:
+        table.next_ceded_ms = now_ms + CEDED_MS
+        _drop_ceded_ledgers(state, now_ms)
     _send_reports(state, now_ms)
     _log_changes(state, now_ms)
     return ended
 
 
+def _drop_ceded_ledgers(state, now_ms):
+    """Drop the ledgers that another daemon should hold and that are not asked any more.
+
+    Their buckets would refill while the other daemon grants from its own.
+    """
+    ledgers = state.quotas.ledgers
+    own = state.identity.vm
+    for workspace, ledger in list(ledgers.items()):
+        if (
+            now_ms - ledger.requested_ms > CEDED_MS
+            and _owners(state, workspace, state.region)[0] != own
+        ):
+            del ledgers[workspace]
+
+
 def _end_slow_queries(state, now_ms):
     """End the wait for ledgers that answer too late."""
     table = state.quotas
--- a/bluebellbeam/node/tests/test_quotas.py
+++ b/bluebellbeam/node/tests/test_quotas.py
@@ -15,7 +15,7 @@
     TokenGrant,
     TokenRequest,
 )
-from bluebellbeam.node.quotas import ANSWER_TIMEOUT_MS
+from bluebellbeam.node.quotas import ANSWER_TIMEOUT_MS, GROUPS
 from bluebellbeam.node.tests.harness import (
     Harness,
     final_errors,
@@ -23,8 +23,9 @@
     server,
     started_attempts,
 )
-from bluebellbeam.node.tests.quota_region import QuotaRegions
+from bluebellbeam.node.tests.quota_region import WINDOW_MS, QuotaRegions
 from bluebellbeam.node.tests.quota_schedules import run_schedule, workspace
+from bluebellbeam.utils.hashing import hash_text, rendezvous_order
 
 RATE = 30_000
 
@@ -460,6 +461,36 @@
         self.assertLessEqual(spent, 1.25 * burst + 110_000)
         self.assertGreaterEqual(spent, 0.9 * burst)
 
+    def test_former_holder_does_not_grant_the_burst_again(self):
+        rate, burst = 10_000, 400_000
+        sim = QuotaRegions(3, {}, 1, regions=("a",))
+        names = list(sim.region)
+        owners = {}
+        for number in range(20):
+            group = hash_text(f"w{number}") % GROUPS
+            owners[f"w{number}"] = rendezvous_order(f"quota:{group}", names)
+        name = next(w for w, order in owners.items() if order[0] == "a0")
+        sim.workspaces[name] = workspace(rate, burst)
+        first, _, other = owners[name]
+
+        def run(seconds, per_s, cost):
+            end_ms = sim.now_ms + 1000 * seconds
+            while sim.now_ms < end_ms:
+                if sim.now_ms % (1000 // per_s) == 0:
+                    sim.send(other, name, cost)
+                sim.step()
+
+        sim.kill(first)
+        run(50, per_s=2, cost=500)
+        sim.start(first)
+        run(45, per_s=2, cost=500)
+        run(1, per_s=100, cost=5000)
+        sim.kill(first)
+        run(7, per_s=100, cost=5000)
+        bound = 1.25 * (burst + rate * WINDOW_MS / 1000) + 110_000
+        self.assertLessEqual(sim.worst_window(), bound)
+        self.assertGreaterEqual(sim.worst_window(), 0.9 * burst)
+
     def _admitted_part(self, choose, factor, seconds=20):
         sim = QuotaRegions(3, {"w": workspace(200_000, 200_000)}, 1)
         start_ms = next_ms = sim.now_ms
