--- a/bluebellbeam/node/tests/crashing_region.py
+++ b/bluebellbeam/node/tests/crashing_region.py
@@ -1,12 +1,7 @@
 """A region in virtual time whose servers end under prompts with some parts."""
 
 from bluebellbeam.node import event as ev
-from bluebellbeam.node.tests.harness import server
-from bluebellbeam.node.tests.limited_region import (
-    NETWORK_MS,
-    LimitedRegion,
-    LimitedServer,
-)
+from bluebellbeam.node.tests.limited_region import NETWORK_MS, LimitedRegion
 
 DELIST_MS = 2100
 """Time after its end at which a server disappears from the list."""
@@ -149,7 +144,7 @@
     def add_server(self):
         name = f"s{self.next_server}"
         self.next_server += 1
-        self.servers[name] = LimitedServer(server(name, slots=64))
+        self.servers[name] = self.make_server(name)
         self.up[name] = []
         self.publish()
 
--- a/bluebellbeam/node/tests/test_request_quarantine.py
+++ b/bluebellbeam/node/tests/test_request_quarantine.py
@@ -2,9 +2,12 @@
 import unittest
 
 from bluebellbeam.node.tests.crashing_region import CrashingRegion
+from bluebellbeam.node.tests.harness import server
+from bluebellbeam.node.tests.limited_region import LimitedServer
 
 SEEDS = range(1, 6)
-PATHS = ("/p/x", "/o/x")
+SERVICES = {"/p/x": "portal", "/o/x": "portal", "/c/x": "llm"}
+"""Service of each path: a plain one, one that may not be repeated, and streams."""
 ENDS = 3
 MAX_LATE_ARRIVALS = 3
 
@@ -20,6 +23,10 @@
         super().__init__(count, seed=seed, **values)
         self.bad_parts = {"r:bad"}
 
+    def make_server(self, name):
+        record = server(name, SERVICES[self.path], slots=64)
+        return LimitedServer(record)
+
     def send_request(self):
         delay_ms = max(1, round(1000 * self.rng.expovariate(self.rate_per_s)))
         self.schedule(delay_ms, self.send_request)
@@ -51,7 +58,7 @@
 
 class TestRegionWithACrashingRequest(unittest.TestCase):
     def test_repeated_request_that_ended_three_servers_reaches_no_further_one(self):
-        for path in PATHS:
+        for path in SERVICES:
             for seed in SEEDS:
                 with self.subTest(path=path, seed=seed):
                     region = play(path, seed)
@@ -60,7 +67,7 @@
                     self.assertLessEqual(len(late), MAX_LATE_ARRIVALS, late)
 
     def test_no_harmless_request_is_refused(self):
-        for path in PATHS:
+        for path in SERVICES:
             for seed in SEEDS:
                 with self.subTest(path=path, seed=seed):
                     self.assertEqual(play(path, seed).harmless_refused, 0)
--- a/bluebellbeam/platform/tests/test_crashing_prompts.py
+++ b/bluebellbeam/platform/tests/test_crashing_prompts.py
@@ -151,25 +151,37 @@
         return len(found), sum(found) / max(1, len(found))
 
 
-class TestPartThatEndsServers(PlatformCase):
-    def test_prompts_with_a_part_that_ended_five_servers_reach_no_further_ones(self):
+class CrashingFleetCase(PlatformCase):
+    """Plays a fleet, and checks what reaches its servers late and what is served."""
+
+    def check_fleet(self, fleet_type, seed, ends):
+        """Check that few bad requests come later than `CONTACT_S` after so many ends.
+
+        Harmless ones must be served half as often as before from twice that time on.
+        """
+
         async def step(deployment):
-            fleet = CrashingFleet(deployment, seed=41)
+            fleet = fleet_type(deployment, seed)
             await fleet.run(2.0, with_bad=False)
             calm_s = fleet.now_s()
             await fleet.run(17.0)
             end_s = fleet.now_s()
             await fleet.finish()
-            fifth_s = sorted(fleet.ends_s)[:5][-1]
-            late = [at for at in fleet.bad_arrivals_s if at > fifth_s + CONTACT_S]
+            known_s = sorted(fleet.ends_s)[ends - 1]
+            late = [at for at in fleet.bad_arrivals_s if at > known_s + CONTACT_S]
             self.assertLessEqual(len(late), MAX_LATE_ARRIVALS, len(fleet.ends_s))
             calm, calm_share = fleet.share_begun(0.0, calm_s)
-            sent, share = fleet.share_begun(fifth_s + 2 * CONTACT_S, end_s)
+            sent, share = fleet.share_begun(known_s + 2 * CONTACT_S, end_s)
             self.assertGreaterEqual(min(calm, sent), 20)
             self.assertGreaterEqual(share, 0.5 * calm_share)
 
         self.run_with(step, daemons=DAEMONS)
 
 
+class TestPartThatEndsServers(CrashingFleetCase):
+    def test_prompts_with_a_part_that_ended_five_servers_reach_no_further_ones(self):
+        self.check_fleet(CrashingFleet, seed=41, ends=5)
+
+
 if __name__ == "__main__":
     unittest.main()
