Add a failing test of servers that a cut makes silent

Requests on existing connections to servers that a daemon does not reach any more hang until the kernel ends the connections, 4.5 to 5 s after each was used first. The users' rule counts from 5 s after the start of a cut.

--- a/bluebellbeam/node/tests/test_lost_servers.py
+++ b/bluebellbeam/node/tests/test_lost_servers.py
@@ -113,6 +113,56 @@
         self.assertIn("s2", checked)
 
 
+class TestSilentServers(unittest.TestCase):
+    """Connections to the servers live on, but nothing comes back on them."""
+
+    CONTACT_MS = 5000
+
+    def setUp(self):
+        self.harness = Harness()
+        self.harness.publish_servers(server("s1"), server("s2"))
+        self.harness.announce_peer("e2", region="east")
+
+    def run_checks(self, duration_ms, answered):
+        """Advance time; health checks fail, or are answered. Return their number."""
+        checks = 0
+        for _ in range(duration_ms // 50):
+            self.harness.commands.clear()
+            self.harness.tick(50)
+            for command in self.harness.commands:
+                if isinstance(command, cmd.ReadLoad):
+                    checks += 1
+                    name = command.server
+                    self.harness.handle(
+                        ev.HealthCheckAnswered(name, name, 1)
+                        if answered
+                        else ev.LoadReadFailed(name)
+                    )
+        return checks
+
+    def test_requests_stop_going_to_them_before_the_connections_end(self):
+        for number in range(2):
+            self.harness.send_request("/o/x", f"n{number}")
+        self.run_checks(self.CONTACT_MS // 2, answered=False)
+        attempt = started_attempts(self.harness.send_request(request_id="n9"))[0]
+        self.assertEqual(attempt.peer, "e2")
+
+    def test_slow_response_of_a_server_that_answers_checks_changes_nothing(self):
+        self.harness.send_request("/o/x", "n1")
+        self.assertLessEqual(self.run_checks(2500, answered=True), 3)
+        attempt = started_attempts(self.harness.send_request(request_id="n9"))[0]
+        self.assertIn(attempt.server, ("s1", "s2"))
+
+    def test_server_that_answers_other_requests_is_not_checked(self):
+        self.harness.publish_servers(server("s1"))
+        self.harness.send_request("/o/x", "n1")
+        for number in range(5):
+            commands = self.harness.send_request("/o/x", f"m{number}")
+            other = started_attempts(commands)[0]
+            self.harness.handle(ev.AttemptFinished(other.attempt_id))
+            self.assertEqual(self.run_checks(500, answered=True), 0)
+
+
 class TestFailedConnectionsOfAForward(unittest.TestCase):
     def test_failed_connections_are_not_reported_as_a_region_without_servers(self):
         harness = Harness()
