Check servers that send nothing after they got a request

What callers saw: at a daemon whose paths to servers are cut silently requests hang on the existing connections until the kernel ends these, 4.5 to 5 s after each was used first. Cause: a listed server is not checked while it counts as reached, and it does so until a connection to it fails. Evidence: test_requests_stop_going_to_them_before_the_connections_end failed: 2.5 s after the cut the next request still went to such a server. Change: a server that has sent nothing for a second since it got a request is checked, once a second at most; cold and brittle ones are not, since a check counts as a request there. Events of streams count as a response. Why it works: a check tells a cut from a slow response; if it fails, the requests go to neighbours until the server responds again.

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -120,6 +120,7 @@
     row = attempt_replica(state, attempt) if attempt is not None else None
     if row is None:
         return
+    record_response(row, now_ms)
     if event.load is not None:
         apply_response_load(state, row, event.load, now_ms)
     record_events(row, event.events, event.elapsed_ms, event.longest_gap_ms, now_ms)
--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -14,6 +14,8 @@
     apply_load_header,
     confirm_replica,
     end_pause,
+    is_brittle,
+    is_cold,
     mark_leaving,
     may_send_limited,
     needs_check,
@@ -43,6 +45,10 @@
 RECHECK_INTERVAL_MS = 250
 """Minimum time between two checks of an unconfirmed server."""
 
+OVERDUE_MS = 1000
+"""Time after which a server is checked that has sent nothing since it got a request;
+also the time between two such checks."""
+
 CHECK_SPREAD_MS = 250
 """Average time between the checks of the daemons of a region of one new server."""
 
@@ -78,6 +84,7 @@
     if stale:
         state.list_stale_ms = now_ms
     settling = state.is_list_settling(now_ms)
+    _check_overdue_servers(state, now_ms)
     for row in state.replicas.rows.values():
         age_peer_load(state.replicas, row, state.queue_slack, now_ms)
         if row.paused_until_ms:
@@ -97,6 +104,29 @@
             _check_server(state, row, now_ms)
 
 
+def _check_overdue_servers(state, now_ms):
+    """Check servers that have sent nothing since they got a request some time ago.
+
+    Their connections may live on though the servers are not reached any more. Cold
+    and brittle servers are left out, since a check counts as a request there.
+    """
+    for attempt in state.attempts.values():
+        waited_ms = now_ms - attempt.started_ms
+        if waited_ms < OVERDUE_MS or attempt.response_started_ms is not None:
+            continue
+        row = state.replicas.rows.get(attempt.server)
+        if (
+            row is not None
+            and row.incarnation == attempt.server_incarnation
+            and row.identified
+            and (row.confirmed_ms or 0) < attempt.started_ms
+            and now_ms - row.checked_ms >= OVERDUE_MS
+            and not is_cold(row, now_ms)
+            and not is_brittle(state.brittle, row.service, now_ms)
+        ):
+            _check_server(state, row, now_ms)
+
+
 def _check_server(state, row, now_ms):
     """Check a server, unless its limit does not allow this daemon a request now."""
     if may_send_limited(state, row, now_ms):
--- a/bluebellbeam/node/tests/test_lost_servers.py
+++ b/bluebellbeam/node/tests/test_lost_servers.py
@@ -138,6 +138,8 @@
                         if answered
                         else ev.LoadReadFailed(name)
                     )
+        # The peer answers no probes here.
+        self.harness.announce_peer("e2", region="east", incarnation=6)
         return checks
 
     def test_requests_stop_going_to_them_before_the_connections_end(self):
