Say where names stand for requests, and map error codes plainly

Docstrings of the quarantine speak of requests as well as of parts, the error code is chosen by a condition instead of being put together. 30 related tests pass.

--- a/bluebellbeam/daemon/metrics.py
+++ b/bluebellbeam/daemon/metrics.py
@@ -115,7 +115,7 @@
         ("requests_open", "Requests without a final answer.", len(state.requests)),
         ("members", "Entry VMs known.", len(state.members.rows)),
         ("replicas", "Backend servers used.", len(state.replicas.rows)),
-        ("unreached_replicas", "Those not reached.", _count_unreached(state)),
+        ("unreached_replicas", "Of them, not reached.", _count_unreached(state)),
         ("limited_replicas", "Backend servers with a limit.", _count_limited(state)),
         ("paused_replicas", "Backend servers in a pause.", _count_paused(state)),
         ("operations", "Operations recorded.", len(state.ledger.rows)),
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -193,7 +193,8 @@
     server, incarnation : str, int
     age_ms : int
     parts : dict of str to int
-        Position in its prompt of each part that the server may have ended under.
+        Position in its prompt of each part that the server may have ended under;
+        negative for the names of requests.
     """
 
     server: str
@@ -203,7 +204,7 @@
 
 
 class QuarantinedPart(Struct, frozen=True, array_like=True):
-    """Part of prompts that the sender refuses.
+    """Part of prompts, or request, that the sender refuses.
 
     Parameters
     ----------
@@ -228,7 +229,7 @@
 
 
 class PromptEvidence(Struct, frozen=True, array_like=True, tag="pe"):
-    """What the sender knows of prompt parts that end backend servers.
+    """What the sender knows of requests and prompt parts that end backend servers.
 
     Parameters
     ----------
--- a/bluebellbeam/node/request_quarantine.py
+++ b/bluebellbeam/node/request_quarantine.py
@@ -201,9 +201,13 @@
         _fail_quarantined(state, now_ms)
 
 
+def _is_request(row):
+    """Return whether a request is in quarantine, and not a part of prompts."""
+    return row.part.startswith(REQUEST_NAME_PREFIX)
+
+
 def _kind(row):
-    """Return what is in quarantine, for the log."""
-    return "request" if row.part.startswith(REQUEST_NAME_PREFIX) else "prompt part"
+    return "request" if _is_request(row) else "prompt part"
 
 
 def _log_quarantine(state, row, text, now_ms):
@@ -231,7 +235,7 @@
 
 def _quarantine_error(row, now_ms):
     wait_ms = max(0, row.retry_ms - now_ms)
-    code = f"{_kind(row).partition(' ')[0]}_quarantined"
+    code = "request_quarantined" if _is_request(row) else "prompt_quarantined"
     return make_error(code, retry_after_ms=wait_ms)
 
 
--- a/bluebellbeam/quarantine/parts.py
+++ b/bluebellbeam/quarantine/parts.py
@@ -1,4 +1,7 @@
-"""Parts of prompts that are in quarantine, and the choice of those that have to be."""
+"""Requests and parts of prompts in quarantine, and the choice of those to put there.
+
+Both are called parts here, as both are found by their names among what ended servers.
+"""
 
 from bluebellbeam.quarantine.evidence import prune_evidence
 
@@ -52,6 +55,7 @@
     Attributes
     ----------
     part : str
+        Name of the part, or of a request that is refused by itself.
     since_ms : int
         Start of the quarantine.
     ends : int
