--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.."
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=review exec python3 review/5/case.py
