--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,6 +11,8 @@
 EVACUATE_S = 5.0
 """The rule's bound, `evacuateMs`."""
 
+EVACUATED_S = 9.0
+
 ENTRY = b'{"service":"portal","notes":' + b"[" * 2000 + b"]" * 2000 + b"}"
 """Valid JSON of 4 kB without the fields of an entry, as another program may write."""
 
@@ -35,7 +37,8 @@
     site.store.put("op/evacuate/hall-b", {})
     acknowledged_s = time.monotonic()
     site.record("evacuation of hall-b acknowledged")
-    await send_for(site, "evacuated", 12.0)
+    await send_for(site, "evacuated", EVACUATED_S)
+    site.store.remove("op/evacuate/hall-b")
     return [
         f"{key} reached {life} {at_s - acknowledged_s:.1f} s after the evacuation"
         for replica in site.replicas.values()
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -17,7 +17,7 @@
     ----------
     faults : dict of str to str
         What the store does to the machine of that name: ``busy`` (status 503) or
-        ``silent`` (no answer). Others are served.
+        ``reset`` (it ends the channel). Others are served.
     delay_s : float
         Time until an answer.
     """
@@ -75,11 +75,11 @@
         except (EOFError, OSError):
             pass
         finally:
-            writer.close()
+            writer.transport.abort()
 
     async def _answer(self, machine, request):
-        if self.faults.get(machine) == "silent":
-            await asyncio.sleep(60.0)
+        if self.faults.get(machine) == "reset":
+            raise ConnectionResetError
         if self.faults.get(machine):
             return 503, {}
         parts = urlsplit(request.target)
