--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,7 @@
 
 from common.http import encode_head
 from common.replica import Replica
-from common.site import has_trouble, make_config, run_case
+from common.site import CannotRun, has_trouble, make_config, run_case
 
 ZONES = {"hall-a": "east", "hall-b": "east"}
 PLACES = [("front-1", "hall-a"), ("front-2", "hall-b")]
@@ -25,11 +25,13 @@
     """Replica that, once in trouble, sends blank lines until its caller closes."""
 
     in_trouble = False
+    has_begun = False
 
     async def _stream(self, request, writer, head):
         if not self.in_trouble:
             await super()._stream(request, writer, head)
             return
+        self.has_begun = True
         head["Content-Type"] = "text/event-stream"
         # With neither a length nor chunks.
         raw = encode_head(200, head).replace(b"Transfer-Encoding: chunked\r\n", b"")
@@ -78,6 +80,8 @@
         busiest.in_trouble = True
         site.record(f"{busiest.name} is in trouble")
     await send_for(site, times, "trouble", TROUBLE_S)
+    if has_trouble() and not busiest.has_begun:
+        raise CannotRun("no stream has reached the engine in trouble")
     slow = [item for item in times if item[1] > TIMEOUT_S]
     late = [item for item in slow if item[1] > TIMEOUT_S + LATE_S]
     text = f"{len(times)} plain requests, {len(slow)} without an answer at the timeout"
@@ -108,7 +112,7 @@
                 "X-Prompt-Prefix": f"{number % 7:08x}:200,{number + 900:08x}:100",
             }
             key = f"stream-{name}-{number:03d}"
-            call = site.call(daemon, "/draft/1", key, headers=headers)
+            call = site.call(daemon, "/draft/1", key, headers=headers, deadline_ms=4000)
             tasks.append(asyncio.create_task(call))
         elif number % 2 == 0:
             key = f"plain-{name}-{number:03d}"
--- a/review/2/restart_case.py
+++ b/review/2/restart_case.py
@@ -6,7 +6,7 @@
 
 from case import ENTRY, send_for
 from common.replica import Replica
-from common.site import has_trouble, make_config, run_case
+from common.site import has_second_trouble, has_trouble, make_config, run_case
 
 ZONES = {"hall-a": "east", "hall-b": "east"}
 DOWN_S = 1.2
@@ -30,11 +30,12 @@
         site.store.put("servers/i-other", ENTRY)
         site.record("another writer has written the entry servers/i-other")
     before = served_share(await send_for(site, "before", 3.0))
-    for daemon in site.daemons.values():
-        await daemon.kill()
-    await asyncio.sleep(DOWN_S)
-    for daemon in site.daemons.values():
-        daemon.start()
+    if has_second_trouble():
+        for daemon in site.daemons.values():
+            await daemon.kill()
+        await asyncio.sleep(DOWN_S)
+        for daemon in site.daemons.values():
+            daemon.start()
     back_s = time.monotonic()
     await asyncio.sleep(RECOVERY_S - (time.monotonic() - back_s))
     after = served_share(await send_for(site, "after", 10.0))
--- a/review/common/site.py
+++ b/review/common/site.py
@@ -29,6 +29,9 @@
 
 PORT_RANGE = (10_000, 30_000)
 
+BROKEN = 10
+"""Exit code for a broken rule; unlike 1, no failure of Python has it."""
+
 _given_ports = set()
 
 
@@ -37,7 +40,12 @@
 
 
 def has_trouble():
-    """Return whether the disruption is to be brought about."""
+    """Return whether all disruptions are to be brought about."""
+    return os.environ.get("TROUBLE", "1") not in ("0", "part")
+
+
+def has_second_trouble():
+    """Return whether the lesser of two disruptions is; with `TROUBLE=part` alone."""
     return os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -193,6 +201,7 @@
     def __init__(self, folder, zones, record_name):
         self.record_path = Path(folder) / record_name
         self.lines = []
+        self.sent_s = {}
         self.zones = zones
         self.begin_s = time.monotonic()
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
@@ -200,7 +209,7 @@
         self.store = Store()
         self.daemons = {}
         self.replicas = {}
-        self.record(f"trouble: {has_trouble()}")
+        self.record(f"trouble: {has_trouble()}, second: {has_second_trouble()}")
 
     def record(self, text, at_s=None):
         """Add a line to the record."""
@@ -244,6 +253,7 @@
             "X-Deadline-Ms": str(int(deadline_ms)),
         } | values.get("headers", {})
         method, body = values.get("method", "POST"), values.get("body", b"{}")
+        self.sent_s[key] = time.monotonic()
         self.record(f"sent {key} {method} {path} to {daemon.name}")
         answer = await fetch(
             daemon.front, method, path, headers, body, deadline_ms / 1000.0
@@ -279,9 +289,10 @@
 
 
 def run_case(folder, zones, steps, record_name="record.txt"):
-    """Run ``steps(site)`` and exit: 1 if the rule was broken, 0 if held, 2 if unable.
+    """Run ``steps(site)`` and exit: `BROKEN` if the rule was broken, 0 if it held.
 
-    `steps` returns a list of texts, one for each violation.
+    Any other code, also that of an unexpected exception, means that the case could not
+    run. `steps` returns a list of texts, one for each violation.
     """
 
     async def run():
@@ -293,7 +304,7 @@
                 site.record(f"VIOLATION {text}")
             site.record(f"result: {len(broken)} violations")
             print("broken" if broken else "held", len(broken), *broken[:3], sep="\n  ")
-            return 1 if broken else 0
+            return BROKEN if broken else 0
         except (CannotRun, TimeoutError, OSError) as error:
             site.record(f"cannot run: {error!r}")
             print(f"cannot run: {error!r}")
