--- a/review/common/site.py
+++ b/review/common/site.py
@@ -28,6 +28,7 @@
 
 
 PORT_RANGE = (10_000, 30_000)
+PORTS_OF_SCRIPT = 200
 
 BROKEN = 10
 """Exit code for a broken rule; unlike 1, no failure of Python has it."""
@@ -50,10 +51,16 @@
 
 
 def free_ports(count):
-    """Return free ports below those that the system gives to outgoing connections."""
+    """Return free ports below those that the system gives to outgoing connections.
+
+    Scripts that run side by side take them from different parts of the range, since a
+    daemon binds its ports only some time after they were chosen.
+    """
+    first, end, size = *PORT_RANGE, PORTS_OF_SCRIPT
+    first += os.getpid() * size % (end - first)
     found = []
     while len(found) < count:
-        port = random.randrange(*PORT_RANGE)
+        port = random.randrange(first, first + size)
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
