--- a/bluebellbeam/daemon/server.py
+++ b/bluebellbeam/daemon/server.py
@@ -152,7 +152,7 @@
     return Daemon(make_driver(node, settings, provider, clock), sockets)
 
 
-async def run_daemon(settings, provider=None, path=None, flush_logs=None):
+async def run_daemon(settings, provider=None, path=None, flush_logs=None, sockets=None):
     """Run a daemon until a signal stops it.
 
     Parameters
@@ -163,8 +163,10 @@
         Settings file, read again on SIGHUP and at regular intervals.
     flush_logs : callable, optional
         Writes buffered log lines.
+    sockets : dict of str to socket, optional
+        Bound sockets by listener, as for :func:`make_daemon`.
     """
-    daemon = make_daemon(settings, provider=provider)
+    daemon = make_daemon(settings, sockets, provider)
     if flush_logs is not None:
         daemon.driver.flush_logs = flush_logs
     log = structlog.get_logger()
