--- a/bluebellbeam/daemon/metrics.py
+++ b/bluebellbeam/daemon/metrics.py
@@ -127,6 +127,29 @@
         family = GaugeMetricFamily(f"bluebellbeam_{name}", text)
         family.add_metric([], value)
         yield family
+    yield from _feeds(driver, state)
+
+
+def _feeds(driver, state):
+    """Yield the version held of each feed and the time since it was last read."""
+    from prometheus_client.core import GaugeMetricFamily
+
+    now_ms = driver.clock.now_ms()
+    versions = GaugeMetricFamily(
+        "bluebellbeam_feed_version", "Version held of a feed.", labels=["feed"]
+    )
+    ages = GaugeMetricFamily(
+        "bluebellbeam_feed_read_age_ms",
+        "Time since the platform last responded to a read of a feed.",
+        labels=["feed"],
+    )
+    for key, feed in sorted(state.feeds.items()):
+        versions.add_metric([key], feed.version)
+        read_ms = state.feed_response_ms.get(key)
+        if read_ms is not None:
+            ages.add_metric([key], now_ms - read_ms)
+    yield versions
+    yield ages
 
 
 def _count_unreached(state):
--- a/bluebellbeam/daemon/tests/test_metrics.py
+++ b/bluebellbeam/daemon/tests/test_metrics.py
@@ -1,8 +1,11 @@
 import unittest
+from types import SimpleNamespace
 
 from prometheus_client import CollectorRegistry, Histogram, generate_latest
 
-from bluebellbeam.daemon.metrics import LATENCY_BUCKETS_S, LatencyHistogram
+from bluebellbeam.daemon.metrics import LATENCY_BUCKETS_S, LatencyHistogram, _feeds
+from bluebellbeam.node.tests.harness import Harness
+from bluebellbeam.utils.clock import manual_clock
 
 LATENCIES_S = (0.004, 0.01, 0.0101, 0.3, 0.3, 7, 121, 4000)
 
@@ -33,5 +36,21 @@
         self.assertEqual(self.samples(LatencyHistogram()), set())
 
 
+class TestFeedMetrics(unittest.TestCase):
+    def test_age_counts_from_the_last_response_of_the_platform(self):
+        harness = Harness()
+        clock = manual_clock()
+        clock.advance(harness.now_ms + 1500)
+        driver = SimpleNamespace(clock=clock)
+        found = {}
+        harness.state.feed_response_ms = {"config": harness.now_ms}
+        for family in _feeds(driver, harness.state):
+            for sample in family.samples:
+                found[sample.name, sample.labels["feed"]] = sample.value
+        self.assertEqual(found["bluebellbeam_feed_read_age_ms", "config"], 1500)
+        self.assertEqual(found["bluebellbeam_feed_version", "config"], 1)
+        self.assertNotIn(("bluebellbeam_feed_read_age_ms", "backends/east"), found)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -680,6 +680,9 @@
             fields.setdefault("workspace", request.workspace)
         if self.config is not None:
             fields["revision"] = self.config.revision
+        if request.origin:
+            fields["sender"] = request.origin
+            fields["sender_revision"] = request.revision
         fields["attempt"] = request.attempts
         self.emit(Log("request", sentence, request.request_id, fields))
 
