--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -199,6 +199,7 @@
         prompt_parts=shared_part_names(parts),
         allowed=frozenset(forward.allowed),
         revision=forward.revision,
+        decided_service=forward.service,
         sends=forward.sends,
         stream_origin=forward.stream_origin,
         content_names=forward.content_names,
--- a/bluebellbeam/daemon/routed_forward.py
+++ b/bluebellbeam/daemon/routed_forward.py
@@ -70,6 +70,8 @@
         Part of the prompt in quarantine that the request is a trial of, or empty.
     workspace : str
         Workspace that the key of the caller belongs to; not sent if there is none.
+    service : str
+        Service that the sender's configuration selects.
     """
 
     request_id: str
@@ -91,6 +93,7 @@
     content_names: tuple[str, ...] = ()
     trial_part: str = ""
     workspace: str | UnsetType = UNSET
+    service: str = ""
 
 
 def without_credentials(driver, passed):
@@ -131,6 +134,7 @@
         content_names=request.content_names,
         trial_part=request.trial_part,
         workspace=key_workspace(request) or UNSET,
+        service=request.service,
     )
     raw = msgspec.json.encode(forward)
     signed = driver.auth.sign(ROUTED_PATH, driver.settings.vm, raw + exchange.payload)
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -15,7 +15,7 @@
 from bluebellbeam.node.command import SendErrorResponse, SendRecordedResponse
 from bluebellbeam.node.dispatch import dispatch_pool
 from bluebellbeam.node.errors import make_error
-from bluebellbeam.node.feed_sync import request_config
+from bluebellbeam.node.feed_sync import offer_config, request_config
 from bluebellbeam.node.lending import (
     borrow_limit,
     may_run_locally,
@@ -73,8 +73,12 @@
     state.counters.requests += 1
     request.arrival_ms = now_ms
     error = _check_daemon(state, request, now_ms)
+    if error is None and request.origin:
+        error = _check_sender(state, request)
     if error is None:
         error = _resolve(state, request, now_ms)
+        if request.origin:
+            error = _confirm_decision(state, request, error, now_ms)
         if error is None:
             count_workspace_request(state, request, now_ms)
     if error is None and is_continued(request):
@@ -329,10 +333,7 @@
         The error if the configuration does not permit the request.
     """
     if request.host:
-        error = resolve_route(state, request, now_ms)
-        if error is not None and error.code == "unknown_key":
-            return _check_unknown_key(state, request, error)
-        return error
+        return resolve_route(state, request, now_ms)
     workspace = state.base.workspaces.get(request.workspace)
     if workspace is None:
         return make_error("not_permitted")
@@ -344,15 +345,44 @@
     return _resolve_model(state, request, workspace, now_ms)
 
 
-def _check_unknown_key(state, request, error):
-    """Return the error of a request without a known key.
+def _check_sender(state, request):
+    """Return an error if the sender of a forwarded request has a newer configuration.
 
-    A forwarded request may be of a workspace that this daemon does not know yet.
+    Nothing can be said about the request then: its route, its key or the regions may
+    have changed.
     """
-    if request.origin and request.revision > state.config.revision:
-        request_config(state, request.origin)
-        return make_error("config_behind")
-    return error
+    if request.revision <= state.config.revision:
+        return None
+    request_config(state, request.origin)
+    return make_error("config_behind")
+
+
+def _confirm_decision(state, request, error, now_ms):
+    """Return the error of a forwarded request after its resolution, or None.
+
+    The daemon that the caller is connected to decides about a request. If the newer
+    configuration of this one decides otherwise, the sender gets that configuration
+    instead of a decision, so that it does not alternate between two versions.
+
+    Parameters
+    ----------
+    state : NodeState
+    request : Request
+    error : CallerError or None
+        Error of the resolution.
+    now_ms : int
+    """
+    if request.revision >= state.config.revision:
+        return error
+    confirmed = (
+        error is None
+        and may_run_locally(state, request)
+        and request.decided_service in ("", request.service)
+    )
+    if confirmed:
+        return None
+    offer_config(state, request.origin, request.revision, now_ms)
+    return make_error("config_ahead")
 
 
 def _resolve_service(state, request, workspace, now_ms):
@@ -406,9 +436,6 @@
     The regions and the lease are checked again because the state of the
     forwarding daemon may be out of date.
     """
-    if request.revision > state.config.revision:
-        request_config(state, request.origin)
-        return make_error("config_behind")
     if not may_run_locally(state, request):
         state.counters.region_refusals += 1
         return make_error("region_not_permitted")
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -13,13 +13,14 @@
     queue_timeout_error,
     start_second_attempt,
 )
-from bluebellbeam.node.errors import make_error
+from bluebellbeam.node.errors import ERRORS, make_error
 from bluebellbeam.node.forwarding import exclude_region
 from bluebellbeam.node.lending import LENDER_BACKOFF_MS
 from bluebellbeam.node.reachability import (
     record_failed_connection,
     record_failed_contact,
 )
+from bluebellbeam.node.reconfiguration import apply_config_to_routed
 from bluebellbeam.node.regional_load import exclude_rejecting_region
 from bluebellbeam.node.request_quarantine import (
     ANSWERED_MS,
@@ -73,6 +74,9 @@
 UNSERVED_CODES = frozenset({"no_backend", "stream_version_gone"})
 """Error codes of a peer whose region has no server for the request."""
 
+CONFIG_CODES = frozenset({"config_ahead", "config_behind", "config_differs"})
+"""Error codes of a peer that say nothing about its load."""
+
 NON_RETRYABLE_CODES = frozenset(
     {
         "not_permitted",
@@ -201,26 +205,44 @@
     add_sends(request, event.sends)
     end_attempt(state, attempt, now_ms, completed=False)
     state.counters.refused += 1
-    if attempt.peer:
-        until_ms = now_ms + max(LENDER_BACKOFF_MS, min(error.retry_after_ms, 10_000))
-        key = (attempt.peer, request.pool)
-        state.borrower.refused_until_ms[key] = until_ms
-        exclude_rejecting_region(state, request, attempt.peer, now_ms)
-        state.borrower.rows.pop(attempt.lease_id, None)
-        if error.code in UNSERVED_CODES and request.route is not None:
-            exclude_region(state, request, attempt.peer)
+    code = _refusal_code(attempt, error)
+    if attempt.peer and code not in CONFIG_CODES:
+        _record_peer_refusal(state, attempt, error, now_ms)
     row = attempt_replica(state, attempt)
     if row is not None:
         _record_server_refusal(state, row, event, now_ms)
     if not not_run:
         request.maybe_sent = True
-    if error.code in NON_RETRYABLE_CODES:
+    if code in NON_RETRYABLE_CODES:
         fail_request(state, request, error, now_ms)
     else:
-        _retry_or_fail(state, request, attempt, not_run, error.code, now_ms)
+        _retry_or_fail(state, request, attempt, not_run, code, now_ms)
     dispatch_pool(state, request.pool, now_ms)
 
 
+def _refusal_code(attempt, error):
+    """Return the code of the refusal of an attempt.
+
+    This daemon has found a routed request valid, so a peer that finds it invalid has
+    another configuration. Its verdict is not the answer to the caller.
+    """
+    is_forward = attempt.peer and attempt.request.route is not None
+    if is_forward and ERRORS[error.code].status < 500:
+        return "config_differs"
+    return error.code
+
+
+def _record_peer_refusal(state, attempt, error, now_ms):
+    """Record that a peer refused a forwarded request for want of room or servers."""
+    request = attempt.request
+    until_ms = now_ms + max(LENDER_BACKOFF_MS, min(error.retry_after_ms, 10_000))
+    state.borrower.refused_until_ms[attempt.peer, request.pool] = until_ms
+    exclude_rejecting_region(state, request, attempt.peer, now_ms)
+    state.borrower.rows.pop(attempt.lease_id, None)
+    if error.code in UNSERVED_CODES and request.route is not None:
+        exclude_region(state, request, attempt.peer)
+
+
 def _record_server_refusal(state, row, event, now_ms):
     """Update the load and health of a backend server that refused a request."""
     if event.error.code == "server_changed":
@@ -324,6 +346,8 @@
         if not request.idempotent and not request.origin and not request.route:
             mark_not_run(state.ledger, request.operation_id)
         _requeue(state, request)
+        if request.route is not None and not request.response_started:
+            apply_config_to_routed(state, request, now_ms)
         return
     outcome = "unknown" if request.maybe_sent else "not_run"
     retry_ms = 0
--- a/bluebellbeam/node/errors.py
+++ b/bluebellbeam/node/errors.py
@@ -154,6 +154,18 @@
     "config_behind": ErrorKind(
         503, "not_run", "This daemon's configuration is older.", retry=True
     ),
+    "config_ahead": ErrorKind(
+        503,
+        "not_run",
+        "This daemon's configuration is newer and decides otherwise.",
+        retry=True,
+    ),
+    "config_differs": ErrorKind(
+        503,
+        "not_run",
+        "Another daemon's configuration decides otherwise.",
+        retry=True,
+    ),
     "deadline_passed": ErrorKind(
         504, "not_run", "The deadline passed while the request waited.", retry=True
     ),
--- a/bluebellbeam/node/feed_sync.py
+++ b/bluebellbeam/node/feed_sync.py
@@ -33,6 +33,7 @@
     "handle_feed_read",
     "handle_feed_read_failed",
     "handle_snapshot",
+    "offer_config",
     "reconcile_versions",
     "request_config",
     "tick_feeds",
@@ -164,6 +165,19 @@
     send_to_member(state, name, (FeedPull(feed.key, feed.version),))
 
 
+def offer_config(state, name, version, now_ms):
+    """Send member `name`, which holds `version`, the newer configuration.
+
+    It is sent at most once in `PULL_INTERVAL_MS`.
+    """
+    feed = state.feeds[CONFIG_FEED]
+    offered_ms = state.config_offered_ms.get(name)
+    if offered_ms is not None and now_ms - offered_ms < PULL_INTERVAL_MS:
+        return
+    state.config_offered_ms[name] = now_ms
+    _send_newer(state, name, feed, version)
+
+
 def handle_feed_pull(state, sender, pull):
     """Send a peer the versions that it lacks of the requested feed."""
     feed = state.feeds.get(pull.key)
--- a/bluebellbeam/node/reconfiguration.py
+++ b/bluebellbeam/node/reconfiguration.py
@@ -6,7 +6,7 @@
 from bluebellbeam.node.routed import allowed_regions
 from bluebellbeam.routing import choose_service, match_route
 
-__all__ = ["apply_config_to_queued"]
+__all__ = ["apply_config_to_queued", "apply_config_to_routed"]
 
 
 def apply_config_to_queued(state, now_ms):
@@ -20,7 +20,7 @@
             _narrow_regions(state, request)
             continue
         if request.route is not None:
-            _apply_to_routed(state, request, now_ms)
+            apply_config_to_routed(state, request, now_ms)
             continue
         workspace = state.base.workspaces.get(request.workspace)
         if workspace is None:
@@ -41,29 +41,30 @@
         request.allowed &= allowed_regions(state, request, route)
 
 
-def _apply_to_routed(state, request, now_ms):
-    """Apply a new configuration to a queued routed request.
+def apply_config_to_routed(state, request, now_ms):
+    """Apply the present configuration to a queued routed request.
 
     A request whose response has not begun moves to the end of another queue if its
     route now selects another service. Every other request keeps its place, as does one
-    that continues a stream.
+    that continues a stream. A forwarded request is left to its sender if the
+    configuration now decides otherwise about it.
     """
     route = match_route(state.config.routes, request.host, request.path)
-    if route is None:
-        _fail_queued(state, request, make_error("not_found"), now_ms)
-        return
-    if not _keep_or_move_workspace(state, request, route):
-        _fail_queued(state, request, make_error("unknown_key"), now_ms)
+    code = _refusal_code(state, request, route)
+    if code and request.origin:
+        code = "config_ahead"
+    if code:
+        _fail_queued(state, request, make_error(code), now_ms)
         return
     request.route = route
-    request.allowed = allowed_regions(state, request, route)
-    if not request.allowed:
-        _fail_queued(state, request, make_error("region_not_permitted"), now_ms)
-        return
-    if request.stream_origin is not None:
+    if request.stream_origin is not None or request.response_started:
         return
     service = choose_service(route, request.attempt_key)
-    if service != request.service and not request.response_started:
+    if service == request.service:
+        return
+    if request.origin:
+        _fail_queued(state, request, make_error("config_ahead"), now_ms)
+    else:
         remove_request(state.queue(request.pool), request)
         request.service = service
         request.pool = f"s/{service}"
@@ -71,6 +72,19 @@
         push_request(state.queue(request.pool), request, weight)
 
 
+def _refusal_code(state, request, route):
+    """Return the code of the error if `route` no longer permits a request, or "".
+
+    Updates the workspace and the regions of the request.
+    """
+    if route is None:
+        return "not_found"
+    if not _keep_or_move_workspace(state, request, route):
+        return "unknown_key"
+    request.allowed = allowed_regions(state, request, route)
+    return "" if request.allowed else "region_not_permitted"
+
+
 def _keep_or_move_workspace(state, request, route):
     """Return whether a queued request has a workspace in the new configuration.
 
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -85,6 +85,9 @@
         while it is queued.
     revision : int
         Configuration revision of the daemon that the caller sent it to.
+    decided_service : str
+        Service that this daemon has chosen for a forwarded request; empty if the
+        daemon does not name it.
     lease_id : str
         Lease under which a peer forwarded it, or empty.
     state : {"waiting", "queued", "running", "ended"}
@@ -166,6 +169,7 @@
         "deadline_ms",
         "allowed",
         "revision",
+        "decided_service",
         "lease_id",
         "state",
         "tried_targets",
@@ -224,6 +228,7 @@
         self.deadline_ms = values.pop("deadline_ms", 0)
         self.allowed = values.pop("allowed", frozenset())
         self.revision = values.pop("revision", 0)
+        self.decided_service = values.pop("decided_service", "")
         self.lease_id = values.pop("lease_id", "")
         self.resume_after = values.pop("resume_after", "")
         self.resumes = values.pop("resumes", "")
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -214,6 +214,8 @@
         its last failure, by feed.
     feed_pulled_ms : dict of str to int
         Time of the last request to a peer, by feed.
+    config_offered_ms : dict of str to int
+        Time at which a member with an older configuration was last sent the newer one.
     members, probe_schedule : MemberTable, ProbeSchedule
     pending_announcements : dict of str to [VmRecord, int]
         Record of each recently announced entry VM and number of times it has been
@@ -416,6 +418,7 @@
         "placement",
         "placement_key",
         "feed_pulled_ms",
+        "config_offered_ms",
         "routing_policy",
         "rng",
         "shared_machine_services",
@@ -504,6 +507,7 @@
         self.placement = {}
         self.placement_key = None
         self.feed_pulled_ms = {}
+        self.config_offered_ms = {}
         self.routing_policy = "estimate"
         self.rng = random.Random(seed)
         self.shared_machine_services = set()
--- a/bluebellbeam/node/tests/test_caller_keys.py
+++ b/bluebellbeam/node/tests/test_caller_keys.py
@@ -53,7 +53,11 @@
         return self.harness.send_request(path, request_id, **values)
 
     def forward(self, workspace, path="/p/x", request_id="f1", **values):
-        """Deliver the forward of a request by a daemon of the other region."""
+        """Deliver the forward of a request by a daemon of the other region.
+
+        By default its configuration is the one of this daemon.
+        """
+        values.setdefault("revision", self.harness.state.config.revision)
         entity = Request(
             request_id,
             workspace,
@@ -175,7 +179,7 @@
     def test_forward_of_a_daemon_whose_configuration_has_keys_still(self):
         """Guards against an error while keys are removed from a configuration."""
         self.harness.publish("config", split_documents(make_base(), {}))
-        attempt = started_attempts(self.forward("acme"))[0]
+        attempt = started_attempts(self.forward("acme", revision=1))[0]
         self.assertEqual(attempt.request.workspace, "all")
 
 
--- a/bluebellbeam/node/tests/test_forwarded_versions.py
+++ b/bluebellbeam/node/tests/test_forwarded_versions.py
@@ -46,7 +46,7 @@
         self.harness.publish("config", split_documents(make_base(routes), {}))
         self.harness.commands.clear()
 
-    def receive(self, path, newer_by):
+    def receive(self, path, newer_by, service="portal"):
         """Deliver a forward of a sender whose version is newer by `newer_by`."""
         return self.harness.send_request(
             path,
@@ -54,6 +54,7 @@
             origin=PEER,
             revision=self.harness.state.config.revision + newer_by,
             allowed=frozenset({"east"}),
+            decided_service=service,
         )
 
     def check_declined(self, commands, code):
@@ -94,18 +95,23 @@
         self.publish(route("/other/"))
         self.assertEqual(len(started_attempts(self.receive("/p/x", -1))), 1)
 
-    def test_queued_forward_is_declined_when_its_route_moves(self):
+    def test_forward_of_a_sender_that_does_not_name_its_decision_is_run(self):
         self.publish(route("/move/"))
+        self.publish(route("/move/", "llm"))
+        commands = self.receive("/move/x", -1, service="")
+        self.assertEqual(len(started_attempts(commands)), 1)
+
+    def test_queued_forward_is_declined_when_its_route_moves(self):
+        self.publish(route("/move/", objective_ms=3000))
         number = 0
         while started_attempts(self.harness.send_request("/move/x", f"r{number}")):
             number += 1
         self.assertEqual(final_errors(self.receive("/move/x", 0)), [])
         self.harness.commands.clear()
-        self.harness.publish(
-            "config", split_documents(make_base([route("/move/", "llm")]), {})
-        )
+        moved = make_base([route("/move/", "llm")])
+        self.harness.publish("config", split_documents(moved, {}))
         codes = [error.code for error in final_errors(self.harness.commands)]
-        self.assertIn("config_ahead", codes)
+        self.assertEqual(codes, ["config_ahead"])
 
     def check_sent(self, commands):
         sent = [
