--- a/bluebellbeam/node/feed_sync.py
+++ b/bluebellbeam/node/feed_sync.py
@@ -114,9 +114,15 @@
 
 
 def handle_feed_read(state, snapshot, now_ms):
-    """Apply a snapshot read from the platform."""
+    """Apply a snapshot read from the platform.
+
+    A version that is refused would be read again at once, so it counts as a failure.
+    """
     state.feed_response_ms[snapshot.key] = now_ms
     handle_snapshot(state, "service", snapshot, now_ms)
+    feed = state.feeds.get(snapshot.key)
+    if feed is not None and feed.version < snapshot.version:
+        handle_feed_read_failed(state, snapshot.key, now_ms)
 
 
 def handle_feed_read_failed(state, key, now_ms):
--- a/bluebellbeam/platform/store.py
+++ b/bluebellbeam/platform/store.py
@@ -16,8 +16,10 @@
 
 import msgspec
 import structlog
+from returns.result import Failure
 
 from bluebellbeam.config import bundle_digest
+from bluebellbeam.config.bundle import effective_from_parts
 from bluebellbeam.exception import PlatformError
 from bluebellbeam.feeds import Snapshot
 from bluebellbeam.platform.records import (
@@ -93,8 +95,8 @@
         Store revision that `items` reflects; 0 before the first range read.
     era : int
         Era of the store that `items` and `revision` belong to; 0 if it states none.
-    config_item : Item or None
-        Configuration with the highest version.
+    config_parts : dict of str to bytes
+        Parts of the valid configuration with the highest version.
     versions : dict of str to int
         Version of each feed: that of the configuration as given by the operator, and
         the store's era and revision of the last change of the list of servers.
@@ -123,7 +125,7 @@
         "items",
         "revision",
         "era",
-        "config_item",
+        "config_parts",
         "versions",
         "failure",
         "synced",
@@ -143,7 +145,7 @@
         self.items = {}
         self.revision = 0
         self.era = 0
-        self.config_item = None
+        self.config_parts = {}
         self.versions = {}
         self.failure = None
         self.synced = False
@@ -390,7 +392,8 @@
     def _adopt_config(self):
         """Adopt the store's configuration unless an earlier one has a higher version.
 
-        An invalid one is logged, and the last valid one stays in force.
+        An invalid one is logged, and the last valid one stays in force. Its version
+        number does not count, so that a valid one may have it too.
 
         A restored store may have an older one than was in force, until the operator
         has written the newer one again.
@@ -402,14 +405,15 @@
         try:
             version = decode_config_version(item.value)
             if version > held:
-                translate_config(item.value, self.access)
+                parts = translate_config(item.value, self.access)
+                _check_parts(version, parts, self.access)
                 warnings = config_warnings(item.value)
         except PlatformError as error:
             self._log_invalid_entry(item, error)
             return
         if version > held:
             self.versions["config"] = version
-            self.config_item = item
+            self.config_parts = parts
             for text in warnings:
                 self.log.warning(
                     "platform: the configuration may be wrong",
@@ -449,15 +453,12 @@
         cached = self.snapshots.get(key)
         if cached is not None and cached.version == version:
             return cached
-        parts = self._config_parts() if key == "config" else self._server_parts()
+        parts = self.config_parts if key == "config" else self._server_parts()
         raws = {name: msgspec.Raw(raw) for name, raw in parts.items()}
         snapshot = Snapshot(key, version, bundle_digest(parts), raws)
         self.snapshots[key] = snapshot
         return snapshot
 
-    def _config_parts(self):
-        return translate_config(self.config_item.value, self.access)
-
     def _server_parts(self):
         parts = {}
         for key, item in self.items.items():
@@ -492,6 +493,20 @@
         )
 
 
+def _check_parts(version, parts, access):
+    """Check a configuration as the daemons do.
+
+    Raises
+    ------
+    PlatformError
+        If the configuration is invalid.
+    """
+    match effective_from_parts(version, parts, min(access.domains, default="")):
+        case Failure(faults):
+            document, fault = faults[0]
+            raise PlatformError(f"invalid configuration {version}: {document}: {fault}")
+
+
 def make_store_mirror(session, access, region, on_response):
     """Return a mirror, which connects to the store on its first read."""
     return StoreMirror(session, access, region, on_response)
