--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -81,7 +81,8 @@
         Idle timeout that the server last announced in ``Keep-Alive``; None if it
         announced none.
     unidentified : bool
-        Whether the last response named no request, as set by the daemon.
+        Whether any response so far named no request, as set by the daemon. A copy of
+        it may still arrive.
     status : int
         Status of the current response; 0 until its headers are complete.
     headers : list of (str, str)
--- a/bluebellbeam/daemon/connection_pool.py
+++ b/bluebellbeam/daemon/connection_pool.py
@@ -59,7 +59,7 @@
         address : str
         cross_region : bool
         once : bool
-            Whether the request must not run twice. A connection whose last response
+            Whether the request must not run twice. A connection on which a response
             named no request is not used then, since a duplicate of it could not be
             told from the response to this request.
 
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -177,7 +177,8 @@
         connection.send(method, raw, exchange.payload)
         await connection.read_head()
         response = _read_response_head(driver, command, connection)
-        connection.unidentified = response.request_id is None
+        if response.request_id is None:
+            connection.unidentified = True
         if command.peer:
             read_peer_headers(driver, command, connection, progress)
         _check_request_id(command, connection, response)
--- a/bluebellbeam/platform/tests/config_soak.py
+++ b/bluebellbeam/platform/tests/config_soak.py
@@ -15,6 +15,7 @@
 import random
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -611,6 +612,16 @@
     site.store.put("op/config", document)
 
 
+async def _hang_servers(site, how, length_s, daemons):
+    """Let servers give no response, so that requests reach their timeout."""
+    names = site.rng.sample(sorted(site.replicas), 4)
+    for name in names:
+        site.replicas[name][0].behaviours = ["hang"] * 50
+    await asyncio.sleep(length_s)
+    for name in names:
+        site.replicas[name][0].behaviours = []
+
+
 async def _grow(site, how, length_s, daemons):
     routes = dict(site.versions[-1].routes)
     for i in range(600):
@@ -643,6 +654,7 @@
     "odd nested": (_write_beside, "nested"),
     "many routes": (_grow, ""),
     "invalid": (_publish_invalid, ""),
+    "servers hang": (_hang_servers, ""),
     "herd": (_restart, "herd"),
 }
 """Function of each kind of disturbance, and its variant."""
@@ -718,6 +730,19 @@
         await site.stop()
 
 
+@contextlib.contextmanager
+def busy_processes(count):
+    """Run `count` processes beside the daemons that use all the time they get."""
+    words = [sys.executable, "-c", "while True: pass"]
+    processes = [subprocess.Popen(words) for _ in range(count)]
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.kill()
+            process.wait()
+
+
 def main():
     """Run a soak, print what was found and exit with 1 if there is a violation."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
@@ -725,6 +750,7 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--kinds", default="", help="comma-separated; none for calm")
     parser.add_argument("--daemons", type=int, default=2, help="in each zone")
+    parser.add_argument("--busy", type=int, default=0, help="busy processes beside")
     parser.add_argument("--logs", help="folder in which the logs are kept")
     options = parser.parse_args()
     kinds = tuple(filter(None, options.kinds.split(",")))
@@ -732,9 +758,10 @@
         if options.logs:
             folder = options.logs
             os.makedirs(folder, exist_ok=True)
-        site, found = asyncio.run(
-            run_soak(options.seed, options.seconds, folder, kinds, options.daemons)
-        )
+        with busy_processes(options.busy):
+            site, found = asyncio.run(
+                run_soak(options.seed, options.seconds, folder, kinds, options.daemons)
+            )
     statuses = {}
     for probe in site.probes:
         key = f"{probe.status}{' own' if probe.is_own else ''}"
--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -140,7 +140,9 @@
         third event (``cut``) or before its first one (``empty``), or send comments
         without end after its first event (``drip``). Bytes without end
         may follow the head of a refusal (``full endless``) or of a response
-        (``endless``).
+        (``endless``). The connection of a refusal may be kept for seconds
+        (``full kept``), and the refusal may be written once more on it before the
+        response to a later request (``copy``).
     version : str
         Version of its software.
     framed : bool
@@ -185,6 +187,8 @@
         Body of a request; the server ends when it begins to answer it. Empty for none.
     on_crash : callable or None
         Called with the server when it has ended in this way.
+    kept_refusals : set of asyncio.StreamWriter
+        Connections that were kept after a refusal.
     """
 
     def __init__(self, name, events=0, response_delay_ms=2):
@@ -217,6 +221,7 @@
         self.crash_body = b""
         self.on_crash = None
         self.calls = {}
+        self.kept_refusals = set()
         self.server = None
 
     async def start(self):
@@ -290,6 +295,9 @@
             if self.retry_after:
                 head["Retry-After"] = self.retry_after
                 self._record("Retry-After", self.retry_after)
+            if behaviour == "full kept":
+                head["Keep-Alive"] = "timeout=5"
+                self.kept_refusals.add(writer)
             if behaviour == "full endless":
                 return await self._write_endless(writer, 503, head)
             return self._write(writer, 503, head, b"")
@@ -359,6 +367,8 @@
         if behaviour == "hang":
             await reader.read(1)
             raise ConnectionResetError
+        if behaviour == "copy" and writer in self.kept_refusals:
+            self._write(writer, 503, {"X-Not-Executed": "1"}, b"")
         await asyncio.sleep(self.response_delay_ms / 1000.0)
         if self.crash_part and f"{self.crash_part}:" in headers.get(
             "x-prompt-prefix", ""
