--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -23,7 +23,7 @@
     read_peer_headers,
     without_credentials,
 )
-from bluebellbeam.daemon.sse import make_event_splitter
+from bluebellbeam.daemon.sse import is_comment, make_event_splitter
 from bluebellbeam.exception import UpstreamError
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.errors import ERRORS, make_error
@@ -44,6 +44,9 @@
 
 EVENT_STREAM = "text/event-stream"
 
+MAX_DIGITS = 18
+"""Longest id of an event that is compared as a number."""
+
 
 class _Progress:
     """Progress of an attempt.
@@ -347,17 +350,21 @@
     UpstreamConnectionError
         If the stream was broken off.
     UpstreamError
-        If a peer continued a stream at another software version.
+        If a peer continued a stream at another software version, or if the events do
+        not continue the stream.
     """
     bound = command.request.stream_origin
     if command.peer and bound is not None and progress.origin != bound:
         raise UpstreamError("the peer continued the stream at another version")
     splitter = make_event_splitter()
     meter = _make_event_meter(driver, command, response)
+    continues = bool(exchange.last_event_id or exchange.emitted)
     while data := await connection.read_some():
         events = splitter.feed(data)
         if not events:
             continue
+        if continues:
+            _check_continuation(exchange.last_event_id, events)
         if not _report_start(driver, command, progress):
             return
         if meter is not None:
@@ -379,6 +386,32 @@
     await exchange.put(End())
 
 
+def _check_continuation(last_id, events):
+    """Raise an error unless `events` follow the event with id `last_id`.
+
+    The ids of a stream increase, so that an event without one, or with one that the
+    caller has, is not part of it. Without the id of the last event no event is known to
+    follow it. Comments are not events.
+    """
+    if not last_id:
+        raise UpstreamError("a stream without ids cannot be continued")
+    for event_id, raw in events:
+        if not event_id:
+            if is_comment(raw):
+                continue
+            raise UpstreamError(f"an event without an id follows event {last_id}")
+        if _is_number(last_id) and _is_number(event_id):
+            if int(event_id) <= int(last_id):
+                raise UpstreamError(f"event {event_id} follows event {last_id}")
+        elif event_id == last_id:
+            raise UpstreamError(f"event {event_id} is repeated")
+        last_id = event_id
+
+
+def _is_number(event_id):
+    return event_id.isascii() and event_id.isdecimal() and len(event_id) <= MAX_DIGITS
+
+
 def _report_finish(driver, command, connection, emitted, load):
     delimited = connection.is_framed
     driver.handle(
--- a/bluebellbeam/daemon/sse.py
+++ b/bluebellbeam/daemon/sse.py
@@ -1,6 +1,6 @@
 """Splitting of a server-sent event stream into complete events."""
 
-__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "make_event_splitter"]
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "is_comment", "make_event_splitter"]
 
 MAX_EVENT_BYTES = 256 * 1024
 """Largest incomplete event that is buffered; a daemon serves hundreds of streams."""
@@ -74,6 +74,11 @@
     return EventSplitter()
 
 
+def is_comment(raw):
+    """Return whether a part of a stream consists of comments and blank lines only."""
+    return all(line.startswith(b":") for line in raw.splitlines() if line)
+
+
 def _event_end(data, start):
     """Return the index after the blank line that ends the next event, or -1."""
     ends = [
--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -138,7 +138,9 @@
         (``extra``), the response to another request (``foreign``), a connection
         reset (``reset``) or nothing (``hang``). A stream may also end inside its
         third event (``cut``) or before its first one (``empty``), or send comments
-        without end after its first event (``drip``). Bytes without end
+        without end after its first event (``drip``). One that is to be continued may
+        get an event without an id (``strange``) or begin anew (``again``). Bytes
+        without end
         may follow the head of a refusal (``full endless``) or of a response
         (``endless``). The connection of a refusal may be kept for seconds
         (``full kept``), and the refusal may be written once more on it before the
@@ -147,6 +149,8 @@
         Version of its software.
     framed : bool
         Whether streams are sent in chunks; others end with their connection.
+    with_ids : bool
+        Whether the events of streams have ids.
     runs : list of (str, dict)
         Id and headers of each request that was run.
     runs_s : list of float
@@ -199,6 +203,7 @@
         self.behaviours = []
         self.version = "v1"
         self.framed = True
+        self.with_ids = True
         self.runs = []
         self.runs_s = []
         self.bodies = {}
@@ -406,8 +411,16 @@
             lines.append("Transfer-Encoding: chunked")
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         first = int(headers.get("last-event-id", 0)) + 1
+        continues = "last-event-id" in headers
+        if continues and behaviour == "strange":
+            self._write_part(writer, b"data: the server failed\n\n")
+            first = self.events + 1
+        if continues and behaviour == "again":
+            first = 1
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if not self.with_ids:
+                event = event[event.index(b"data") :]
             if behaviour == "empty":
                 break
             if behaviour == "truncate" and number == first + 2:
--- a/bluebellbeam/platform/tests/test_broken_streams.py
+++ b/bluebellbeam/platform/tests/test_broken_streams.py
@@ -19,10 +19,10 @@
         for zone in ("hall-e", "hall-w"):
             deployment.queue_behaviours("llm", *[how] * count, zone=zone)
 
-    async def read(self, deployment, path, zone="hall-e"):
+    async def read(self, deployment, path, zone="hall-e", key="c1"):
         """Return what the caller receives, and whether its response is complete."""
         received = bytearray()
-        async with deployment.call(path, "c1", zone) as response:
+        async with deployment.call(path, key, zone) as response:
             try:
                 async for part in response.content.iter_any():
                     received += part
@@ -104,5 +104,54 @@
         self.run_with(step)
 
 
+class TestContinuationThatDoesNotFollow(BrokenStreamCase):
+    """Guards against a stream that is joined to what is not its continuation."""
+
+    def check_not_joined(self, how, framed):
+        async def step(deployment):
+            self.break_off(deployment, "cut", framed=framed)
+            replicas = [deployment.replicas[f"llm-hall-e-{i}"] for i in (1, 2)]
+            for number in range(4):
+                replicas[number % 2].behaviours = ["cut"]
+                replicas[1 - number % 2].behaviours = [how]
+                found = await self.read(deployment, "/chat/1", key=f"j{number}")
+                received, complete = found
+                self.assertEqual(received, WHOLE[: len(received)])
+                self.assertEqual(complete, received == WHOLE)
+
+        self.run_with(step)
+
+    def test_event_without_an_id_is_not_joined_to_an_unframed_stream(self):
+        self.check_not_joined("strange", framed=False)
+
+    def test_event_without_an_id_is_not_joined_to_a_chunked_stream(self):
+        self.check_not_joined("strange", framed=True)
+
+    def test_events_that_the_caller_has_are_not_sent_again(self):
+        self.check_not_joined("again", framed=True)
+
+    def test_stream_without_ids_is_not_begun_anew(self):
+        async def step(deployment):
+            for replica in deployment.replicas.values():
+                replica.with_ids = False
+            self.break_off(deployment, "cut", framed=True)
+            received = await self.read(deployment, "/chat/1")
+            two = b"data: piece 1\n\ndata: piece 2\n\n"
+            self.assertEqual(received, (two, False))
+
+        self.run_with(step)
+
+    def test_stream_that_a_caller_resumes_is_not_continued_by_an_event_without_id(self):
+        async def step(deployment):
+            headers = {"Last-Event-Id": "2", "Resumes": "first"}
+            received = await self.read(deployment, "/chat/1", key="first")
+            self.assertEqual(received, (WHOLE, True))
+            self.break_off(deployment, "strange", framed=True, count=4)
+            async with deployment.call("/chat/1", "c2", headers=headers) as response:
+                self.assertNotEqual(response.status, 200)
+
+        self.run_with(step)
+
+
 if __name__ == "__main__":
     unittest.main()
