--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -27,6 +27,9 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 """Unread bytes of a response at which reading from the socket is paused."""
 
+MAX_PART_BYTES = 64 * 1024
+"""Largest part of a body that is handled before other work gets its turn."""
+
 MAX_RESPONSE_HEADER_BYTES = 64 * 1024
 """Largest total size of the header names and values of a response. Also the largest
 number of bytes received in a row that add nothing to a body, such as a status line, a
@@ -111,6 +114,7 @@
         "_unexpected",
         "_chunks",
         "_buffered_bytes",
+        "_has_cut_part",
         "_waiter",
         "_method",
     )
@@ -281,20 +285,27 @@
     async def read_some(self):
         """Return the buffered bytes of the body, or b"" at its end.
 
-        Waits while nothing is buffered.
+        Waits while nothing is buffered, and lets other tasks run between two parts of
+        `MAX_PART_BYTES`.
 
         Raises
         ------
         UpstreamConnectionError
             If the response is truncated or malformed.
         """
+        if self._has_cut_part:
+            await asyncio.sleep(0)
         while not self._chunks:
             if self._complete:
                 return b""
             await self._wait()
         data = b"".join(self._chunks)
         self._chunks.clear()
-        self._buffered_bytes = 0
+        self._has_cut_part = len(data) > MAX_PART_BYTES
+        if self._has_cut_part:
+            self._chunks.append(data[MAX_PART_BYTES:])
+            data = data[:MAX_PART_BYTES]
+        self._buffered_bytes = max(0, self._buffered_bytes - len(data))
         if not self._transport.is_closing():
             self._transport.resume_reading()
         return data
@@ -362,6 +373,7 @@
         self._error = None
         self._chunks = deque()
         self._buffered_bytes = 0
+        self._has_cut_part = False
 
     def _fail(self, reason, lost):
         self._invalidated = True
--- a/bluebellbeam/daemon/tests/test_sse.py
+++ b/bluebellbeam/daemon/tests/test_sse.py
@@ -55,5 +55,60 @@
             self.assertEqual((found, splitter.rest), (expected, whole.rest))
 
 
+def reference_events(stream):
+    """Return the events of a stream and its incomplete end, by plain search."""
+    events, start = [], 0
+    for end in range(len(stream) + 1):
+        event = stream[start:end]
+        if event.strip(b"\r\n") and event.endswith((b"\n\n", b"\r\n\r\n")):
+            events.append(event)
+            start = end
+    return events, stream[start:]
+
+
+class TestHostileStream(unittest.TestCase):
+    """Guards against bytes that block the event loop."""
+
+    def test_events_equal_those_of_a_plain_search(self):
+        rng = random.Random(52)
+        parts = (b"\n", b"\r", b"\r\n", b":", b"id: 1", b"data: x", b"\x00", b"\n\n")
+        for _ in range(400):
+            stream = b"".join(rng.choice(parts) for _ in range(rng.randrange(60)))
+            splitter = make_event_splitter()
+            found, position = [], 0
+            while position < len(stream):
+                size = rng.choice((1, 2, 7, 60))
+                found += splitter.feed(stream[position : position + size])
+                position += size
+            events, rest = reference_events(stream)
+            self.assertEqual([raw for _, raw in found], events, stream)
+            self.assertEqual(splitter.rest, rest, stream)
+            self.assertEqual(splitter.is_inside_event, bool(rest.strip(b"\r\n")))
+
+    def test_time_grows_no_faster_than_the_bytes(self):
+        for unit in (b"\n", b"\r", b"\r\n", b":\n\n", b"x", b"data: x\n\n"):
+            with self.subTest(unit):
+                small = self.measure(unit, 60_000)
+                large = self.measure(unit, 240_000)
+                self.assertLess(large, 4 * 2.2 * small + 0.005)
+
+    def measure(self, unit, size):
+        """Return the shortest of three times in s to split `size` bytes."""
+        times = []
+        for _ in range(3):
+            splitter = make_event_splitter()
+            raw = unit * (size // len(unit))
+            started_s = time.process_time()
+            splitter.feed(raw)
+            times.append(time.process_time() - started_s)
+        return min(times)
+
+    def test_blank_lines_without_end_are_rejected(self):
+        splitter = make_event_splitter()
+        with self.assertRaises(ValueError):
+            for _ in range(5):
+                splitter.feed(b"\n" * 65_536)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/bluebellbeam/platform/health.py
+++ b/bluebellbeam/platform/health.py
@@ -1,7 +1,8 @@
 """Health checks of the platform's backend servers."""
 
-import aiohttp
+import asyncio
 
+from bluebellbeam.daemon.connection import UpstreamConnectionError, encode_request
 from bluebellbeam.node import event as ev
 from bluebellbeam.platform.headers import (
     BRITTLE_HEADER,
@@ -12,7 +13,6 @@
     states_leaving,
 )
 from bluebellbeam.utils.counts import parse_count
-from bluebellbeam.utils.http_body import read_body
 
 __all__ = ["check_health"]
 
@@ -32,7 +32,7 @@
 NOT_RUN_HEADER = "x-not-executed"
 
 
-async def check_health(session, command):
+async def check_health(pool, command):
     """Check the health of a backend server; return the event for the node.
 
     A server that is too busy to run the check counts as healthy, and one that states
@@ -40,36 +40,49 @@
 
     Parameters
     ----------
-    session : aiohttp.ClientSession
+    pool : ConnectionPool
+        Connections of health checks only.
     command : ReadLoad
     """
-    url = f"http://{command.address}{command.health_path}"
-    timeout = aiohttp.ClientTimeout(total=CHECK_TIMEOUT_MS / 1000.0)
+    server, incarnation = command.server, command.incarnation
     try:
-        async with session.get(url, timeout=timeout, allow_redirects=False) as response:
-            await read_body(response, MAX_CHECK_BODY_BYTES)
-            name = response.headers.get(INSTANCE_HEADER, "")
-            warm_up = response.headers.get(WARM_UP_HEADER, "0").partition(".")[0]
-            limit = read_limit(response.headers.getall(LIMIT_HEADER, []))
-            brittle = read_brittle(response.headers.getall(BRITTLE_HEADER, []))
-            leaving = states_leaving(response.headers.getall(LEAVING_HEADER, []))
-            busy = response.status == 503 and NOT_RUN_HEADER in response.headers
-            if not name or (response.status != 200 and not busy and not leaving):
-                return ev.LoadReadFailed(command.server, command.incarnation)
-    except aiohttp.ClientConnectorError as error:
-        refused = isinstance(error.os_error, ConnectionRefusedError)
-        return ev.LoadReadFailed(command.server, command.incarnation, refused)
-    except (TimeoutError, aiohttp.ClientError, OSError):
-        return ev.LoadReadFailed(command.server, command.incarnation)
-    incarnation = command.incarnation
-    warm_up_left_ms = parse_count(warm_up, 0)
+        async with asyncio.timeout(CHECK_TIMEOUT_MS / 1000.0):
+            status, headers = await _read_health(pool, command)
+    except UpstreamConnectionError as error:
+        return ev.LoadReadFailed(server, incarnation, error.refused)
+    except TimeoutError:
+        return ev.LoadReadFailed(server, incarnation)
+    name = (headers.get(INSTANCE_HEADER) or [""])[0]
+    leaving = states_leaving(headers.get(LEAVING_HEADER, []))
+    busy = status == 503 and NOT_RUN_HEADER in headers
+    if not name or (status != 200 and not busy and not leaving):
+        return ev.LoadReadFailed(server, incarnation)
+    warm_up = (headers.get(WARM_UP_HEADER) or ["0"])[0]
     return ev.HealthCheckAnswered(
-        command.server,
+        server,
         name,
         incarnation,
-        warm_up_left_ms,
-        limit,
+        parse_count(warm_up.partition(".")[0], 0),
+        read_limit(headers.get(LIMIT_HEADER, [])),
         command.sent_ms,
         leaving,
-        brittle,
+        read_brittle(headers.get(BRITTLE_HEADER, [])),
     )
+
+
+async def _read_health(pool, command):
+    """Return the status of a response, and the values of its headers by name."""
+    raw = encode_request("GET", command.health_path, command.address, (), b"")
+    pool.sweep()
+    key = (command.server, command.incarnation)
+    connection = await pool.acquire(key, command.address)
+    try:
+        connection.send("GET", raw, b"")
+        await connection.read_head()
+        await connection.read_all(MAX_CHECK_BODY_BYTES)
+        headers = {}
+        for name, value in connection.headers:
+            headers.setdefault(name, []).append(value)
+        return connection.status, headers
+    finally:
+        pool.release(connection)
--- a/bluebellbeam/platform/provider.py
+++ b/bluebellbeam/platform/provider.py
@@ -1,9 +1,11 @@
 """Provider that reads the platform's store; created when a daemon starts."""
 
+from bluebellbeam.daemon.connection_pool import make_connection_pool
 from bluebellbeam.platform.headers import make_platform_codec
 from bluebellbeam.platform.health import check_health
 from bluebellbeam.platform.listeners import make_directory_app, make_readiness_app
 from bluebellbeam.platform.store import make_store_mirror
+from bluebellbeam.utils.clock import monotonic_clock
 
 __all__ = ["Platform", "make_platform"]
 
@@ -23,15 +25,18 @@
         Region of the daemon.
     mirror : StoreMirror or None
         Local copy of the store; None until :meth:`open`.
+    checks : ConnectionPool
+        Connections of health checks.
     """
 
-    __slots__ = ("codec", "access", "region", "mirror")
+    __slots__ = ("codec", "access", "region", "mirror", "checks")
 
     def __init__(self, access, region):
         self.codec = make_platform_codec()
         self.access = access
         self.region = region
         self.mirror = None
+        self.checks = make_connection_pool(monotonic_clock())
 
     def open(self, session, on_response):
         """Create the store mirror, which connects on its first read.
@@ -50,7 +55,7 @@
 
     async def poll_server(self, session, command):
         """Check the health of a backend server; return the event for the node."""
-        return await check_health(session, command)
+        return await check_health(self.checks, command)
 
     def listeners(self):
         """Return the additional listeners.
@@ -73,7 +78,8 @@
             self.mirror.reload(settings.store)
 
     def close(self):
-        """Stop the store mirror."""
+        """Stop the store mirror and close the connections of health checks."""
+        self.checks.close()
         if self.mirror is not None:
             self.mirror.close()
 
