--- a/bluebellbeam/config/fault.py
+++ b/bluebellbeam/config/fault.py
@@ -7,6 +7,8 @@
 from msgspec import Struct
 from returns.result import Failure, Success
 
+from bluebellbeam.utils.decoding import decode_json
+
 __all__ = ["Fault", "decode_document", "nearest_name"]
 
 _UNKNOWN_FIELD = re.compile(r"Object contains unknown field `(?P<name>[^`]*)`")
@@ -57,15 +59,12 @@
         ``Success(document)`` or ``Failure(tuple of Fault)``.
     """
     try:
-        return Success(msgspec.json.decode(raw, type=kind))
+        return Success(decode_json(raw, kind))
     except msgspec.ValidationError as error:
         return Failure((_validation_fault(str(error), kind),))
     except msgspec.DecodeError as error:
         fault = Fault("$", f"not valid JSON: {error}", "correct the JSON syntax")
         return Failure((fault,))
-    except UnicodeDecodeError:
-        fault = Fault("$", "not valid UTF-8", "save the file as UTF-8")
-        return Failure((fault,))
 
 
 def _validation_fault(text, kind):
--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -22,6 +22,7 @@
 from bluebellbeam.node.shutdown import SHUTDOWN_RETRY_AFTER_MS
 from bluebellbeam.provider.records import CacheEvents
 from bluebellbeam.utils.clock import monotonic_clock, wall_clock
+from bluebellbeam.utils.decoding import decode_json
 from bluebellbeam.utils.http_body import CheckedResponse, read_body
 from bluebellbeam.utils.http_connector import CheckedConnector
 
@@ -422,15 +423,24 @@
         except PlatformError as error:
             self.handle(ev.FeedReadFailed(command.key, str(error)))
             return
+        except Exception as error:
+            self._record_exception("read_feed", error)
+            self.handle(ev.FeedReadFailed(command.key, type(error).__name__))
+            return
         self.handle(ev.FeedRead(snapshot))
 
     async def _read_load(self, command):
-        self.handle(await self.provider.poll_server(self.session, command))
+        try:
+            event = await self.provider.poll_server(self.session, command)
+        except Exception as error:
+            self._record_exception("read_load", error)
+            event = ev.LoadReadFailed(command.server, command.incarnation)
+        self.handle(event)
 
     async def _read_cache_events(self, address):
         try:
             raw = await self._get(f"http://{address}/cache-events")
-            events = msgspec.json.decode(raw, type=CacheEvents | None)
+            events = decode_json(raw, CacheEvents | None)
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
             return
         if events is not None:
--- a/bluebellbeam/daemon/native_provider.py
+++ b/bluebellbeam/daemon/native_provider.py
@@ -1,13 +1,13 @@
 """Native provider interface: versioned feeds, client directory and load reports."""
 
 import aiohttp
-import msgspec
 
 from bluebellbeam.daemon.codec import make_native_codec
 from bluebellbeam.daemon.upstream import SERVER_HEADER
 from bluebellbeam.node import event as ev
 from bluebellbeam.provider.clients import make_directory_client, make_feed_client
 from bluebellbeam.provider.records import LoadReport
+from bluebellbeam.utils.decoding import decode_json
 from bluebellbeam.utils.http_body import read_body
 
 __all__ = ["SERVER_CALL_TIMEOUT_S", "NativeProvider", "make_native_provider"]
@@ -73,7 +73,7 @@
                 identity = response.headers.get(SERVER_HEADER, "")
             if response.status != 200:
                 return _identity_event(command.server, identity)
-            report = msgspec.json.decode(raw, type=LoadReport)
+            report = decode_json(raw, LoadReport)
         except aiohttp.ClientConnectorError as error:
             refused = isinstance(error.os_error, ConnectionRefusedError)
             return ev.LoadReadFailed(command.server, command.incarnation, refused)
--- a/bluebellbeam/daemon/peers.py
+++ b/bluebellbeam/daemon/peers.py
@@ -33,6 +33,7 @@
 )
 from bluebellbeam.exception import PeerError
 from bluebellbeam.node import CallerError, Request, make_error
+from bluebellbeam.utils.decoding import decode_json
 
 __all__ = ["make_peer_app"]
 
@@ -59,7 +60,7 @@
         try:
             header = request.headers.get(AUTH_HEADER)
             vm, _ = driver.auth.verify(FORWARD_PATH, header, request.body)
-            forwarded = msgspec.json.decode(request.body, type=ForwardRequest)
+            forwarded = decode_json(request.body, ForwardRequest)
         except (PeerError, msgspec.DecodeError) as error:
             return _reject(error)
         return await _serve_forwarded(driver, request, vm, forwarded)
@@ -69,7 +70,7 @@
         try:
             header = request.headers.get(AUTH_HEADER)
             vm, _ = driver.auth.verify(ROUTED_PATH, header, raw + request.body)
-            forwarded = msgspec.json.decode(raw, type=RoutedForward)
+            forwarded = decode_json(raw, RoutedForward)
         except (PeerError, msgspec.DecodeError) as error:
             return _reject(error)
         return await _serve_routed(driver, request, vm, forwarded)
--- a/bluebellbeam/daemon/routed_forward.py
+++ b/bluebellbeam/daemon/routed_forward.py
@@ -9,6 +9,7 @@
 from bluebellbeam.node.routed import key_workspace
 from bluebellbeam.routing import StreamOrigin
 from bluebellbeam.utils.counts import parse_count
+from bluebellbeam.utils.decoding import decode_json
 
 __all__ = [
     "CODE_HEADER",
@@ -166,7 +167,7 @@
     sends = first.get(SENDS_HEADER, "")
     progress.sends = parse_count(sends)
     if ORIGIN_HEADER in first:
-        progress.origin = msgspec.json.decode(first[ORIGIN_HEADER], type=StreamOrigin)
+        progress.origin = decode_json(first[ORIGIN_HEADER], StreamOrigin)
 
 
 def _report_offer(driver, command, value):
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -415,4 +415,7 @@
     msgspec.DecodeError
         If `raw` is not a valid envelope.
     """
-    return _DECODER.decode(raw)
+    try:
+        return _DECODER.decode(raw)
+    except RecursionError as error:
+        raise msgspec.DecodeError("nested too deeply") from error
--- a/bluebellbeam/platform/records.py
+++ b/bluebellbeam/platform/records.py
@@ -20,6 +20,7 @@
     translate_tenants,
 )
 from bluebellbeam.provider.records import VmRecord
+from bluebellbeam.utils.decoding import decode_json
 from bluebellbeam.utils.hashing import hash_text
 
 __all__ = [
@@ -100,8 +101,8 @@
 
 def _decode(raw, kind):
     try:
-        return msgspec.json.decode(raw, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(raw, kind)
+    except msgspec.DecodeError as error:
         raise PlatformError(f"invalid data in the store: {error}") from error
 
 
--- a/bluebellbeam/platform/store.py
+++ b/bluebellbeam/platform/store.py
@@ -408,7 +408,7 @@
                 parts = translate_config(item.value, self.access)
                 _check_parts(version, parts, self.access)
                 warnings = config_warnings(item.value)
-        except PlatformError as error:
+        except Exception as error:
             self._log_invalid_entry(item, error)
             return
         if version > held:
@@ -474,7 +474,8 @@
     def _decode_entry(self, key, item):
         try:
             return decode_server(key, item.value, self.access.domains)
-        except PlatformError as error:
+        except Exception as error:
+            # Whatever one entry raises, the others hold.
             self._log_invalid_entry(item, error)
             return None
 
@@ -490,6 +491,7 @@
             key=item.key,
             revision=item.revision,
             reason=str(error),
+            type=type(error).__name__,
         )
 
 
--- a/bluebellbeam/platform/tests/test_config_versions.py
+++ b/bluebellbeam/platform/tests/test_config_versions.py
@@ -7,6 +7,7 @@
 
 PAIR = ("hall-e", "hall-w")
 REQUESTS = 20
+APPLY_S = 3.0
 
 
 def added_route(prefix, **values):
@@ -111,7 +112,7 @@
             right = added_route("/added/")
             deployment.store.put("op/config", config(number, routes=[right]))
             await deployment.wait(
-                lambda: deployment.state().config.revision == number, 3.0
+                lambda: deployment.state().config.revision == number, APPLY_S
             )
 
         self.run_with(step)
@@ -121,3 +122,37 @@
 
     def test_valid_version_below_the_number_of_an_invalid_one_takes_effect(self):
         self.check_takes_effect(5)
+
+
+class TestUnexpectedErrorInARead(PlatformCase):
+    """Guards against a daemon that stops reading."""
+
+    def test_configuration_is_read_again_within_the_bound(self):
+        async def step(deployment):
+            mirror = deployment.daemons["hall-e"].driver.provider.mirror
+            client = _FailingClient(mirror)
+            deployment.daemons["hall-e"].driver.provider.mirror = client
+            await deployment.wait(lambda: client.failures, 4.0)
+            deployment.store.put("op/config", config(2))
+            await deployment.wait(
+                lambda: deployment.state().config.revision == 2, APPLY_S
+            )
+
+        self.run_with(step)
+
+
+class _FailingClient:
+    """Mirror whose next read of each feed raises an unexpected error."""
+
+    def __init__(self, mirror):
+        self.mirror = mirror
+        self.failures = set()
+
+    async def read(self, key, after_version, wait):
+        if key not in self.failures:
+            self.failures.add(key)
+            raise RecursionError
+        return await self.mirror.read(key, after_version, wait)
+
+    def __getattr__(self, name):
+        return getattr(self.mirror, name)
--- a/bluebellbeam/platform/tests/test_platform.py
+++ b/bluebellbeam/platform/tests/test_platform.py
@@ -38,6 +38,7 @@
             bad = (
                 b"\xff\xfe",
                 b"{}",
+                b'{"other": ' + b"[" * 2000 + b"]" * 2000 + b"}",
                 b'{"service": 3, "address": "10.0.0.1:80"}',
                 {"service": "portal", "address": "x", "zone": "hall-e", "slots": 1},
                 replica.entry("portal", "hall-e", version=""),
--- a/bluebellbeam/provider/clients.py
+++ b/bluebellbeam/provider/clients.py
@@ -9,6 +9,7 @@
 from bluebellbeam.config.bundle import bundle_digest, hash_part
 from bluebellbeam.exception import PlatformError
 from bluebellbeam.feeds import Snapshot
+from bluebellbeam.utils.decoding import decode_json
 from bluebellbeam.utils.http_body import read_body
 
 __all__ = [
@@ -106,7 +107,7 @@
         path = f"/v1/feeds/{key}?after={after_version}&wait_ms={wait_ms}"
         raw = await self._get(path, timeout_s)
         try:
-            manifest = msgspec.json.decode(raw, type=FeedManifest)
+            manifest = decode_json(raw, FeedManifest)
         except msgspec.DecodeError as error:
             raise PlatformError(
                 f"manifest of feed {key} is not valid: {error}"
