--- a/bluebellbeam/node/gossip.py
+++ b/bluebellbeam/node/gossip.py
@@ -228,9 +228,6 @@
 
 def _apply_gossip(state, sender, message, now_ms):
     row = state.members.rows.get(sender)
-    if message.source_age_ms >= 0:
-        at_ms = now_ms - message.source_age_ms
-        state.source_response_ms = max(state.source_response_ms or at_ms, at_ms)
     for update in message.updates:
         _apply_status_update(state, update, now_ms)
     reconcile_members(state, sender, message.members, now_ms)
@@ -242,6 +239,10 @@
             record_live_versions(state.versions, row.region, versions, now_ms)
         replace_offers(state.borrower, sender, row.region, message.offers, now_ms)
         return
+    if message.source_age_ms >= 0:
+        # The list of servers is exchanged within the region only.
+        at_ms = now_ms - message.source_age_ms
+        state.source_response_ms = max(state.source_response_ms or at_ms, at_ms)
     for demand_by_vm in state.peer_demand.values():
         demand_by_vm.pop(sender, None)
     for pool, (interactive, batch) in message.demand.items():
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -231,7 +231,7 @@
         of the list was unstable, by server.
     source_response_ms : int or None
         Time at which the source of the feeds last responded to this daemon or,
-        as learned by gossip, to any other.
+        as learned by gossip, to any other of the region.
     list_stale_ms : int or None
         Time at which the list of backend servers was last out of date; None if never.
     reached_services : dict of str to bool
@@ -595,7 +595,8 @@
         """Return whether the list of backend servers may be out of date.
 
         This is so if the source of the feeds is not known to have responded to any
-        daemon for `policy.stale_list_ms`. Backend servers are then checked directly.
+        daemon of the region for `policy.stale_list_ms`. Backend servers are then
+        checked directly.
         """
         limit_ms = self.policy.stale_list_ms
         last_ms = self.source_response_ms
--- a/bluebellbeam/node/tests/test_listed_servers.py
+++ b/bluebellbeam/node/tests/test_listed_servers.py
@@ -145,6 +145,14 @@
         harness.handle(ev.PeerMessagesReceived(Envelope("vm-2", 5, (ping,))))
         self.assertEqual(self.count_checks(harness, 2000), 0)
 
+    def test_response_to_a_daemon_of_another_region_does_not_renew_the_list(self):
+        harness = self.make_harness()
+        harness.announce_peer("vm-9", region="west")
+        harness.tick(2500)
+        ping = Ping({}, source_age_ms=100)
+        harness.handle(ev.PeerMessagesReceived(Envelope("vm-9", 5, (ping,))))
+        self.assertGreaterEqual(self.count_checks(harness, 2000), 3)
+
     def test_requests_between_two_health_checks_are_limited(self):
         harness = self.make_harness()
         harness.tick(3500)
