--- a/bluebellbeam/platform/tests/config_soak.py
+++ b/bluebellbeam/platform/tests/config_soak.py
@@ -45,25 +45,52 @@
 
 
 PORT_RANGE = (10_000, 30_000)
-PORTS_PER_SOAK = 400
+PORTS_PER_SOAK = 200
 
-_given_ports = set()
 
+class PortRange:
+    """Ports below those that the system gives to outgoing connections.
 
-def free_port():
-    """Return a free port below those that the system gives to outgoing connections.
-
-    Soaks that run side by side take them from different parts of the range.
+    Soaks that run side by side take them from different parts of `PORT_RANGE`. The
+    first port of a part is held as long as it is in use.
     """
-    first, end = PORT_RANGE
-    first += os.getpid() * PORTS_PER_SOAK % (end - first)
-    while True:
-        port = random.randrange(first, first + PORTS_PER_SOAK)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            if port not in _given_ports:
-                _given_ports.add(port)
+
+    def __init__(self):
+        self.lock = None
+        self.given = set()
+
+    def take(self):
+        """Return a port that is free."""
+        if self.lock is None:
+            self._hold_part()
+        first = self.lock.getsockname()[1] + 1
+        for port in range(first, first + PORTS_PER_SOAK - 1):
+            if port in self.given:
+                continue
+            self.given.add(port)
+            with socket.socket() as sock, contextlib.suppress(OSError):
+                sock.bind(("127.0.0.1", port))
                 return port
+        raise OSError(f"none of {PORTS_PER_SOAK} ports is left")
+
+    def _hold_part(self):
+        firsts = list(range(*PORT_RANGE, PORTS_PER_SOAK))
+        random.shuffle(firsts)
+        for first in firsts:
+            sock = socket.socket()
+            try:
+                sock.bind(("127.0.0.1", first))
+            except OSError:
+                sock.close()
+                continue
+            self.lock = sock
+            return
+        raise OSError("no part of the ports is free")
+
+    def release(self):
+        """Let others use the ports."""
+        if self.lock is not None:
+            self.lock.close()
 
 
 class SoakStore(Store):
@@ -77,8 +104,9 @@
         Time until each response.
     """
 
-    def __init__(self):
+    def __init__(self, ports):
         super().__init__()
+        self.ports = ports
         self.faults = {}
         self.daemons = {}
         self.delay_s = 0.004
@@ -86,7 +114,7 @@
 
     async def listen(self, daemon):
         """Return the address of the store for `daemon`."""
-        port = free_port()
+        port = self.ports.take()
         await web.TCPSite(self.server.runner, "127.0.0.1", port).start()
         self.daemons[port] = daemon
         return f"127.0.0.1:{port}"
@@ -180,8 +208,8 @@
         self.site = site
         self.name = name
         self.zone = zone
-        self.ports = {listener: free_port() for listener in LISTENERS}
-        self.peer_port = free_port()
+        self.ports = {listener: site.ports.take() for listener in LISTENERS}
+        self.peer_port = site.ports.take()
         self.proxy = PeerProxy(self.peer_port)
         self.process = None
         self.starts = 0
@@ -278,7 +306,8 @@
         self.rng = random.Random(seed)
         self.folder = Path(folder)
         self.bounds = Bounds()
-        self.store = SoakStore()
+        self.ports = PortRange()
+        self.store = SoakStore(self.ports)
         self.replicas = {}
         self.daemons = {}
         self.daemons_per_zone = daemons_per_zone
@@ -354,6 +383,7 @@
             replica.stop()
         await self.session.close()
         await self.store.server.stop()
+        self.ports.release()
 
     def spawn(self, coroutine):
         """Run a coroutine beside the others."""
