--- a/bluebellbeam/node/tests/test_listed_servers.py
+++ b/bluebellbeam/node/tests/test_listed_servers.py
@@ -118,6 +118,26 @@
         self.assertLessEqual(self.count_sent(harness, 1000), 3)
 
 
+class TestServerMissingFromTheList(unittest.TestCase):
+    def setUp(self):
+        self.harness = Harness()
+        self.harness.publish_servers(server("s1"))
+        self.attempts = started_attempts(self.harness.send_request())
+
+    def test_it_is_used_again_when_it_is_listed_again(self):
+        self.harness.publish_servers()
+        self.harness.publish_servers(server("s1"))
+        attempts = started_attempts(self.harness.send_request(request_id="r2"))
+        self.assertEqual([item.server for item in attempts], ["s1"])
+
+    def test_it_is_not_used_again_after_it_has_stated_that_it_leaves(self):
+        self.harness.handle(ev.LeavingStated("s1", 1))
+        self.harness.publish_servers()
+        self.harness.publish_servers(server("s1"))
+        attempts = started_attempts(self.harness.send_request(request_id="r2"))
+        self.assertEqual(attempts, [])
+
+
 class TestStaleList(unittest.TestCase):
     def make_harness(self):
         harness = Harness(base=make_base(stale_list_ms=3000))
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -366,6 +366,9 @@
             replica.identified = False
         else:
             record_warm_up(replica, record.warm_up_left_ms, now_ms)
+            # It may have been missing from the list; only a statement is final.
+            left = table.leaving_incarnations.get(record.name, 0)
+            replica.leaving = left >= record.incarnation
         replica.version = record.version
         if record.state == "leaving":
             mark_leaving(table, replica.name, replica.incarnation)
