--- a/bluebellbeam/daemon/peers.py
+++ b/bluebellbeam/daemon/peers.py
@@ -66,7 +66,8 @@
         return await _serve_forwarded(driver, request, vm, forwarded)
 
     async def routed(request):
-        raw = request.headers.get(FORWARD_HEADER, "").encode("latin-1")
+        value = request.headers.get(FORWARD_HEADER, "")
+        raw = value.encode("utf-8", "surrogateescape")
         try:
             header = request.headers.get(AUTH_HEADER)
             vm, _ = driver.auth.verify(ROUTED_PATH, header, raw + request.body)
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -37,6 +37,7 @@
 from bluebellbeam.daemon.wire import encode_error
 from bluebellbeam.node import Request, current_offer, make_error
 from bluebellbeam.quarantine import request_names
+from bluebellbeam.utils.header_bytes import from_listener, to_listener
 
 __all__ = [
     "METHODS",
@@ -119,7 +120,10 @@
 
 
 def _header_pairs(request):
-    return [(name.lower(), value.strip()) for name, value in request.headers.items()]
+    return [
+        (name.lower(), from_listener(value).strip())
+        for name, value in request.headers.items()
+    ]
 
 
 def _is_well_formed(head):
@@ -261,6 +265,7 @@
     headers = {}
     content_type = None
     for name, value in pairs:
+        value = to_listener(value)
         if name == "content-type":
             content_type = value
         elif name not in HOP_BY_HOP_HEADERS:
--- a/bluebellbeam/daemon/routed_forward.py
+++ b/bluebellbeam/daemon/routed_forward.py
@@ -139,7 +139,7 @@
     )
     raw = msgspec.json.encode(forward)
     signed = driver.auth.sign(ROUTED_PATH, driver.settings.vm, raw + exchange.payload)
-    return [(AUTH_HEADER, signed), (FORWARD_HEADER, raw.decode())]
+    return [(AUTH_HEADER, signed), (FORWARD_HEADER, raw.decode("latin-1"))]
 
 
 def read_peer_head(connection):
--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -348,7 +348,7 @@
         head = [f"HTTP/1.1 {status} X"]
         head += [f"{name}: {value}" for name, value in headers.items()]
         head.append(f"Content-Length: {len(body) if length is None else length}")
-        writer.write(("\r\n".join(head) + "\r\n\r\n").encode() + body)
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode("latin-1") + body)
         return True
 
     async def _write_endless(self, writer, status, headers):
@@ -368,6 +368,8 @@
             "X-Server-Load": "1,0,8",
             "Keep-Alive": "timeout=5",
         }
+        if "x-model" in headers:
+            head["X-Echo"] = headers["x-model"]
         head |= self._statements()
         if behaviour == "hang":
             await reader.read(1)
@@ -409,7 +411,7 @@
         lines += [f"{name}: {value}" for name, value in head.items()]
         if self.framed:
             lines.append("Transfer-Encoding: chunked")
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
         first = int(headers.get("last-event-id", 0)) + 1
         continues = "last-event-id" in headers
         if continues and behaviour == "strange":
