--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -299,17 +299,26 @@
             if self._complete:
                 return b""
             await self._wait()
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._has_cut_part = len(data) > MAX_PART_BYTES
-        if self._has_cut_part:
-            self._chunks.append(data[MAX_PART_BYTES:])
-            data = data[:MAX_PART_BYTES]
+        data = self._take_part()
         self._buffered_bytes = max(0, self._buffered_bytes - len(data))
-        if not self._transport.is_closing():
+        self._has_cut_part = bool(self._chunks)
+        if not (self._has_cut_part or self._transport.is_closing()):
             self._transport.resume_reading()
         return data
 
+    def _take_part(self):
+        """Remove and return buffered bytes, `MAX_PART_BYTES` at most."""
+        parts = []
+        size = 0
+        while self._chunks and size < MAX_PART_BYTES:
+            chunk = self._chunks.popleft()
+            if size + len(chunk) > MAX_PART_BYTES:
+                self._chunks.appendleft(chunk[MAX_PART_BYTES - size :])
+                chunk = chunk[: MAX_PART_BYTES - size]
+            parts.append(chunk)
+            size += len(chunk)
+        return b"".join(parts)
+
     async def read_all(self, limit_bytes):
         """Read and return the whole body.
 
