--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -55,6 +55,7 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Limit of the listener; the limit of the configuration is checked per request."""
 
+_ABSOLUTE_URL = re.compile(r"https?://(?P<host>[^/?#]+)(?P<path>.*)", re.IGNORECASE)
 _HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\r\n\x00]*")
 
 
@@ -103,7 +104,7 @@
     if not _is_well_formed(request.head):
         request.stream.keep_alive = False
         return routed_error_response(driver, make_error("bad_request"), request_id)
-    host = request.headers.get("host", "")
+    host, target = _host_and_target(request)
     if not request_id or not host:
         text = "The request has no id of its own or names no host."
         error = make_error("bad_request", message=text)
@@ -111,14 +112,28 @@
     error = _check_limits(driver, request)
     if error is not None:
         return routed_error_response(driver, error, request_id)
-    node_request = _make_request(driver, request, head, host, workspace)
-    target = request.raw_url.decode("latin-1")
+    node_request = _make_request(driver, request, head, host, target, workspace)
     exchange = RoutedExchange(
         node_request, request.body, head, target, driver.clock.now_ms()
     )
     return await run_routed_request(driver, request, exchange, _no_headers)
 
 
+def _host_and_target(request):
+    """Return the host of a request, and its path with the query.
+
+    A request line may hold a whole URL (RFC 9112, section 3.2.2), whose host then goes
+    before the header.
+    """
+    host = request.headers.get("host", "")
+    target = request.raw_url.decode("latin-1")
+    url = _ABSOLUTE_URL.fullmatch(target)
+    if url is None:
+        return host, target
+    path = url["path"]
+    return url["host"], path if path.startswith("/") else f"/{path}"
+
+
 def _header_pairs(request):
     return [
         (name.lower(), from_listener(value).strip())
@@ -148,7 +163,7 @@
     return None
 
 
-def _make_request(driver, request, head, host, workspace):
+def _make_request(driver, request, head, host, target, workspace):
     blocks, ends = chain_blocks(head.parts)
     now_ms = driver.clock.now_ms()
     return Request(
@@ -156,7 +171,7 @@
         workspace,
         host=host,
         method=request.method,
-        path=_path_without_query(request.raw_url),
+        path=target.partition("?")[0],
         attempt_key=head.request_id,
         response_deadline_ms=now_ms + head.left_ms if head.left_ms is not None else 0,
         prompt_tokens=head.prompt_tokens,
@@ -168,7 +183,7 @@
             head.key_digest or workspace,
             request.method,
             host,
-            request.raw_url.decode("latin-1"),
+            target,
             request.body,
             head.parts,
         ),
@@ -179,10 +194,6 @@
     )
 
 
-def _path_without_query(raw_url):
-    return raw_url.partition(b"?")[0].decode("latin-1")
-
-
 def make_forwarded_routed_request(driver, forward, vm, request_id):
     """Return the node's :class:`Request` for a forward from daemon `vm`."""
     now_ms = driver.clock.now_ms()
--- a/bluebellbeam/platform/tests/test_requests.py
+++ b/bluebellbeam/platform/tests/test_requests.py
@@ -3,6 +3,7 @@
 import aiohttp
 
 from bluebellbeam.daemon.response_buffers import MAX_BUFFERED_BYTES
+from bluebellbeam.platform.tests.fake_platform import HOST
 from bluebellbeam.platform.tests.loopback import PlatformCase
 
 
@@ -190,6 +191,39 @@
         self.run_with(step)
 
 
+class TestUnusualRequests(PlatformCase):
+    """Guards against proper requests that are turned away as if they were wrong."""
+
+    def check_served(self, target="/safe/1", host=HOST, rest=None, received="/safe/1"):
+        async def step(deployment):
+            head = f"POST {target} HTTP/1.1\r\nHost: {host}\r\nX-Attempt-Id: u1\r\n"
+            head += "Connection: close\r\n"
+            raw = head + (rest or "Content-Length: 2\r\n\r\n{}")
+            response = await send_raw(deployment, raw.encode())
+            self.assertIn(b" 200 ", response.split(b"\r\n")[0])
+            [name] = deployment.runs("u1")
+            self.assertEqual(deployment.replicas[name].bodies["u1"][1], received)
+
+        self.run_with(step)
+
+    def test_request_line_with_a_whole_url(self):
+        self.check_served(f"http://{HOST}/safe/1?a=b", received="/safe/1?a=b")
+
+    def test_host_of_a_whole_url_goes_before_the_header(self):
+        self.check_served(f"HTTP://{HOST}:80/safe/1", host="other.example")
+
+    def test_host_with_port_capitals_and_final_dot(self):
+        self.check_served(host=f"{HOST.upper()}.:8144")
+
+    def test_chunks_with_extensions_and_leading_zeros(self):
+        chunks = "0002;name=value\r\n{}\r\n000;last\r\n\r\n"
+        self.check_served(rest=f"Transfer-Encoding: chunked\r\n\r\n{chunks}")
+
+    def test_escaped_characters_are_passed_on_unchanged(self):
+        target = "/safe/%41%2fb?x=%00&y=[z]"
+        self.check_served(target, received=target)
+
+
 class TestCallerRequests(PlatformCase):
     def test_headers_of_the_caller_are_forwarded_except_reserved_ones(self):
         async def step(deployment):
--- a/bluebellbeam/routing/route_table.py
+++ b/bluebellbeam/routing/route_table.py
@@ -27,8 +27,8 @@
 
 
 def canonical_host(host):
-    """Return `host` in lower case and without a port, as in the routes."""
-    return host.partition(":")[0].lower()
+    """Return `host` in lower case, without a port or a final dot, as in the routes."""
+    return host.partition(":")[0].lower().rstrip(".")
 
 
 def make_route_table(routes):
