--- a/bluebellbeam/platform/tests/config_soak.py
+++ b/bluebellbeam/platform/tests/config_soak.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import base64
 import contextlib
 import json
 import os
@@ -300,6 +301,8 @@
     probes : list of Probe
     notes : list of (float, str)
         Disturbances by time.
+    is_operator_away : bool
+        Whether the configuration is not changed for the moment.
     """
 
     def __init__(self, seed, folder, daemons_per_zone):
@@ -316,6 +319,7 @@
         self.notes = []
         self.tasks = set()
         self.session = None
+        self.is_operator_away = False
         self.begin_s = time.monotonic()
 
     def now_s(self):
@@ -417,6 +421,8 @@
 
     def change_configuration(self):
         """Publish the next version, in which one or two routes differ."""
+        if self.is_operator_away:
+            return
         routes = dict(self.versions[-1].routes)
         for _ in range(self.rng.choice((1, 1, 2))):
             match self.rng.choice(("add", "add", "drop", "move", "home")):
@@ -586,6 +592,21 @@
     site.store.changed = asyncio.Event()
 
 
+async def _restore(site, how, length_s, daemons):
+    """Restore the store from a copy; what was written since is then written again."""
+    site.store.keep_copy()
+    await asyncio.sleep(min(length_s, 3.0))
+    site.is_operator_away = True
+    written = dict(site.store.items)
+    site.store.restore()
+    await _hold(site, 0.7, list(site.daemons.values()))
+    for key, item in written.items():
+        if site.store.items.get(key, {}).get("value") != item["value"]:
+            site.store.put(key, base64.b64decode(item["value"]))
+    await _hold(site, 0.1, list(site.daemons.values()))
+    site.is_operator_away = False
+
+
 async def _slow_store(site, how, length_s, daemons):
     site.store.delay_s = 0.25
     try:
@@ -619,6 +640,8 @@
     The next valid one may have the same version number as the invalid one, or a lower
     one.
     """
+    if site.is_operator_away:
+        return
     last = site.versions[-1]
     made = [_encode_route(prefix, route) for prefix, route in last.routes.items()]
     step = site.rng.choice((1, 1, 2, 1000))
@@ -654,10 +677,14 @@
 
 async def _grow(site, how, length_s, daemons):
     routes = dict(site.versions[-1].routes)
+    if site.is_operator_away:
+        return
     for i in range(600):
         routes[f"/big{len(site.versions)}x{i}/"] = site.draw_route()
     site._publish(routes)
     await asyncio.sleep(length_s)
+    while site.is_operator_away:
+        await asyncio.sleep(0.1)
     routes = {p: r for p, r in site.versions[-1].routes.items() if "/big" not in p}
     site._publish(routes)
 
@@ -678,6 +705,7 @@
     "partial settings": (_reload, "partial"),
     "compact": (_compact, ""),
     "slow store": (_slow_store, ""),
+    "restore": (_restore, ""),
     "storm": (_storm, ""),
     "odd bytes": (_write_beside, "bytes"),
     "odd huge": (_write_beside, "huge"),
