--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -136,6 +136,15 @@
             await self.fetch([raw])
         self.assertTrue(caught.exception.lost)
 
+    async def test_head_that_ends_at_any_byte_is_an_error(self):
+        for framing in (b"Content-Length: 0", b"Transfer-Encoding: chunked", b"X-A: b"):
+            head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: k\r\n" + framing + b"\r\n\r\n"
+            for size in range(len(head)):
+                with self.subTest(head[:size]):
+                    with self.assertRaises(UpstreamConnectionError) as caught:
+                        await self.fetch([head[:size]])
+                    self.assertTrue(caught.exception.lost)
+
     async def test_response_without_length_ends_with_its_connection(self):
         connection, body = await self.fetch([b"HTTP/1.1 200 OK\r\n\r\nhello"])
         connection.finish(0)
