--- a/bluebellbeam/platform/tests/config_soak.py
+++ b/bluebellbeam/platform/tests/config_soak.py
@@ -39,14 +39,16 @@
 ZONES = {"hall-n": "north", "hall-e": "east", "hall-s": "south"}
 SERVICES = ("alpha", "beta", "gamma")
 LISTENERS = ("callers", "operators", "readiness", "directory")
-PROBES_PER_S = 30
+PROBES_PER_S = 180
+"""Requests a second to all daemons together."""
+
 RECENT_VERSIONS = 6
 READY_LIMIT_S = 30.0
 PROBE_LIMIT_S = 6.0
 
 
 PORT_RANGE = (10_000, 30_000)
-PORTS_PER_SOAK = 200
+PORTS_PER_SOAK = 1000
 
 
 class PortRange:
@@ -197,7 +199,8 @@
 
     def close(self):
         """Stop listening and close all connections."""
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
         for task in list(self.tasks):
             task.cancel()
 
@@ -448,7 +451,9 @@
         rng = random.Random(f"{daemon.name}{self.rng.random()}")
         number = 0
         while self.now_s() < until_s:
-            await asyncio.sleep(rng.uniform(0.5, 1.5) / PROBES_PER_S)
+            await asyncio.sleep(
+                rng.uniform(0.5, 1.5) * len(self.daemons) / PROBES_PER_S
+            )
             number += 1
             known = set()
             for version in self.versions[-RECENT_VERSIONS:]:
