--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: setup demo test lint faults scenarios golden binary docs bench capacity
+.PHONY: setup demo test lint faults soak scenarios golden binary docs bench capacity
 
 setup: $(VENV)/.ready
 
@@ -35,6 +35,9 @@
 	$(BIN)/python -m benchmarks.faults --count 10000
 	$(BIN)/python -m benchmarks.faults --table
 
+soak: setup
+	$(BIN)/python -m bluebellbeam.platform.tests.config_soak --seed 1 --seconds 60
+
 bench: setup
 	$(BIN)/python -m benchmarks.policy
 	$(BIN)/python -m benchmarks.decision
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -44,7 +44,7 @@
 
 EVENT_STREAM = "text/event-stream"
 
-MAX_DIGITS = 18
+MAX_ID_DIGITS = 18
 """Longest id of an event that is compared as a number."""
 
 
@@ -409,7 +409,9 @@
 
 
 def _is_number(event_id):
-    return event_id.isascii() and event_id.isdecimal() and len(event_id) <= MAX_DIGITS
+    return (
+        event_id.isascii() and event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
+    )
 
 
 def _report_finish(driver, command, connection, emitted, load):
--- a/bluebellbeam/node/reconfiguration.py
+++ b/bluebellbeam/node/reconfiguration.py
@@ -50,7 +50,7 @@
     configuration now decides otherwise about it.
     """
     route = match_route(state.config.routes, request.host, request.path)
-    code = _refusal_code(state, request, route)
+    code = _rejection_code(state, request, route)
     if code and request.origin:
         code = "config_ahead"
     if code:
@@ -72,7 +72,7 @@
         push_request(state.queue(request.pool), request, weight)
 
 
-def _refusal_code(state, request, route):
+def _rejection_code(state, request, route):
     """Return the code of the error if `route` no longer permits a request, or "".
 
     Updates the workspace and the regions of the request.
