--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections import deque
 
 import httptools
@@ -46,6 +47,9 @@
 """With the user timeout, a remote host that disappeared without a reset is detected
 five seconds after its last byte, and one that is silent for two seconds is kept."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER``: on, for 0 s."""
+
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -351,10 +355,17 @@
         self.keep_alive_ms = _keep_alive_ms(self.headers)
 
     def close(self):
-        """Close the connection at once, so that the server cancels the request."""
+        """Close the connection at once, so that the server cancels the request.
+
+        Bytes of a request in progress that the server has not received are discarded;
+        otherwise they would reach it after a cut of the network, and run there.
+        """
         self._invalidated = True
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if not self._complete:
+            _discard_unsent(self._transport)
+        self._transport.abort()
 
     def _end_cause(self, exc):
         """Return how the connection ended, given the error that it was lost with."""
@@ -456,6 +467,14 @@
     return None
 
 
+def _discard_unsent(transport):
+    """Let the kernel reset a connection when it is closed, and discard unsent bytes."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def _set_tcp_timeouts(sock):
     options = (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -229,3 +229,42 @@
         pool.sweep({"t"})
         self.assertFalse(connection.is_reusable)
         self.assertEqual(pool.idle, {})
+
+
+class TestRequestGivenUp(unittest.IsolatedAsyncioTestCase):
+    """Guards against a request that reaches a server after its caller has left."""
+
+    async def end_seen_by_server(self, response):
+        """Return how the connection of a request ends at a server that responds so."""
+        ended = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(response)
+            try:
+                ended.set_result("closed" if not await reader.read() else "bytes")
+            except ConnectionResetError:
+                ended.set_result("reset")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        connection = await open_upstream_connection("s", f"{host}:{port}", 1000)
+        connection.send("GET", REQUEST, b"")
+        if response:
+            await connection.read_head()
+            await connection.read_all(100)
+        else:
+            await asyncio.sleep(0.05)
+        connection.finish(0)
+        connection.close()
+        async with asyncio.timeout(5):
+            return await ended
+
+    async def test_its_unsent_bytes_are_discarded(self):
+        self.assertEqual(await self.end_seen_by_server(b""), "reset")
+
+    async def test_connection_of_a_complete_response_is_closed_regularly(self):
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+        self.assertEqual(await self.end_seen_by_server(raw), "closed")
