--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -137,8 +137,8 @@
         self.assertTrue(caught.exception.lost)
 
     async def test_head_that_ends_at_any_byte_is_an_error(self):
-        for framing in (b"Content-Length: 0", b"Transfer-Encoding: chunked", b"X-A: b"):
-            head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: k\r\n" + framing + b"\r\n\r\n"
+        for framing in (b"Content-Length: 0", b"Transfer-Encoding: chunked", b"X-B: b"):
+            head = b"HTTP/1.1 200 OK\r\nX-A: k\r\n" + framing + b"\r\n\r\n"
             for size in range(len(head)):
                 with self.subTest(head[:size]):
                     with self.assertRaises(UpstreamConnectionError) as caught:
