--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -399,12 +399,12 @@
         if not event_id:
             if is_comment(raw):
                 continue
-            raise UpstreamError(f"an event without an id follows event {last_id}")
+            raise UpstreamError("an event without an id continues the stream")
         if _is_number(last_id) and _is_number(event_id):
             if int(event_id) <= int(last_id):
-                raise UpstreamError(f"event {event_id} follows event {last_id}")
+                raise UpstreamError("the ids of events do not increase")
         elif event_id == last_id:
-            raise UpstreamError(f"event {event_id} is repeated")
+            raise UpstreamError("the id of an event is repeated")
         last_id = event_id
 
 
--- a/bluebellbeam/platform/health.py
+++ b/bluebellbeam/platform/health.py
@@ -72,7 +72,8 @@
 
 async def _read_health(pool, command):
     """Return the status of a response, and the values of its headers by name."""
-    raw = encode_request("GET", command.health_path, command.address, (), b"")
+    path = command.health_path or "/"
+    raw = encode_request("GET", path, command.address, (), b"")
     pool.sweep()
     key = (command.server, command.incarnation)
     connection = await pool.acquire(key, command.address)
--- a/bluebellbeam/platform/store.py
+++ b/bluebellbeam/platform/store.py
@@ -490,11 +490,18 @@
             "platform: ignore an invalid entry",
             key=item.key,
             revision=item.revision,
-            reason=str(error),
-            type=type(error).__name__,
+            reason=_describe(error),
         )
 
 
+def _describe(error):
+    """Return the text of an expected error, or the type of any other.
+
+    The text of an unexpected one may hold parts of the entry, such as keys.
+    """
+    return str(error) if isinstance(error, PlatformError) else type(error).__name__
+
+
 def _check_parts(version, parts, access):
     """Check a configuration as the daemons do.
 
--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -272,6 +272,11 @@
                 pass
         except (asyncio.IncompleteReadError, ConnectionError):
             self.disconnects += 1
+        except RuntimeError:
+            # uvloop's error for a write after the daemon has reset the connection.
+            if not writer.transport.is_closing():
+                raise
+            self.disconnects += 1
         except asyncio.CancelledError:
             return
         finally:
--- a/bluebellbeam/platform/tests/test_config_versions.py
+++ b/bluebellbeam/platform/tests/test_config_versions.py
@@ -1,4 +1,8 @@
 import asyncio
+from unittest import mock
+
+import structlog
+from structlog.testing import capture_logs
 
 from bluebellbeam.feeds import Delta, Snapshot
 from bluebellbeam.node import event as ev
@@ -124,6 +128,22 @@
         self.check_takes_effect(5)
 
 
+class TestLogOfAnInvalidEntry(PlatformCase):
+    def test_text_of_an_unexpected_error_is_not_logged(self):
+        async def step(deployment):
+            name = "bluebellbeam.platform.store.translate_config"
+            error = ValueError("invalid key: secret-1")
+            with capture_logs() as lines, mock.patch(name, side_effect=error):
+                deployment.store.put("op/config", config(2))
+                await deployment.wait(lambda: "invalid entry" in str(lines), APPLY_S)
+            self.assertNotIn("secret-1", str(lines))
+            self.assertIn("ValueError", str(lines))
+
+        self.addCleanup(structlog.configure, **structlog.get_config())
+        structlog.reset_defaults()
+        self.run_with(step)
+
+
 class TestUnexpectedErrorInARead(PlatformCase):
     """Guards against a daemon that stops reading."""
 
--- a/bluebellbeam/platform/tests/test_health.py
+++ b/bluebellbeam/platform/tests/test_health.py
@@ -26,6 +26,23 @@
         await self.check_closed()
 
 
+class TestServerOfAnUnknownService(unittest.IsolatedAsyncioTestCase):
+    async def test_request_line_has_a_path(self):
+        lines = []
+
+        async def serve(reader, writer):
+            lines.append(await reader.readline())
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        pool = make_connection_pool(monotonic_clock())
+        self.addCleanup(pool.close)
+        await check_health(pool, cmd.ReadLoad("s1", f"{host}:{port}", 1, "", 0))
+        self.assertEqual(lines, [b"GET / HTTP/1.1\r\n"])
+
+
 class TestInterimResponsesWithoutEnd(unittest.IsolatedAsyncioTestCase):
     """Guards against a health check that blocks the event loop."""
 
