Count ends of servers that follow each other under a request one by one

What callers saw: a safe request that ends each server which begins to run it came every six seconds and ended the three servers of its service each time; others got 502 and 503.

Cause: ends within 300 ms count as one, as servers without power end together. Retries follow each other within milliseconds, so three ends counted as one, and three rounds passed.

Change: a request that was sent to a server only after another one had ended under it counts each of these ends. Each daemon knows that of its own sends; it is reported with an end, and passed on with a forward. Ends side by side, or beside another server that ended without the request, still count as one. Related: a name that was never served counts four (a part five) ends at once; short reports keep what a decision needs; a request in quarantine no longer clears the parts of its prompt.

--- a/bluebellbeam/daemon/peers.py
+++ b/bluebellbeam/daemon/peers.py
@@ -141,6 +141,7 @@
         max_output_tokens=forwarded.max_output_tokens,
         blocks=forwarded.blocks,
         content_names=forwarded.content_names,
+        retried_names=forwarded.retried_names,
         priority=forwarded.priority,
         deadline_ms=now_ms + forwarded.left_ms,
         allowed=frozenset(forwarded.allowed),
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -218,6 +218,7 @@
         sends=forward.sends,
         stream_origin=forward.stream_origin,
         content_names=forward.content_names,
+        retried_names=forward.retried_names,
         trial_part=forward.trial_part,
     )
 
--- a/bluebellbeam/daemon/routed_forward.py
+++ b/bluebellbeam/daemon/routed_forward.py
@@ -73,6 +73,8 @@
         Workspace that the key of the caller belongs to; not sent if there is none.
     service : str
         Service that the sender's configuration selects.
+    retried_names : tuple of str
+        Those of them under which a server was lost.
     """
 
     request_id: str
@@ -95,6 +97,7 @@
     trial_part: str = ""
     workspace: str | UnsetType = UNSET
     service: str = ""
+    retried_names: tuple[str, ...] = ()
 
 
 def without_credentials(driver, passed):
@@ -136,6 +139,7 @@
         trial_part=request.trial_part,
         workspace=key_workspace(request) or UNSET,
         service=request.service,
+        retried_names=command.retried_names,
     )
     raw = msgspec.json.encode(forward)
     signed = driver.auth.sign(ROUTED_PATH, driver.settings.vm, raw + exchange.payload)
--- a/bluebellbeam/daemon/upstream.py
+++ b/bluebellbeam/daemon/upstream.py
@@ -445,6 +445,7 @@
         max_output_tokens=request.max_output_tokens,
         blocks=request.blocks,
         content_names=request.content_names,
+        retried_names=command.retried_names,
         resume_tokens=command.resume_tokens,
         resume_text="".join(exchange.text) if command.resume_tokens else "",
         headers={
--- a/bluebellbeam/daemon/wire.py
+++ b/bluebellbeam/daemon/wire.py
@@ -78,6 +78,8 @@
         Hashes of the leading blocks of the prompt, for prefix caching.
     content_names : tuple of str
         Names of the request by its content.
+    retried_names : tuple of str
+        Those of them under which a server was lost.
     resume_tokens : int
         Tokens that the caller has received already, whose text is `resume_text`.
     headers : dict of str to str
@@ -104,6 +106,7 @@
     max_output_tokens: int = 0
     blocks: tuple[int, ...] = ()
     content_names: tuple[str, ...] = ()
+    retried_names: tuple[str, ...] = ()
     resume_tokens: int = 0
     resume_text: str = ""
     headers: dict[str, str] = {}
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -26,6 +26,7 @@
     ANSWERED_MS,
     is_quarantined,
     record_answered_request,
+    record_lost_forward,
     record_lost_request,
     record_refused_connection,
 )
@@ -208,6 +209,8 @@
     code = _refusal_code(attempt, error)
     if attempt.peer and code not in CONFIG_CODES:
         _record_peer_refusal(state, attempt, error, now_ms)
+    if attempt.peer and code == "upstream_failed" and not not_run:
+        record_lost_forward(attempt)
     row = attempt_replica(state, attempt)
     if row is not None:
         _record_server_refusal(state, row, event, now_ms)
--- a/bluebellbeam/node/command.py
+++ b/bluebellbeam/node/command.py
@@ -38,6 +38,8 @@
         Time after which the first byte must not be sent.
     prefix_source : str
         Address of a server to copy the prompt prefix from, or empty.
+    retried_names : tuple of str
+        Names of a forwarded request under which a server was lost before.
     """
 
     attempt_id: int
@@ -51,6 +53,7 @@
     resume_tokens: int = 0
     expires_ms: int = 0
     prefix_source: str = ""
+    retried_names: tuple[str, ...] = ()
 
 
 class CancelAttempt(Struct, frozen=True):
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -34,6 +34,7 @@
     pool_slots,
 )
 from bluebellbeam.operations import mark_sent, record_outcome, release_operation
+from bluebellbeam.quarantine import retried_names
 from bluebellbeam.recovery import add_credit
 from bluebellbeam.routing import (
     is_cold,
@@ -405,6 +406,7 @@
             peer=member.name,
             peer_address=member.peer_address,
             lease_id=attempt.lease_id,
+            retried_names=tuple(sorted(attempt.retried_names)),
             resume_tokens=request.emitted_tokens,
             expires_ms=request.deadline_ms,
         )
@@ -489,6 +491,8 @@
         record_queue_start(state, request, now_ms)
     state.next_attempt_id += 1
     attempt = Attempt(state.next_attempt_id, request, "", "", now_ms)
+    known = retried_names(state.evidence, request.content_names)
+    attempt.retried_names = request.retried_names | known
     state.attempts[attempt.attempt_id] = attempt
     request.running_attempts.append(attempt)
     request.state = "running"
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -195,12 +195,16 @@
     parts : dict of str to int
         Position in its prompt of each part that the server may have ended under;
         negative for the names of requests.
+    retried : tuple of str
+        Names of requests among them that were sent there only after another server had
+        ended under them.
     """
 
     server: str
     incarnation: int
     age_ms: int
     parts: dict[str, int]
+    retried: tuple[str, ...] = ()
 
 
 class QuarantinedPart(Struct, frozen=True, array_like=True):
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -40,6 +40,9 @@
     content_names : tuple of str
         Names of the request by its content, the most general one first; see
         :func:`bluebellbeam.quarantine.request_names`.
+    retried_names : frozenset of str
+        Those of them under which a server was lost, as reported by the peers that the
+        request came from or went to.
     trial_part : str
         Part in quarantine that the request is a trial of, or empty.
     expected_ms : float
@@ -151,6 +154,7 @@
         "block_ends",
         "prompt_parts",
         "content_names",
+        "retried_names",
         "trial_part",
         "host",
         "route",
@@ -210,6 +214,7 @@
         self.block_ends = values.pop("block_ends", ())
         self.prompt_parts = values.pop("prompt_parts", ())
         self.content_names = values.pop("content_names", ())
+        self.retried_names = frozenset(values.pop("retried_names", ()))
         self.trial_part = values.pop("trial_part", "")
         self.host = values.pop("host", "")
         self.route = None
@@ -277,6 +282,9 @@
         Peer that the request is forwarded to, or empty.
     lease_id : str
         Lease granted by the peer under which it is forwarded, or empty.
+    retried_names : frozenset of str
+        Names of the request under which another server had been lost before the
+        attempt started.
     started_ms : int
         Time at which the attempt started.
     response_started_ms : int or None
@@ -297,6 +305,7 @@
         "server_version",
         "peer",
         "lease_id",
+        "retried_names",
         "started_ms",
         "response_started_ms",
         "expected_ms",
@@ -312,6 +321,7 @@
         self.server_version = ""
         self.peer = peer
         self.lease_id = ""
+        self.retried_names = frozenset()
         self.started_ms = started_ms
         self.response_started_ms = None
         self.expected_ms = 0.0
--- a/bluebellbeam/node/request_quarantine.py
+++ b/bluebellbeam/node/request_quarantine.py
@@ -14,6 +14,7 @@
 from bluebellbeam.node.state import backends_feed
 from bluebellbeam.quarantine import (
     COMMON_CAUSE_MS,
+    ENDS_OF_NEW_REQUEST_TOGETHER,
     REQUEST_NAME_PREFIX,
     PartQuarantine,
     ServerEnd,
@@ -37,6 +38,7 @@
     "is_quarantined",
     "known_evidence",
     "record_answered_request",
+    "record_lost_forward",
     "record_lost_request",
     "record_refused_connection",
     "tick_quarantine",
@@ -98,7 +100,13 @@
         record_served(state.evidence, positions, started_ms + ANSWERED_MS)
         return
     key = (attempt.server, attempt.server_incarnation)
-    add_loss(state.evidence, *key, positions, now_ms)
+    add_loss(state.evidence, *key, positions, now_ms, attempt.retried_names)
+
+
+def record_lost_forward(attempt):
+    """Record that a peer has lost the server that it sent a forwarded request to."""
+    request = attempt.request
+    request.retried_names = request.retried_names.union(request.content_names)
 
 
 def _positions(request):
@@ -179,6 +187,7 @@
     loss = confirm_loss(state.evidence, key)
     fields = {"server": key[0], "incarnation": key[1], "reason": reason}
     fields["names"] = sorted(loss.parts)
+    fields["retried"] = sorted(loss.retried)
     fields["age_ms"] = now_ms - loss.at_ms
     text = "a server ended before it had answered requests"
     state.emit(Log("routing", text, fields=fields))
@@ -315,19 +324,27 @@
     yield ends, set(evidence.changed_served)
     repeated = repeated_names(evidence)
     yield (
-        _separate_ends(_with_names(ends, repeated)),
+        _decisive_ends(_with_names(ends, repeated)),
         evidence.changed_served & repeated,
     )
     yield [], set()
 
 
-def _separate_ends(ends):
-    """Return the latest ends that cannot have a cause in common, a few at most."""
-    found = []
-    for end in reversed(ends):
-        if not found or found[-1].at_ms - end.at_ms > COMMON_CAUSE_MS:
-            found.append(end)
-    return found[:MAX_REPEATED_ENDS]
+def _decisive_ends(ends):
+    """Return the latest ends, a few at most, that a decision needs.
+
+    These are ends that cannot have a cause in common by their times, and as many others
+    as prove that a request is at fault.
+    """
+    separate, others = [], []
+    for end in sorted(ends, key=lambda end: end.at_ms, reverse=True):
+        if not separate or separate[-1].at_ms - end.at_ms > COMMON_CAUSE_MS:
+            separate.append(end)
+        else:
+            others.append(end)
+    others.sort(key=lambda end: not end.retried)
+    others = others[:ENDS_OF_NEW_REQUEST_TOGETHER]
+    return separate[:MAX_REPEATED_ENDS] + others
 
 
 def _refill_credit(state, now_ms):
@@ -344,6 +361,7 @@
 def _size_bytes(message):
     """Return the approximate size of an encoded message with evidence."""
     names = sum(len(name) + 6 for end in message.ends for name in end.parts)
+    names += sum(len(name) + 3 for end in message.ends for name in end.retried)
     served = sum(len(name) + 8 for name in message.served)
     return 20 + 40 * len(message.ends) + names + served + 60 * len(message.quarantines)
 
@@ -356,7 +374,7 @@
         if now_ms - end.at_ms > RECENT_END_MS:
             del evidence.changed_ends[key]
             continue
-        found.append(ServerEnd(*key, end.at_ms, {n: end.parts[n] for n in names}))
+        found.append(_select_names(end, names))
     found.sort(key=lambda end: end.at_ms)
     return found[-MAX_SHARED_ENDS:]
 
@@ -365,12 +383,19 @@
     """Return the ends that have any of `names`, with these only."""
     found = []
     for end in ends:
-        parts = {name: place for name, place in end.parts.items() if name in names}
-        if parts:
-            found.append(ServerEnd(end.server, end.incarnation, end.at_ms, parts))
+        selected = _select_names(end, names)
+        if selected.parts:
+            found.append(selected)
     return found
 
 
+def _select_names(end, names):
+    """Return an end with those of its parts whose names are in `names` alone."""
+    parts = {name: place for name, place in end.parts.items() if name in names}
+    retried = end.retried & names
+    return ServerEnd(end.server, end.incarnation, end.at_ms, parts, retried)
+
+
 def _mark_shared(evidence, ends):
     for end in ends:
         key = (end.server, end.incarnation)
@@ -395,7 +420,7 @@
     ends = _with_names(recent, repeated_names(evidence)) if len(recent) > 1 else []
     if not ends and not rows:
         return ()
-    message = _encode(state, _separate_ends(ends), (), rows, now_ms)
+    message = _encode(state, _decisive_ends(ends), (), rows, now_ms)
     _refill_credit(state, now_ms)
     if not _has_credit(state, message, 1):
         return ()
@@ -420,7 +445,13 @@
     served_ms = state.evidence.served_ms
     ages_ms = {name: now_ms - served_ms[name] for name in names if name in served_ms}
     found = tuple(
-        EndOfServer(end.server, end.incarnation, now_ms - end.at_ms, dict(end.parts))
+        EndOfServer(
+            end.server,
+            end.incarnation,
+            now_ms - end.at_ms,
+            dict(end.parts),
+            tuple(sorted(end.retried)),
+        )
         for end in ends
     )
     quarantined = tuple(
@@ -441,7 +472,8 @@
     """Merge what another daemon knows of what servers end under."""
     for item in message.ends:
         at_ms = now_ms - item.age_ms
-        end = ServerEnd(item.server, item.incarnation, at_ms, item.parts)
+        known = item.parts.keys() & item.retried
+        end = ServerEnd(item.server, item.incarnation, at_ms, item.parts, known)
         add_end(state.evidence, end)
     for name, age_ms in message.served.items():
         _merge_served(state.evidence, name, now_ms - age_ms)
--- a/bluebellbeam/quarantine/__init__.py
+++ b/bluebellbeam/quarantine/__init__.py
@@ -1,6 +1,7 @@
 """Quarantine of requests and prompt parts that end the servers that run them."""
 
 from bluebellbeam.quarantine.evidence import (
+    COMMON_CAUSE_MS,
     EvidenceTable,
     ServerEnd,
     add_end,
@@ -10,10 +11,11 @@
     make_evidence_table,
     record_served,
     repeated_names,
+    retried_names,
 )
 from bluebellbeam.quarantine.names import REQUEST_NAME_PREFIX, request_names
 from bluebellbeam.quarantine.parts import (
-    COMMON_CAUSE_MS,
+    ENDS_OF_NEW_REQUEST_TOGETHER,
     PartQuarantine,
     QuarantineTable,
     adopt_quarantine,
@@ -26,6 +28,7 @@
 
 __all__ = [
     "COMMON_CAUSE_MS",
+    "ENDS_OF_NEW_REQUEST_TOGETHER",
     "REQUEST_NAME_PREFIX",
     "EvidenceTable",
     "PartQuarantine",
@@ -43,6 +46,7 @@
     "record_served",
     "repeated_names",
     "request_names",
+    "retried_names",
     "start_trial",
     "update_quarantines",
 ]
--- a/bluebellbeam/quarantine/evidence.py
+++ b/bluebellbeam/quarantine/evidence.py
@@ -4,23 +4,37 @@
 part differs from its companions in that servers end under it repeatedly, while prompts
 with the companions are served in between. A request that comes again is treated like a
 part: it has names by its content, see :func:`bluebellbeam.quarantine.request_names`.
+
+Servers may also end together, such as those of a failure domain without power, and a
+popular request is lost at all of them. They had it side by side. A request that was
+sent to a server after another one had ended under it is independent evidence, however
+short the time between the two ends is.
 """
 
 from collections import OrderedDict
 
 __all__ = [
+    "COMMON_CAUSE_MS",
     "EvidenceTable",
     "ServerEnd",
     "add_end",
     "add_loss",
     "confirm_loss",
     "drop_loss",
+    "group_ends",
+    "incriminating_ends",
+    "is_succession",
     "make_evidence_table",
     "prune_evidence",
     "record_served",
     "repeated_names",
+    "retried_names",
 ]
 
+COMMON_CAUSE_MS = 300
+"""Ends of servers within this time may have a cause in common, such as a failure domain
+without power."""
+
 MAX_ENDS = 128
 """Largest number of ends that are kept; the oldest one is dropped beyond it."""
 
@@ -47,15 +61,19 @@
         Position in its prompt of each shared part of the prompts that the server had
         not begun to answer, or only just. The names of the requests themselves have
         negative positions.
+    retried : set of str
+        Names of requests among them that were sent there only after another server had
+        ended under them.
     """
 
-    __slots__ = ("server", "incarnation", "at_ms", "parts")
+    __slots__ = ("server", "incarnation", "at_ms", "parts", "retried")
 
-    def __init__(self, server, incarnation, at_ms, parts):
+    def __init__(self, server, incarnation, at_ms, parts, retried=()):
         self.server = server
         self.incarnation = incarnation
         self.at_ms = at_ms
         self.parts = parts
+        self.retried = set(retried)
 
 
 class EvidenceTable:
@@ -100,7 +118,7 @@
     return EvidenceTable()
 
 
-def add_loss(table, server, incarnation, positions, now_ms):
+def add_loss(table, server, incarnation, positions, now_ms, retried=()):
     """Record that a request was lost before its response had got under way.
 
     Parameters
@@ -110,16 +128,18 @@
     positions : dict of str to int
         Position of each shared part of its prompt, and of its own names.
     now_ms : int
+    retried : iterable of str
+        Names of it under which another server had been lost before it was sent.
     """
     key = (server, incarnation)
-    end = table.ends.get(key)
-    if end is not None:
-        add_end(table, ServerEnd(server, incarnation, now_ms, positions))
+    lost = ServerEnd(server, incarnation, now_ms, positions, positions.keys() & retried)
+    if key in table.ends:
+        add_end(table, lost)
         return
     loss = table.losses.get(key)
     if loss is None:
         loss = table.losses[key] = ServerEnd(server, incarnation, now_ms, {})
-    _add_parts(loss, positions)
+    _merge_parts(loss, lost)
 
 
 def drop_loss(table, key):
@@ -151,23 +171,95 @@
         if len(table.ends) > MAX_ENDS:
             dropped, _ = table.ends.popitem(last=False)
             table.changed_ends.pop(dropped, None)
-    added = _add_parts(known, end.parts)
-    if not added:
+    changed = _merge_parts(known, end)
+    if not changed:
         return False
     known.at_ms = min(known.at_ms, end.at_ms)
-    table.changed_ends.setdefault(key, set()).update(added)
+    table.changed_ends.setdefault(key, set()).update(changed)
     table.needs_review = True
     return True
 
 
-def _add_parts(end, positions):
-    """Add parts to an end; return the names of those that are new."""
-    added = []
-    for name, position in positions.items():
-        if name not in end.parts and len(end.parts) < MAX_PARTS_OF_END:
+def _merge_parts(end, other):
+    """Add the parts of a report on the same end; return the names that have changed.
+
+    A request that any daemon had sent there before other servers ended counts as not
+    retried, whatever the order of the reports is.
+    """
+    changed = []
+    for name, position in other.parts.items():
+        if name in end.parts:
+            if name in end.retried and name not in other.retried:
+                end.retried.remove(name)
+                changed.append(name)
+        elif len(end.parts) < MAX_PARTS_OF_END:
             end.parts[name] = position
-            added.append(name)
-    return added
+            changed.append(name)
+            if name in other.retried:
+                end.retried.add(name)
+    return changed
+
+
+def retried_names(table, names):
+    """Return those of `names` under which a server has ended or was lost.
+
+    Names that were served since are left out.
+    """
+    if not table.ends and not table.losses:
+        return frozenset()
+    return frozenset(
+        name
+        for found in (table.ends, table.losses)
+        for end in found.values()
+        for name in names
+        if name in end.parts and _counts_against(table, end, name)
+    )
+
+
+def _counts_against(table, end, name):
+    """Return whether a name was not served since an end under it."""
+    return end.at_ms > table.served_ms.get(name, end.at_ms - 1)
+
+
+def incriminating_ends(table):
+    """Return the ends that count against each name, as a dict of lists.
+
+    Names that were served after an end do not count against it.
+    """
+    found = {}
+    for end in table.ends.values():
+        for name in end.parts:
+            if _counts_against(table, end, name):
+                found.setdefault(name, []).append(end)
+    return found
+
+
+def group_ends(ends):
+    """Return the ends in groups that may have a cause in common, the earliest first."""
+    groups = []
+    for end in sorted(ends, key=lambda end: end.at_ms):
+        if groups and end.at_ms - groups[-1][0].at_ms <= COMMON_CAUSE_MS:
+            groups[-1].append(end)
+        else:
+            groups.append([end])
+    return groups
+
+
+def is_succession(table, name, group):
+    """Return whether the servers of a group of ends ended one after the other.
+
+    So they did if the name was retried at all of them but the first, unless another
+    server ended without it at that time.
+    """
+    if len(group) == 1:
+        return True
+    if sum(name not in end.retried for end in group) > 1:
+        return False
+    first_ms = group[0].at_ms
+    return not any(
+        name not in end.parts and abs(end.at_ms - first_ms) <= COMMON_CAUSE_MS
+        for end in table.ends.values()
+    )
 
 
 def record_served(table, parts, at_ms):
@@ -196,16 +288,8 @@
 
 
 def repeated_names(table):
-    """Return the names that count against more than one end.
-
-    Names that were served after an end do not count against it.
-    """
-    counts = {}
-    for end in table.ends.values():
-        for name in end.parts:
-            if end.at_ms > table.served_ms.get(name, end.at_ms - 1):
-                counts[name] = counts.get(name, 0) + 1
-    return {name for name, count in counts.items() if count > 1}
+    """Return the names that more than one end counts against."""
+    return {name for name, ends in incriminating_ends(table).items() if len(ends) > 1}
 
 
 def prune_evidence(table, now_ms):
--- a/bluebellbeam/quarantine/parts.py
+++ b/bluebellbeam/quarantine/parts.py
@@ -3,10 +3,16 @@
 Both are called parts here, as both are found by their names among what ended servers.
 """
 
-from bluebellbeam.quarantine.evidence import prune_evidence
+from bluebellbeam.quarantine.evidence import (
+    group_ends,
+    incriminating_ends,
+    is_succession,
+    prune_evidence,
+)
+from bluebellbeam.quarantine.names import REQUEST_NAME_PREFIX
 
 __all__ = [
-    "COMMON_CAUSE_MS",
+    "ENDS_OF_NEW_REQUEST_TOGETHER",
     "PartQuarantine",
     "QuarantineTable",
     "adopt_quarantine",
@@ -24,9 +30,11 @@
 ENDS_OF_SERVED_PART = 5
 """The same for a part that was served before."""
 
-COMMON_CAUSE_MS = 300
-"""Ends of servers within this time count as one: they may have a cause in common, such
-as a failure domain without power."""
+ENDS_OF_NEW_REQUEST_TOGETHER = 4
+ENDS_OF_NEW_PART_TOGETHER = 5
+"""Ends of servers, all at once, after which a request or a part is put in quarantine
+that was never served: a harmless one that so many servers have at a time is popular,
+so it was served before."""
 
 SETTLE_MS = 600
 """Age from which an end of a server counts: by then the daemons that had sent it
@@ -244,40 +252,83 @@
 def _worst_part(table, evidence, now_ms):
     """Return the part that has to be put in quarantine next, and its ends, or None.
 
-    Ends under a part in quarantine are explained by it and count against no other
-    one. Of the parts with enough ends the one served longest ago is chosen, then the
-    one with most ends, then the one that stands last in its prompts, since the first
-    parts are those that most prompts share. Requests come after parts, as a part may
-    come back in other requests.
+    Of the parts with enough ends the one served longest ago is chosen, then the one
+    with most ends, then the one that stands last in its prompts, since the first parts
+    are those that most prompts share. Requests come after parts, as a part may come
+    back in other requests.
     """
-    times, positions = {}, {}
-    for end in evidence.ends.values():
-        explained = any(name in table.rows for name in end.parts)
-        if explained or now_ms - end.at_ms < SETTLE_MS:
-            continue
-        for name, position in end.parts.items():
-            if end.at_ms > evidence.served_ms.get(name, end.at_ms - 1):
-                times.setdefault(name, []).append(end.at_ms)
-                positions[name] = max(position, positions.get(name, position))
     found = []
-    for name, ends_ms in times.items():
-        count = _count_separate(ends_ms)
-        served_ms = evidence.served_ms.get(name)
-        enough = ENDS_OF_NEW_PART if served_ms is None else ENDS_OF_SERVED_PART
-        if count >= enough:
-            last_ms = float("-inf") if served_ms is None else served_ms
-            found.append((last_ms, -count, -positions[name], name))
+    explained = _explained_ends(table, evidence)
+    for name, ends in incriminating_ends(evidence).items():
+        cleared = explained[_is_request(name)]
+        ends = [
+            end
+            for end in ends
+            if now_ms - end.at_ms >= SETTLE_MS and end not in cleared
+        ]
+        count = _count_ends(evidence, name, ends)
+        if count and not _is_request_at_fault(evidence, name, ends):
+            position = max(end.parts[name] for end in ends)
+            last_ms = evidence.served_ms.get(name, float("-inf"))
+            found.append((last_ms, -count, -position, name))
     if not found:
         return None
     _, count, _, name = min(found)
     return name, -count
 
 
-def _count_separate(times_ms):
-    """Return the number of times that are more than `COMMON_CAUSE_MS` apart."""
-    count, last_ms = 0, float("-inf")
-    for at_ms in sorted(times_ms):
-        if at_ms - last_ms > COMMON_CAUSE_MS:
-            count += 1
-            last_ms = at_ms
-    return count
+def _is_request(name):
+    return name.startswith(REQUEST_NAME_PREFIX)
+
+
+def _explained_ends(table, evidence):
+    """Return the ends that what is in quarantine explains, for requests and for parts.
+
+    A request in quarantine may have ended servers because of a part of its prompt, so
+    it does not clear the parts.
+
+    Returns
+    -------
+    dict of bool to set of ServerEnd
+        Ends that count against no further request, and no further part.
+    """
+    for_requests, for_parts = set(), set()
+    for end in evidence.ends.values():
+        causes = table.rows.keys() & end.parts.keys()
+        if causes:
+            for_requests.add(end)
+        if not all(_is_request(name) for name in causes):
+            for_parts.add(end)
+    return {True: for_requests, False: for_parts}
+
+
+def _is_request_at_fault(evidence, name, ends):
+    """Return whether one and the same request is as suspect as a part in all `ends`."""
+    if _is_request(name):
+        return False
+    common = set.intersection(
+        *({n for n in end.parts if _is_request(n)} for end in ends)
+    )
+    served_ms, never = evidence.served_ms, float("-inf")
+    last_ms = served_ms.get(name, never)
+    return any(served_ms.get(other, never) <= last_ms for other in common)
+
+
+def _count_ends(evidence, name, ends):
+    """Return the number of ends to hold against a name, or 0 if they are too few."""
+    is_request, is_served = _is_request(name), name in evidence.served_ms
+    groups = group_ends(ends)
+    if is_request:
+        count = sum(
+            len(group) if is_succession(evidence, name, group) else 1
+            for group in groups
+        )
+    else:
+        # New prompts with a part reach servers at any moment, whatever has ended there.
+        count = len(groups)
+    if is_served:
+        return count if count >= ENDS_OF_SERVED_PART else 0
+    together = ENDS_OF_NEW_REQUEST_TOGETHER if is_request else ENDS_OF_NEW_PART_TOGETHER
+    if len(ends) >= together:
+        return len(ends)
+    return count if count >= ENDS_OF_NEW_PART else 0
