Assume the only version of a stream only in step with the other daemons

Streams begun at v2 through other daemons, which then ended, were taken up there and went on at v1: two versions joined.

Cause: the daemon knew no origin, reached no other daemon, and took the only version in its table for the only one there is. Silence counted as agreement. Evidence: the log says "continue a stream", source "only version", for each.

Change: all members that are asked must have answered, each with the versions that it has seen, and the list of servers must be up to date; else 503, not run. Requests that name no stream ask as well, unless two versions are known.

One test asserted the fault: it let the lookup time out without any answer. Its peer answers now, the same request must be continued; four new tests have no answer, dead peers, an old list, and a version that only another daemon has seen.

--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -172,11 +172,14 @@
     versions : dict of str to tuple of str, or None
         With unknown keys, all versions by service that the sender has seen lately;
         None if it has not run for long enough to know them.
+    recent : dict of str to tuple of str
+        In that case, those that it has seen.
     """
 
     origins: tuple[tuple[int, str, str], ...] = ()
     unknown: tuple[int, ...] = ()
     versions: dict[str, tuple[str, ...]] | None = None
+    recent: dict[str, tuple[str, ...]] = {}
 
 
 class OriginQuery(Struct, frozen=True, array_like=True, tag="oq"):
--- a/bluebellbeam/node/stream_origins.py
+++ b/bluebellbeam/node/stream_origins.py
@@ -51,14 +51,17 @@
         Members that were asked and have not answered.
     started_ms : int
         Time of the queries.
+    is_partial : bool
+        Whether a member was not reached.
     """
 
-    __slots__ = ("requests", "sources", "started_ms")
+    __slots__ = ("requests", "sources", "started_ms", "is_partial")
 
     def __init__(self, request, sources, started_ms):
         self.requests = [request]
         self.sources = sources
         self.started_ms = started_ms
+        self.is_partial = False
 
 
 def is_continued(request):
@@ -98,9 +101,10 @@
     origin : StreamOrigin or None
         None if the origin is not known.
     """
-    if not request.resumes:
-        return True, _assumed_origin(state, request, 0, now_ms)
-    key = stream_key(request.host, request.resumes)
+    if not request.resumes and _has_several_versions(state, request, now_ms):
+        return True, None
+    # Members are asked for the versions that they know if no stream is named.
+    key = stream_key(request.host, request.resumes or f"?{request.request_id}")
     origin = find_origin(state.origins, key, now_ms)
     if origin is not None:
         _log_origin(state, request, origin, "own record", 0)
@@ -112,7 +116,8 @@
     peers = alive_peers(state.members, state.identity.vm)
     sources = choose_sources(key, peers, state.identity)
     if not sources:
-        return True, _assumed_origin(state, request, 0, now_ms)
+        is_alone = not state.members.rows
+        return True, _assumed_origin(state, request, 0, now_ms, is_alone)
     for name in sources:
         send_to_member(state, name, (OriginQuery((key,)),))
     state.origin_lookups[key] = OriginLookup(request, set(sources), now_ms)
@@ -128,11 +133,14 @@
             unknown.append(key)
         else:
             found.append((key, origin.service, origin.version))
-    versions = None
-    if unknown and is_complete(state.versions, now_ms):
+    seen = {}
+    if unknown:
         _record_local_versions(state, now_ms)
-        versions = seen_versions(state.versions)
-    message = StreamOrigins(tuple(found), tuple(unknown), versions)
+        seen = seen_versions(state.versions)
+    versions = seen if unknown and is_complete(state.versions, now_ms) else None
+    message = StreamOrigins(
+        tuple(found), tuple(unknown), versions, seen if versions is None else {}
+    )
     send_to_member(state, sender, (message,))
 
 
@@ -154,6 +162,9 @@
             for request in lookup.requests:
                 _log_origin(state, request, origin, sender, took_ms)
                 ended.append((request, origin))
+    for service, names in message.recent.items():
+        for version in names:
+            record_version(state.versions, service, version, now_ms)
     if message.versions is not None:
         merge_seen_versions(state.versions, message.versions, now_ms)
     for key in message.unknown:
@@ -164,7 +175,8 @@
 def handle_unreachable_source(state, name, now_ms):
     """Stop waiting for a member; return the requests whose lookup has ended."""
     ended = []
-    for key in list(state.origin_lookups):
+    for key, lookup in list(state.origin_lookups.items()):
+        lookup.is_partial = lookup.is_partial or name in lookup.sources
         ended += _drop_source(state, key, name, now_ms)
     return ended
 
@@ -190,19 +202,32 @@
     """End a lookup that found nothing."""
     lookup = state.origin_lookups.pop(key)
     took_ms = now_ms - lookup.started_ms
+    is_informed = not (lookup.is_partial or lookup.sources)
     return [
-        (request, _assumed_origin(state, request, took_ms, now_ms))
+        (request, _assumed_origin(state, request, took_ms, now_ms, is_informed))
         for request in lookup.requests
     ]
 
 
-def _assumed_origin(state, request, took_ms, now_ms):
-    """Return the origin if the service had only one version lately, else None."""
+def _has_several_versions(state, request, now_ms):
+    _record_local_versions(state, now_ms)
+    return len(seen_versions(state.versions).get(request.service, ())) > 1
+
+
+def _assumed_origin(state, request, took_ms, now_ms, is_informed):
+    """Return the origin if the service had only one version lately, else None.
+
+    A daemon whose list of servers is out of date, or that does not reach the others
+    (`is_informed` is False), may have missed a version.
+    """
     _record_local_versions(state, now_ms)
     origin = only_version(state.versions, request.service, now_ms)
-    if origin is not None:
-        _log_origin(state, request, origin, "only version", took_ms)
-    return origin
+    if origin is None:
+        return None
+    is_current = is_informed and not state.is_list_settling(now_ms)
+    source = "only version" if is_current else "none: versions may be missing"
+    _log_origin(state, request, origin, source, took_ms)
+    return origin if is_current else None
 
 
 def _log_origin(state, request, origin, source, took_ms):
--- a/bluebellbeam/node/tests/test_stream_origins.py
+++ b/bluebellbeam/node/tests/test_stream_origins.py
@@ -20,7 +20,8 @@
             "path_prefix": "/s/",
             "resumable": False,
         }
-        self.harness = Harness(base=make_base(routes=[single]))
+        base = make_base(routes=[single], stale_list_ms=3000)
+        self.harness = Harness(base=base)
         self.harness.announce_peer("vm-2", "east")
         self.harness.announce_peer("vm-w", "west")
         self.publish("v1", "v2")
@@ -40,7 +41,8 @@
         )
 
     def deliver(self, sender, message):
-        envelope = Envelope(sender, 5, (message,))
+        incarnation = self.harness.state.members.rows[sender].incarnation
+        envelope = Envelope(sender, incarnation, (message,))
         return self.harness.handle(ev.PeerMessagesReceived(envelope, answer=True))
 
     def queried(self):
@@ -98,15 +100,54 @@
         self.deliver("vm-2", StreamOrigins(unknown=(KEY,)))
         self.assertEqual(self.errors(), [("stream_origin_unknown", "not_run")])
 
-    def test_stream_of_a_service_with_one_version_is_continued_all_the_same(self):
+    def resume_with_one_version(self):
+        """Resume a stream of unknown origin after only v2 was seen for 30 s."""
         self.harness.tick(31_000)
         self.publish("v2")
         self.harness.tick(31_000)
         self.harness.announce_peer("vm-2", "east", incarnation=6)
+        self.harness.commands.clear()
         self.resume()
-        self.harness.tick(LOOKUP_TIMEOUT_MS)
+        self.assertEqual(self.queried(), {"vm-2"})
+
+    def test_stream_of_a_service_with_one_version_is_continued_all_the_same(self):
+        self.resume_with_one_version()
+        self.deliver("vm-2", StreamOrigins(unknown=(KEY,)))
         self.assertEqual(self.started(), ["llm-1"])
 
+    def test_daemon_that_reaches_no_other_does_not_assume_the_only_version(self):
+        for answer in (ev.PeerUnreachable("vm-2"), None):
+            with self.subTest(answer=answer):
+                self.setUp()
+                self.resume_with_one_version()
+                if answer is not None:
+                    self.harness.handle(answer)
+                self.harness.tick(LOOKUP_TIMEOUT_MS)
+                self.assertEqual(self.started(), [])
+                self.assertEqual(self.errors(), [("stream_origin_unknown", "not_run")])
+
+    def test_daemon_whose_others_are_all_dead_does_not_assume_the_only_version(self):
+        self.harness.tick(31_000)
+        self.publish("v2")
+        self.harness.tick(31_000)
+        self.assertTrue(self.harness.state.members.rows)
+        self.resume()
+        self.assertEqual((self.queried(), self.started()), (set(), []))
+        self.assertEqual(self.errors(), [("stream_origin_unknown", "not_run")])
+
+    def test_daemon_whose_list_is_old_does_not_assume_the_only_version(self):
+        self.resume_with_one_version()
+        state = self.harness.state
+        state.source_response_ms = self.harness.now_ms - 3001
+        self.deliver("vm-2", StreamOrigins(unknown=(KEY,)))
+        self.assertEqual(self.errors(), [("stream_origin_unknown", "not_run")])
+
+    def test_version_that_only_another_daemon_has_seen_counts(self):
+        self.resume_with_one_version()
+        message = StreamOrigins(unknown=(KEY,), recent={"llm": ("v3",)})
+        self.deliver("vm-2", message)
+        self.assertEqual(self.errors(), [("stream_origin_unknown", "not_run")])
+
     def test_request_that_names_no_stream_is_refused_with_two_versions(self):
         self.resume(resumes="")
         self.assertEqual(self.queried(), set())
@@ -152,7 +193,9 @@
         self.harness.commands.clear()
         self.deliver("vm-w", OriginQuery((KEY, 7)))
         answer = self.harness.commands[-1]
-        self.assertEqual(answer.messages, (StreamOrigins((row,), (7,)),))
+        seen = {"llm": ("v1", "v2")}
+        expected = StreamOrigins((row,), (7,), recent=seen)
+        self.assertEqual(answer.messages, (expected,))
 
     def test_stream_that_cannot_be_resumed_is_not_reported(self):
         started = self.harness.send_request("/s/x", "first")
