Let an item of the store that cannot be read cost itself only

What callers would see: no change of servers, evacuations or configurations takes effect while one item of a page has an unreadable key or revision.

Cause: pages and events were decoded as a whole. Evidence: the new test fails before with the error of the first item.

Change: items are decoded one by one; those that fail are logged once and ignored.

--- a/bluebellbeam/platform/records.py
+++ b/bluebellbeam/platform/records.py
@@ -77,27 +77,38 @@
 
 
 class _Page(Struct):
-    items: list[_RawItem]
+    items: list[msgspec.Raw]
     # Current revision of the whole store, not of the items on this page.
     revision: int = field(name="storeRevision")
     more: bool = field(default=False, name="hasMore")
 
 
 class _Events(Struct):
-    events: list[_RawItem]
+    events: list[msgspec.Raw]
     revision: int = field(name="storeRevision")
 
 
-def decode_page(raw):
-    """Return the items of a range, the store revision and whether more follow."""
+def decode_page(raw, on_unreadable):
+    """Return the items of a range, the store revision and whether more follow.
+
+    Parameters
+    ----------
+    raw : bytes
+    on_unreadable : callable
+        Called with the `PlatformError` of each item that cannot be read; the others
+        are returned.
+    """
     page = _decode(raw, _Page)
-    return [_item(item) for item in page.items], page.revision, page.more
+    return _items(page.items, on_unreadable), page.revision, page.more
 
 
-def decode_events(raw):
-    """Return the changed items of a watch and the store revision."""
+def decode_events(raw, on_unreadable):
+    """Return the changed items of a watch and the store revision.
+
+    The parameters are those of :func:`decode_page`.
+    """
     found = _decode(raw, _Events)
-    return [_item(item) for item in found.events], found.revision
+    return _items(found.events, on_unreadable), found.revision
 
 
 def _decode(raw, kind):
@@ -107,6 +118,16 @@
         raise PlatformError(f"invalid data in the store: {error}") from error
 
 
+def _items(raws, on_unreadable):
+    found = []
+    for raw in raws:
+        try:
+            found.append(_item(_decode(raw, _RawItem)))
+        except PlatformError as error:
+            on_unreadable(error)
+    return found
+
+
 def _item(raw):
     if raw.removed or raw.value is None:
         return Item(raw.key, raw.revision, None)
--- a/bluebellbeam/platform/store.py
+++ b/bluebellbeam/platform/store.py
@@ -327,7 +327,7 @@
             if era is not None and era != self.era:
                 raise PlatformError(f"restored while it was read, era {self.era}")
             era = self.era
-            page, revision, has_more = decode_page(raw)
+            page, revision, has_more = decode_page(raw, self._log_unreadable)
             first = first or revision
             items.update((item.key, item) for item in page)
             if not has_more or not page:
@@ -360,7 +360,7 @@
         raw = await self.client.get(
             "/kv-watch", query, wait_ms + WATCH_MARGIN_MS, self._check_era
         )
-        events, revision = decode_events(raw)
+        events, revision = decode_events(raw, self._log_unreadable)
         for item in events:
             held = self.items.get(item.key)
             if held is not None and held.revision >= item.revision:
@@ -479,13 +479,23 @@
             self._log_invalid_entry(item, error)
             return None
 
-    def _log_invalid_entry(self, item, error):
-        seen = (item.key, item.revision)
+    def _is_logged(self, seen):
+        """Return whether an entry was logged before, and note that it is."""
         if seen in self.logged_entries:
-            return
+            return True
         if len(self.logged_entries) >= MAX_LOGGED_ENTRIES:
             self.logged_entries.clear()
         self.logged_entries.add(seen)
+        return False
+
+    def _log_unreadable(self, error):
+        if not self._is_logged((str(error), 0)):
+            text = "platform: ignore an item without a key or revision"
+            self.log.warning(text, reason=str(error))
+
+    def _log_invalid_entry(self, item, error):
+        if self._is_logged((item.key, item.revision)):
+            return
         self.log.warning(
             "platform: ignore an invalid entry",
             key=item.key,
--- a/bluebellbeam/platform/tests/test_fuzzed_records.py
+++ b/bluebellbeam/platform/tests/test_fuzzed_records.py
@@ -77,6 +77,9 @@
 class TestFuzzedRecords(unittest.TestCase):
     """Guards against data of others that raises what no reader expects."""
 
+    def setUp(self):
+        self.ignored = []
+
     def check(self, decode, raw):
         try:
             decode(raw)
@@ -107,8 +110,26 @@
         )
     )
     def test_responses_of_the_store(self, raw):
-        self.check(decode_page, raw)
-        self.check(decode_events, raw)
+        for decode in (decode_page, decode_events):
+            self.check(lambda raw, decode=decode: decode(raw, self.ignored.append), raw)
+
+    def test_item_that_cannot_be_read_costs_itself_only(self):
+        sound = {"key": "servers/x", "value": "e30=", "revision": 2}
+        for odd in (
+            '{"key": ["servers/y"], "value": "e30=", "revision": 3}',
+            '{"key": "servers/y", "value": 5, "revision": 3}',
+            '{"key": "servers/y", "value": "e30="}',
+            '{"key": null, "revision": 3}',
+            "7",
+        ):
+            with self.subTest(odd):
+                items = f"[{odd}, {json.dumps(sound)}]"
+                for name, decode in (("items", decode_page), ("events", decode_events)):
+                    raw = f'{{"{name}": {items}, "storeRevision": 9}}'.encode()
+                    found = decode(raw, self.ignored.append)
+                    self.assertEqual([item.key for item in found[0]], ["servers/x"])
+                self.assertEqual(len(self.ignored), 2)
+                self.ignored.clear()
 
     @settings(max_examples=200, derandomize=True, deadline=None)
     @given(raw_bytes({"vm": "a", "store": {"domains": DOMAINS}, "seed_peers": ["x"]}))
