Read nested JSON from callers and servers as malformed, not as an exception

What callers saw: 500 instead of 400 for a body with 5,000 nested lists; an unexpected exception for such an error or event of a server.

--- a/bluebellbeam/daemon/upstream.py
+++ b/bluebellbeam/daemon/upstream.py
@@ -23,6 +23,7 @@
 from bluebellbeam.node.errors import ERRORS, make_error
 from bluebellbeam.operations import MAX_RECORDED_RESPONSE_BYTES
 from bluebellbeam.provider.records import parse_load_header
+from bluebellbeam.utils.decoding import decode_json
 from bluebellbeam.utils.http_body import read_body
 
 __all__ = ["RecordedResponse", "run_attempt"]
@@ -309,7 +310,7 @@
 
 
 def _event_text(raw):
-    choices = _EVENT_DECODER.decode(raw).choices
+    choices = decode_json(raw, _EVENT_DECODER).choices
     if not choices:
         return ""
     first = choices[0]
@@ -411,7 +412,7 @@
             return
         if command.request.service:
             raw = await read_body(response, MAX_FORWARDED_BODY_BYTES)
-            found = msgspec.json.decode(raw, type=ForwardResponse)
+            found = decode_json(raw, ForwardResponse)
             await _finish_service(
                 driver,
                 command,
--- a/bluebellbeam/daemon/wire.py
+++ b/bluebellbeam/daemon/wire.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from bluebellbeam.node.errors import CallerError
+from bluebellbeam.utils.decoding import decode_json
 
 __all__ = [
     "ChatBody",
@@ -129,7 +130,7 @@
     msgspec.DecodeError
         If `raw` is not a valid completion request.
     """
-    body = msgspec.json.decode(raw, type=ChatBody)
+    body = decode_json(raw, ChatBody)
     if body.messages is None and body.prompt is None:
         raise msgspec.ValidationError("Object missing `messages` or `prompt`")
     limit = body.expected_output_tokens()
@@ -184,7 +185,7 @@
 def decode_error(raw, status):
     """Return the :class:`CallerError` in an error response, or None."""
     try:
-        body = msgspec.json.decode(raw, type=_ErrorDocument).error
+        body = decode_json(raw, _ErrorDocument).error
     except msgspec.DecodeError:
         return None
     return CallerError(
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -9,6 +9,7 @@
 from bluebellbeam.feeds.feed import Delta, Snapshot
 from bluebellbeam.membership.table import StatusUpdate
 from bluebellbeam.provider.records import VmRecord
+from bluebellbeam.utils.decoding import decode_json
 
 __all__ = [
     "Announce",
@@ -422,7 +423,4 @@
     msgspec.DecodeError
         If `raw` is not a valid envelope.
     """
-    try:
-        return _DECODER.decode(raw)
-    except RecursionError as error:
-        raise msgspec.DecodeError("nested too deeply") from error
+    return decode_json(raw, _DECODER)
--- a/bluebellbeam/node/tests/test_message.py
+++ b/bluebellbeam/node/tests/test_message.py
@@ -38,5 +38,11 @@
     @settings(derandomize=True, max_examples=300, deadline=None)
     @given(st.binary(max_size=200))
     def test_invalid_bytes_raise_a_decode_error(self, raw):
-        with self.assertRaises((msgspec.DecodeError, UnicodeDecodeError)):
+        with self.assertRaises(msgspec.DecodeError):
             decode_envelope(raw)
+
+    def test_deeply_nested_message_raises_a_decode_error(self):
+        nested = "[" * 5000 + "]" * 5000
+        raw = f'{{"sender": "a", "incarnation": 1, "messages": [], "other": {nested}}}'
+        with self.assertRaises(msgspec.DecodeError):
+            decode_envelope(raw.encode())
