Refuse calls that may not end within the grace period of a planned stop

Cause: admission, queue and retries never compared how long calls take with the time left; only streams were refused. Evidence: what is cut off was sent in the last 150 ms, as long as these calls take.

Change: after the linger time a call is refused as not run if the longest of its route lately, and a half more, exceeds the time left; also when it leaves the queue and when it is retried. Unknown times: the time limit of unsafe calls, the objective of safe ones. Calls sent before the end of the linger time are served as before.

Five tests of test_shutdown and the new one of TestStopUnderLoad fail before.

--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -19,7 +19,7 @@
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.message import Envelope, decode_envelope, encode_envelope
-from bluebellbeam.node.shutdown import SHUTDOWN_RETRY_AFTER_MS
+from bluebellbeam.node.retry_after import SHUTDOWN_RETRY_AFTER_MS
 from bluebellbeam.provider.records import CacheEvents
 from bluebellbeam.utils.clock import monotonic_clock, wall_clock
 from bluebellbeam.utils.decoding import decode_json
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -30,6 +30,7 @@
     record_lost_request,
     record_refused_connection,
 )
+from bluebellbeam.node.request_times import record_request_time
 from bluebellbeam.node.retries import REFUSED_RETRY_AFTER_MS, add_sends, consume_retry
 from bluebellbeam.node.server_checks import apply_response_load
 from bluebellbeam.node.stream_origins import tell_origin
@@ -176,6 +177,7 @@
         if event.output_tokens:
             record_stream_end(row, event.output_tokens, request.max_output_tokens)
     end_attempt(state, attempt, now_ms, completed=True)
+    record_request_time(state, request, now_ms)
     if row is not None and event.load is not None:
         apply_response_load(state, row, event.load, now_ms)
     end_request(state, request)
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -23,6 +23,8 @@
 from bluebellbeam.node.quotas import refund_quota
 from bluebellbeam.node.reachability import has_lost_servers
 from bluebellbeam.node.request import Attempt
+from bluebellbeam.node.request_times import may_be_cut_off
+from bluebellbeam.node.retry_after import SHUTDOWN_RETRY_AFTER_MS
 from bluebellbeam.node.server_checks import check_unconfirmed
 from bluebellbeam.node.server_limits import record_restricted_servers
 from bluebellbeam.node.targets import may_be_passed
@@ -112,6 +114,11 @@
                 state, request, queue_timeout_error(state, request, now_ms), now_ms
             )
             return True
+        if _may_be_sent_too_late(state, request, now_ms):
+            remove_request(queue, request)
+            error = make_error("leaving", retry_after_ms=SHUTDOWN_RETRY_AFTER_MS)
+            fail_request(state, request, error, now_ms)
+            return True
         full = request.priority in blocked
         if (
             full
@@ -130,6 +137,15 @@
     return False
 
 
+def _may_be_sent_too_late(state, request, now_ms):
+    """Return whether a call would be cut off by the exit of this process.
+
+    A stream that was admitted is sent all the same: it may be resumed elsewhere.
+    """
+    is_call = request.route is not None and request.route.kind != "stream"
+    return is_call and may_be_cut_off(state, request, now_ms)
+
+
 def queue_timeout_error(state, request, now_ms):
     """Return the error of a request whose deadline passed in the queue."""
     if request.response_started or request.emitted_tokens:
--- a/bluebellbeam/node/retry_after.py
+++ b/bluebellbeam/node/retry_after.py
@@ -7,6 +7,7 @@
 """
 
 __all__ = [
+    "SHUTDOWN_RETRY_AFTER_MS",
     "RefusalTable",
     "make_refusal_table",
     "record_refusal",
@@ -30,6 +31,10 @@
 MAX_START_RETRY_AFTER_MS = 2000
 """Longest Retry-After time of a daemon that starts."""
 
+SHUTDOWN_RETRY_AFTER_MS = 100
+"""Delay for a caller that a leaving daemon rejects; short, since another daemon can
+serve the request at once."""
+
 START_MS = 5000
 """Time after its start by which a daemon knows the members and servers that it can
 reach; until then, that it knows none does not last."""
--- a/bluebellbeam/node/shutdown.py
+++ b/bluebellbeam/node/shutdown.py
@@ -9,19 +9,15 @@
 from bluebellbeam.node.dispatch import fail_request
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.gossip import announce_leaving
-from bluebellbeam.routing import match_route
+from bluebellbeam.node.request_times import may_be_cut_off
+from bluebellbeam.node.retry_after import SHUTDOWN_RETRY_AFTER_MS
 
 __all__ = [
-    "SHUTDOWN_RETRY_AFTER_MS",
     "begin_shutdown",
     "shutdown_error",
     "tick_shutdown",
 ]
 
-SHUTDOWN_RETRY_AFTER_MS = 100
-"""Retry delay recommended to a rejected caller; short, since another daemon can serve
-the request at once."""
-
 
 def begin_shutdown(state, now_ms):
     """Become unready and announce the shutdown; requests in flight continue."""
@@ -71,26 +67,7 @@
 
 
 def shutdown_error(state, request, now_ms):
-    """Return the error for a request that the process exit may interrupt.
-
-    Short calls are served until the process exits. The duration of a stream is
-    not known in advance, so one that arrives after the policy's `leave_linger_ms`
-    is refused.
-
-    Parameters
-    ----------
-    state : NodeState
-    request : Request
-        Its route is not resolved yet.
-    now_ms : int
-
-    Returns
-    -------
-    CallerError or None
-    """
-    if now_ms - state.leaving_ms < state.policy.leave_linger_ms:
-        return None
-    route = match_route(state.config.routes, request.host, request.path)
-    if route is None or route.kind != "stream":
+    """Return the error for a request that the process exit may interrupt, else None."""
+    if not may_be_cut_off(state, request, now_ms):
         return None
     return make_error("leaving", retry_after_ms=SHUTDOWN_RETRY_AFTER_MS)
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -341,6 +341,8 @@
         Time at which the servers of each pool were last compared.
     pool_service_ms : dict of str to float
         Moving average of the time a request holds a slot, by pool.
+    route_times : dict of str to RouteTimes
+        Longest recent requests by route.
     part_cache : PartCache
         Checked parts of the active configuration, reused for the next one.
     rng : random.Random
@@ -411,6 +413,7 @@
         "order_sent_ms",
         "subset_key",
         "pool_service_ms",
+        "route_times",
         "trials",
         "common_parts",
         "slowness_ms",
@@ -500,6 +503,7 @@
         self.order_sent_ms = {}
         self.subset_key = None
         self.pool_service_ms = {}
+        self.route_times = {}
         self.trials = {}
         self.common_parts = {}
         self.slowness_ms = 0
--- a/bluebellbeam/platform/tests/test_stop_under_load.py
+++ b/bluebellbeam/platform/tests/test_stop_under_load.py
@@ -23,11 +23,11 @@
 """Statuses of responses, each with the number of runs that it permits."""
 
 
-def shorten_stop(deployment):
+def shorten_stop(deployment, grace_ms=900):
     """Stop after 0.2 to 0.9 s, so that the grace period ends within requests."""
     policy = deployment.state().policy
     msgspec.structs.force_setattr(policy, "leave_linger_ms", 200)
-    msgspec.structs.force_setattr(policy, "leave_grace_ms", 900)
+    msgspec.structs.force_setattr(policy, "leave_grace_ms", grace_ms)
 
 
 class BytesRead:
@@ -55,8 +55,12 @@
     results : list of (str, int or None, int)
         Id of each request, status of its complete response or None, and number of its
         bytes that were read by the daemon if there was no response.
+    paths : tuple of str
+        Paths of its requests, one of which is drawn for each.
     """
 
+    paths = ("/unsafe/1", "/safe/1", "/audit/1")
+
     def __init__(self, deployment, address, name, rng, read):
         self.deployment = deployment
         self.host, _, self.port = address.rpartition(":")
@@ -81,7 +85,7 @@
         sent_bytes = 0
         while True:
             key = f"{self.name}-{len(self.results)}"
-            path = self.rng.choice(("/unsafe/1", "/safe/1", "/audit/1"))
+            path = self.rng.choice(self.paths)
             raw = (
                 f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {key}\r\n"
                 "X-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nbody"
@@ -124,12 +128,37 @@
             with self.subTest(seed=seed):
                 self.run_with(lambda deployment, seed=seed: self.stop(deployment, seed))
 
+    def test_short_calls_in_calm_are_answered_or_refused_as_not_run(self):
+        async def step(deployment):
+            for replica in deployment.replicas.values():
+                replica.response_delay_ms = 80
+            found = await self.call_during_stop(
+                deployment, 7, 1500, ("/unsafe/1", "/safe/1")
+            )
+            for key, status, _ in found:
+                if status is not None:
+                    runs = len(deployment.runs(key))
+                    self.assertIn((status, runs), ((200, 1), (503, 0)), key)
+
+        self.run_with(step)
+
     async def stop(self, deployment, seed):
         rng = random.Random(seed)
         for replica in deployment.replicas.values():
             replica.response_delay_ms = rng.choice((1, 20, 100))
             replica.pause_ms = rng.choice((0, 20))
-        shorten_stop(deployment)
+        results = await self.call_during_stop(deployment, seed, 900, Caller.paths)
+        for key, status, read_bytes in results:
+            runs = len(deployment.runs(key))
+            if status is None:
+                self.assertEqual((key, read_bytes, runs), (key, 0, 0))
+            else:
+                self.assertIn((status, runs), CONSISTENT, key)
+
+    async def call_during_stop(self, deployment, seed, grace_ms, paths):
+        """Stop a daemon under load; return the results of all callers."""
+        rng = random.Random(seed)
+        shorten_stop(deployment, grace_ms)
         daemon = deployment.daemons["hall-e"]
         read = BytesRead()
         address = daemon.address("callers")
@@ -137,6 +166,8 @@
             Caller(deployment, address, f"c{i}", random.Random(seed * 100 + i), read)
             for i in range(CALLERS)
         ]
+        for caller in callers:
+            caller.paths = paths
         with read.patch():
             idle = await asyncio.open_connection(*address.rsplit(":", 1))
             tasks = [asyncio.create_task(caller.run()) for caller in callers]
@@ -151,12 +182,7 @@
         idle[1].close()
         results = [result for caller in callers for result in caller.results]
         self.assertGreater(len(results), CALLERS)
-        for key, status, read_bytes in results:
-            runs = len(deployment.runs(key))
-            if status is None:
-                self.assertEqual((key, read_bytes, runs), (key, 0, 0))
-            else:
-                self.assertIn((status, runs), CONSISTENT, key)
+        return results
 
     def test_end_of_the_grace_period_is_reported_to_waiting_callers(self):
         async def step(deployment):
