Continue no stream by an old list of servers

What callers saw: while the store was down, a server ended and started again under its id at another version; streams of the old version went on there.

Cause: the version in the entry was taken for that of the process, however old the list. Evidence: the log names v1 for the server; no daemon had any contact with it while it was away, so only the age of the list can tell.

Change: while the list is out of date, and until servers have written their entries again, no stream continues at another server, and one that begins has no known version. Two of three new tests fail before.

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -45,6 +45,7 @@
     update_pace,
 )
 from bluebellbeam.routing import (
+    UNKNOWN_VERSION,
     StreamOrigin,
     record_full,
     record_response,
@@ -147,7 +148,10 @@
     if request.route is None or request.route.kind != "stream":
         return
     if request.stream_origin is None:
-        own = StreamOrigin(request.service, attempt.server_version)
+        version = attempt.server_version
+        if state.is_list_settling(now_ms):
+            version = UNKNOWN_VERSION
+        own = StreamOrigin(request.service, version)
         request.stream_origin = origin or own
     tell_origin(state, request, now_ms)
 
--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -86,6 +86,7 @@
     settling = state.is_list_settling(now_ms)
     _check_overdue_servers(state, now_ms)
     for row in state.replicas.rows.values():
+        row.is_version_doubtful = settling
         age_peer_load(state.replicas, row, state.queue_slack, now_ms)
         if row.paused_until_ms:
             if now_ms < row.paused_until_ms:
--- a/bluebellbeam/node/tests/test_stream_origins.py
+++ b/bluebellbeam/node/tests/test_stream_origins.py
@@ -7,6 +7,7 @@
 from bluebellbeam.node.stream_origins import LOOKUP_TIMEOUT_MS
 from bluebellbeam.node.tests.harness import Harness, make_base, server
 from bluebellbeam.origins import stream_key
+from bluebellbeam.routing import UNKNOWN_VERSION
 
 KEY = stream_key("a.example:80", "first")
 
@@ -204,6 +205,63 @@
         self.assertEqual(self.told(), {})
 
 
+class TestVersionsOfAnOldList(StreamOriginCase):
+    """Guards against a server that has started again at another version."""
+
+    def begin(self):
+        """Begin a stream; return its attempt and what its holders are told."""
+        started = self.harness.send_request("/c/x", "first")
+        attempt = next(c for c in started if isinstance(c, cmd.StartAttempt))
+        self.harness.commands.clear()
+        self.harness.handle(ev.AttemptStarted(attempt.attempt_id))
+        told = [
+            origin
+            for command in self.harness.commands
+            if isinstance(command, cmd.SendToPeer)
+            for message in command.messages
+            if isinstance(message, StreamOrigins)
+            for origin in message.origins
+        ]
+        return attempt, {version for _, _, version in told}
+
+    def age_list(self, age_ms):
+        self.harness.state.source_response_ms = self.harness.now_ms - age_ms
+        self.harness.tick()
+
+    def continued_at(self, attempt):
+        """Return the servers at which a stream goes on after a break."""
+        commands = self.harness.handle(
+            ev.AttemptFailed(attempt.attempt_id, True, emitted_tokens=2)
+        )
+        return [c.server for c in commands if isinstance(c, cmd.StartAttempt)]
+
+    def test_stream_does_not_go_on_while_the_list_is_out_of_date(self):
+        self.publish("v1", "v1")
+        attempt, told = self.begin()
+        self.assertEqual(told, {"v1"})
+        self.age_list(3001)
+        self.assertEqual(self.continued_at(attempt), [])
+
+    def test_stream_that_begins_while_the_list_is_out_of_date_has_no_version(self):
+        self.publish("v1", "v1")
+        self.age_list(3001)
+        attempt, told = self.begin()
+        self.assertEqual(told, {UNKNOWN_VERSION})
+        self.age_list(0)
+        self.harness.tick(3000)
+        self.assertEqual(self.continued_at(attempt), [])
+
+    def test_stream_goes_on_when_the_list_is_up_to_date_again(self):
+        self.publish("v1", "v1")
+        attempt, _ = self.begin()
+        self.age_list(3001)
+        self.age_list(0)
+        self.harness.tick(1500)
+        self.age_list(0)
+        self.harness.tick(1500)
+        self.assertEqual(len(self.continued_at(attempt)), 1)
+
+
 class TestQueueBehindAResumedStream(StreamOriginCase):
     def test_request_that_waits_for_one_version_does_not_hold_up_others(self):
         self.deliver("vm-2", StreamOrigins(((KEY, "llm", "v2"),)))
--- a/bluebellbeam/routing/__init__.py
+++ b/bluebellbeam/routing/__init__.py
@@ -68,10 +68,15 @@
     spend_limit,
 )
 from bluebellbeam.routing.shared_machines import has_shared_machines
-from bluebellbeam.routing.stream_origin import StreamOrigin, may_continue_at
+from bluebellbeam.routing.stream_origin import (
+    UNKNOWN_VERSION,
+    StreamOrigin,
+    may_continue_at,
+)
 from bluebellbeam.routing.warmup import is_cold, needs_check, record_send
 
 __all__ = [
+    "UNKNOWN_VERSION",
     "BrittleService",
     "is_brittle",
     "merge_brittle",
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -56,6 +56,8 @@
         Service of a plain backend server; empty for an engine.
     version : str
         Version of its software; empty if the server list does not give it.
+    is_version_doubtful : bool
+        Whether the server may have started again since its entry was read.
     fenced, guarded : bool
         As in :class:`VmRecord`.
     slots, running, waiting, waiting_tokens : int
@@ -163,6 +165,7 @@
         "role",
         "service",
         "version",
+        "is_version_doubtful",
         "fenced",
         "guarded",
         "listed",
@@ -219,6 +222,7 @@
         self.role = record.role
         self.service = record.service
         self.version = record.version
+        self.is_version_doubtful = False
         self.fenced = record.fenced
         self.guarded = record.guarded
         self.listed = record.slots > 0 and record.guarded
--- a/bluebellbeam/routing/stream_origin.py
+++ b/bluebellbeam/routing/stream_origin.py
@@ -6,7 +6,10 @@
 
 from msgspec import Struct
 
-__all__ = ["StreamOrigin", "may_continue_at"]
+__all__ = ["UNKNOWN_VERSION", "StreamOrigin", "may_continue_at"]
+
+UNKNOWN_VERSION = "?"
+"""Version of a server that may have started again since its entry was read."""
 
 
 class StreamOrigin(Struct, frozen=True):
@@ -17,7 +20,7 @@
     service : str
     version : str
         Software version of the server that wrote its first event; empty if the
-        provider lists no versions.
+        provider lists no versions, `UNKNOWN_VERSION` if that of the list was in doubt.
     """
 
     service: str
@@ -30,5 +33,7 @@
     Any stream that has not begun yet, with `origin` None, may.
     """
     return origin is None or (
-        replica.service == origin.service and replica.version == origin.version
+        replica.service == origin.service
+        and replica.version == origin.version
+        and not replica.is_version_doubtful
     )
