--- a/bluebellbeam/node/tests/test_ends_in_succession.py
+++ b/bluebellbeam/node/tests/test_ends_in_succession.py
@@ -1,3 +1,4 @@
+import os
 import unittest
 
 from bluebellbeam.node import command as cmd
@@ -9,7 +10,12 @@
 from bluebellbeam.node.tests.harness import server as make_server
 from bluebellbeam.node.tests.limited_region import LimitedServer
 
-SEEDS = range(1, 7)
+FIRST_SEED, LAST_SEED = map(
+    int, os.environ.get("BLUEBELLBEAM_BURST_SEEDS", "1-6").split("-")
+)
+SEEDS = range(FIRST_SEED, LAST_SEED + 1)
+"""Seeds of the regions; others by hand."""
+
 MAX_LATE_ARRIVALS = 3
 ROUND_MS = 6000
 ROUNDS = 4
