Keep versions that other daemons name for one lookup only

Read again: a version that a member names beside an unknown origin was recorded as seen now. Daemons that answer each other would keep a version alive that has left, so streams of unknown origin would be refused for ever.

The versions count for the lookup that asked. The new test fails before: v1, 31 s gone, was in the table again.

--- a/bluebellbeam/node/stream_origins.py
+++ b/bluebellbeam/node/stream_origins.py
@@ -53,15 +53,18 @@
         Time of the queries.
     is_partial : bool
         Whether a member was not reached.
+    told : dict of str to set of str
+        Versions by service that members have named which have not watched for long.
     """
 
-    __slots__ = ("requests", "sources", "started_ms", "is_partial")
+    __slots__ = ("requests", "sources", "started_ms", "is_partial", "told")
 
     def __init__(self, request, sources, started_ms):
         self.requests = [request]
         self.sources = sources
         self.started_ms = started_ms
         self.is_partial = False
+        self.told = {}
 
 
 def is_continued(request):
@@ -162,16 +165,26 @@
             for request in lookup.requests:
                 _log_origin(state, request, origin, sender, took_ms)
                 ended.append((request, origin))
-    for service, names in message.recent.items():
-        for version in names:
-            record_version(state.versions, service, version, now_ms)
     if message.versions is not None:
         merge_seen_versions(state.versions, message.versions, now_ms)
     for key in message.unknown:
+        _note_versions(state, key, message.recent)
         ended += _drop_source(state, key, sender, now_ms)
     return ended
 
 
+def _note_versions(state, key, versions):
+    """Note the versions that a member has seen for one lookup.
+
+    They are not recorded: daemons that repeat each other's versions would keep those
+    alive that have left.
+    """
+    lookup = state.origin_lookups.get(key)
+    if lookup is not None:
+        for service, names in versions.items():
+            lookup.told.setdefault(service, set()).update(names)
+
+
 def handle_unreachable_source(state, name, now_ms):
     """Stop waiting for a member; return the requests whose lookup has ended."""
     ended = []
@@ -204,7 +217,17 @@
     took_ms = now_ms - lookup.started_ms
     is_informed = not (lookup.is_partial or lookup.sources)
     return [
-        (request, _assumed_origin(state, request, took_ms, now_ms, is_informed))
+        (
+            request,
+            _assumed_origin(
+                state,
+                request,
+                took_ms,
+                now_ms,
+                is_informed,
+                lookup.told.get(request.service, ()),
+            ),
+        )
         for request in lookup.requests
     ]
 
@@ -214,16 +237,18 @@
     return len(seen_versions(state.versions).get(request.service, ())) > 1
 
 
-def _assumed_origin(state, request, took_ms, now_ms, is_informed):
+def _assumed_origin(state, request, took_ms, now_ms, is_informed, told=()):
     """Return the origin if the service had only one version lately, else None.
 
     A daemon whose list of servers is out of date, or that does not reach the others
-    (`is_informed` is False), may have missed a version.
+    (`is_informed` is False), may have missed a version. Those that others have `told`
+    count as well.
     """
     _record_local_versions(state, now_ms)
     origin = only_version(state.versions, request.service, now_ms)
     if origin is None:
         return None
+    is_informed = is_informed and not set(told) - {origin.version}
     is_current = is_informed and not state.is_list_settling(now_ms)
     source = "only version" if is_current else "none: versions may be missing"
     _log_origin(state, request, origin, source, took_ms)
--- a/bluebellbeam/node/tests/test_stream_origins.py
+++ b/bluebellbeam/node/tests/test_stream_origins.py
@@ -143,6 +143,14 @@
         self.deliver("vm-2", StreamOrigins(unknown=(KEY,)))
         self.assertEqual(self.errors(), [("stream_origin_unknown", "not_run")])
 
+    def test_version_that_another_daemon_names_is_not_kept_alive(self):
+        self.resume_with_one_version()
+        message = StreamOrigins(unknown=(KEY,), recent={"llm": ("v1",)})
+        self.deliver("vm-2", message)
+        self.assertEqual(self.errors(), [("stream_origin_unknown", "not_run")])
+        seen = self.harness.state.versions.seen_ms
+        self.assertEqual(set(seen["llm"]), {"v2"})
+
     def test_version_that_only_another_daemon_has_seen_counts(self):
         self.resume_with_one_version()
         message = StreamOrigins(unknown=(KEY,), recent={"llm": ("v3",)})
