Say in the log why a forward goes to its peer, and whether a server is usable

A forward without an offer could not be told from one with an offer, nor a refusal of a daemon with servers from one without. Log fields offered_slots, running_there, refused_lately and usable_servers. The metrics process_open_fds and process_max_fds, by the collector of prometheus_client, tell a lack of descriptors. No decision changes.

--- a/bluebellbeam/daemon/metrics.py
+++ b/bluebellbeam/daemon/metrics.py
@@ -307,10 +307,16 @@
 
     def render(self):
         """Return the metrics in Prometheus' text format."""
-        from prometheus_client import CollectorRegistry, generate_latest
+        from prometheus_client import (
+            CollectorRegistry,
+            ProcessCollector,
+            generate_latest,
+        )
 
         if self._registry is None:
             self._registry = CollectorRegistry()
+            # Its process_open_fds and process_max_fds tell a lack of descriptors.
+            ProcessCollector(registry=self._registry)
             self._registry.register(self._collector)
             self._registry.register(self.first_token_seconds)
             self._registry.register(self.listeners)
--- a/bluebellbeam/daemon/tests/test_metrics.py
+++ b/bluebellbeam/daemon/tests/test_metrics.py
@@ -3,7 +3,12 @@
 
 from prometheus_client import CollectorRegistry, Histogram, generate_latest
 
-from bluebellbeam.daemon.metrics import LATENCY_BUCKETS_S, LatencyHistogram, _feeds
+from bluebellbeam.daemon.metrics import (
+    LATENCY_BUCKETS_S,
+    LatencyHistogram,
+    _feeds,
+    make_metrics,
+)
 from bluebellbeam.node.tests.harness import Harness
 from bluebellbeam.utils.clock import manual_clock
 
@@ -52,5 +57,19 @@
         self.assertNotIn(("bluebellbeam_feed_read_age_ms", "backends/east"), found)
 
 
+class TestProcessMetrics(unittest.TestCase):
+    def test_open_and_permitted_descriptors_are_exported(self):
+        driver = SimpleNamespace(
+            node=Harness().node,
+            clock=manual_clock(),
+            peer_bytes_sent=0,
+            peer_bytes_received=0,
+            max_tick_delay_ms=0,
+        )
+        text = make_metrics(driver).render().decode()
+        for name in ("process_open_fds", "process_max_fds"):
+            self.assertIn(f"\n{name} ", text)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/bluebellbeam/node/arrivals.py
+++ b/bluebellbeam/node/arrivals.py
@@ -26,7 +26,7 @@
 )
 from bluebellbeam.node.queue_rates import record_queue_arrival
 from bluebellbeam.node.quotas import charge_quota, quota_limit, refund_quota
-from bluebellbeam.node.reachability import has_lost_servers
+from bluebellbeam.node.reachability import count_usable_servers, has_lost_servers
 from bluebellbeam.node.regional_load import record_routed_demand
 from bluebellbeam.node.request_quarantine import check_quarantine
 from bluebellbeam.node.retry_after import START_MS, start_retry_after_ms
@@ -218,11 +218,13 @@
     request.state = "ended"
     state.requests.pop(request.request_id, None)
     refund_quota(state, request, now_ms)
-    restricted = record_restricted_servers(state, request, now_ms)
+    fields = record_restricted_servers(state, request, now_ms)
+    if request.route is not None:
+        fields["usable_servers"] = count_usable_servers(state, request)
     errors = state.counters.errors
     errors[error.code] = errors.get(error.code, 0) + 1
     if error.code == "unknown_key":
-        restricted |= record_rejected_key(state, request)
+        fields |= record_rejected_key(state, request)
     state.record_decision(
         request.request_id, ("error", now_ms, error.code, error.outcome)
     )
@@ -232,7 +234,7 @@
         outcome=error.outcome,
         retry_after_ms=error.retry_after_ms,
         pool=request.pool,
-        **restricted,
+        **fields,
     )
     state.emit(SendErrorResponse(request.request_id, error))
 
--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -16,6 +16,7 @@
     choose_faster_peer,
     choose_forward_peer,
     choose_offload_peer,
+    describe_choice,
 )
 from bluebellbeam.node.lending import may_run_locally, remote_score
 from bluebellbeam.node.load_exchange import announce_long_prompt
@@ -228,6 +229,7 @@
         fail_request(state, request, make_error("servers_unreachable"), now_ms)
         return True, False
     if member is not None:
+        choice = describe_choice(state, request, member, now_ms)
         pop_request(queue, request)
         attempt = _new_attempt(state, request, now_ms)
         _send_to_peer(state, attempt, member)
@@ -238,6 +240,7 @@
             region=member.region,
             heard_age_ms=now_ms - member.heard_ms,
             waited_ms=now_ms - request.arrival_ms,
+            **choice,
             **record_restricted_servers(state, request, now_ms),
         )
         state.record_decision(
--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -11,6 +11,7 @@
     "choose_faster_peer",
     "choose_forward_peer",
     "choose_offload_peer",
+    "describe_choice",
     "exclude_region",
     "expected_forward_start_ms",
     "forward_targets",
@@ -266,6 +267,24 @@
     return min(peers, key=lambda row: _peer_sort_key(state, row, offers, delays))
 
 
+def describe_choice(state, request, member, now_ms):
+    """Return the log fields that say why a request is forwarded to `member`.
+
+    Called before the request is counted as in flight there. The fields are the free
+    slots that it has offered, or None; the requests of this daemon in flight there; and
+    how many of the daemons that may get the request have refused one lately.
+    """
+    offer = _usable_offers_by_lender(state, request, now_ms).get(member.name)
+    targets = forward_targets(state, request)
+    return {
+        "offered_slots": offer.spare if offer is not None else None,
+        "running_there": _count_running(state, member.name),
+        "refused_lately": sum(
+            _has_refused(state, request, row, now_ms) for row in targets
+        ),
+    }
+
+
 def _is_served_locally(state, request):
     """Return whether this daemon can expect to send a request to a server."""
     return (
@@ -319,6 +338,11 @@
     """
     offer = offers.get(row.name)
     wait_ms = offer.wait_ms if offer is not None else 0.0
-    running = sum(1 for item in state.attempts.values() if item.peer == row.name)
+    running = _count_running(state, row.name)
     delay_ms = round(delays.get(row.region, 0.0) + wait_ms, -1)
     return (delay_ms, running, state.rng.random(), row.name)
+
+
+def _count_running(state, name):
+    """Return how many requests of this daemon are in flight at peer `name`."""
+    return sum(1 for item in state.attempts.values() if item.peer == name)
--- a/bluebellbeam/node/reachability.py
+++ b/bluebellbeam/node/reachability.py
@@ -8,6 +8,7 @@
 from bluebellbeam.routing import may_continue_at, record_miss
 
 __all__ = [
+    "count_usable_servers",
     "has_lost_servers",
     "has_room_at_lost_servers",
     "record_failed_connection",
@@ -34,6 +35,14 @@
     return found
 
 
+def count_usable_servers(state, request):
+    """Return how many servers of this region are reached and may serve a request."""
+    return sum(
+        row.identified and not row.unproven and _may_serve(state, row, request)
+        for row in state.replicas.rows.values()
+    )
+
+
 def has_room_at_lost_servers(state, request):
     """Return whether a server that this daemon does not reach has a free slot.
 
--- a/bluebellbeam/node/tests/test_lost_servers.py
+++ b/bluebellbeam/node/tests/test_lost_servers.py
@@ -74,6 +74,47 @@
         self.assertEqual(started_attempts(self.forward())[0].server, "s2")
 
 
+class TestLogOfForwards(unittest.TestCase):
+    def test_a_refusal_says_how_many_servers_may_be_used(self):
+        harness = Harness()
+        harness.publish_servers(server("s1"), server("s2"))
+        lose_servers(harness, "s1")
+        harness.commands.clear()
+        harness.send_request("/nowhere/x")
+        harness.publish_servers(server("s1"), evacuated=("dom-e",))
+        harness.send_request("/p/x", request_id="r2")
+        found = [
+            c.fields.get("usable_servers")
+            for c in harness.commands
+            if isinstance(c, cmd.Log) and c.sentence.startswith("refuse: ")
+        ]
+        self.assertEqual(found, [None, 0])
+
+    def test_it_says_why_a_daemon_was_chosen(self):
+        harness = Harness()
+        harness.publish_servers(server("s1"))
+        harness.announce_peer("w1", others=("w2",))
+        lose_servers(harness, "s1")
+        attempts = [
+            started_attempts(harness.send_request(request_id=key))[0]
+            for key in ("a1", "a2")
+        ]
+        error = make_error("deadline_unreachable", retry_after_ms=700)
+        harness.handle(ev.AttemptRefused(attempts[0].attempt_id, error, sends=0))
+        harness.handle(ev.CapacityOfferReceived(attempts[1].peer, "s/portal", 3.0, 5.0))
+        harness.commands.clear()
+        chosen = started_attempts(harness.send_request(request_id="a3"))[0]
+        self.assertEqual(chosen.peer, attempts[1].peer)
+        text = "forward to a peer"
+        lines = [
+            c
+            for c in harness.commands
+            if isinstance(c, cmd.Log) and c.sentence == text and c.request_id == "a3"
+        ]
+        names = ("offered_slots", "running_there", "refused_lately")
+        self.assertEqual([lines[0].fields[name] for name in names], [3.0, 2, 1])
+
+
 class TestServerListedWhileNoneIsReached(unittest.TestCase):
     def setUp(self):
         self.harness = Harness()
