Spread requests of a daemon without servers over all lenders that are short

Callers saw: at daemons that reach no server, first tries were served less often than at those that forward nothing, while all regions were short of room.

Cause: any refusal of a forward, also one for want of room after a wait, kept a lender from getting further ones for a second. When all lenders are short, the requests of a cut daemon all went to the few that had refused none lately, where they met the longest queues. Class: a back-off that takes alternatives out although all are alike, which overloads the ones that are left.

Change: without an offer, only daemons that could serve no such request rest. A refusal for want of room counts as a request in flight for a second, so the load is spread evenly, and one that refuses everything at once does not attract the rest.

--- a/bluebellbeam/borrowing/borrower.py
+++ b/bluebellbeam/borrowing/borrower.py
@@ -9,10 +9,12 @@
     "HeldLease",
     "best_offer",
     "borrowed_slots",
+    "count_shortages",
     "drop_lender",
     "expire_held_leases",
     "find_held_lease",
     "make_borrower_table",
+    "record_shortage",
     "replace_offers",
 ]
 
@@ -28,6 +30,10 @@
 a request arrives before the lender ends it."""
 
 
+MAX_SHORTAGES = 1000
+"""Largest number of refusals that are kept of a lender for one pool."""
+
+
 class CapacityOffer(Struct):
     """The latest offer of a lender for one pool.
 
@@ -88,6 +94,10 @@
         Time of the last lease request, by pool and workspace.
     refused_until_ms : dict of (str, str) to int
         Time until which no lease is requested after a refusal, by lender and pool.
+    unable_until_ms : dict of (str, str) to int
+        The same for refusals of a lender that could not serve any such request.
+    shortages_ms : dict of (str, str) to list of int
+        Times until which refusals for want of room count, by lender and pool.
     last_borrow_ms : dict of (str, str) to int
         Time of the last lease request, by pool and workspace, of those that borrow
         now. They stop at another threshold than that at which they started
@@ -103,6 +113,8 @@
         "rows",
         "requested_ms",
         "refused_until_ms",
+        "unable_until_ms",
+        "shortages_ms",
         "last_borrow_ms",
         "switches",
         "forwarded_requests",
@@ -113,6 +125,8 @@
         self.rows = {}
         self.requested_ms = {}
         self.refused_until_ms = {}
+        self.unable_until_ms = {}
+        self.shortages_ms = {}
         self.last_borrow_ms = {}
         self.switches = 0
         self.forwarded_requests = {}
@@ -226,6 +240,26 @@
         del table.rows[lease_id]
 
 
+def record_shortage(table, lender, pool, until_ms):
+    """Count a refusal for want of room until the time `until_ms`."""
+    times = table.shortages_ms.setdefault((lender, pool), [])
+    times.append(until_ms)
+    del times[:-MAX_SHORTAGES]
+
+
+def count_shortages(table, lender, pool, now_ms):
+    """Return the number of recent refusals of a lender for want of room in `pool`."""
+    key = (lender, pool)
+    times = [
+        until_ms for until_ms in table.shortages_ms.get(key, ()) if until_ms > now_ms
+    ]
+    if times:
+        table.shortages_ms[key] = times
+    else:
+        table.shortages_ms.pop(key, None)
+    return len(times)
+
+
 def drop_lender(table, lender):
     """Remove the leases and offers of a lender that cannot be reached."""
     for lease_id in [k for k, v in table.rows.items() if v.lender == lender]:
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -1,7 +1,7 @@
 """Responses and failures of attempts, with retries, resumed streams and hedges."""
 
 from bluebellbeam.admission import push_request, remove_request
-from bluebellbeam.borrowing import drop_lender
+from bluebellbeam.borrowing import drop_lender, record_shortage
 from bluebellbeam.node.brittle_services import pause_brittle_server
 from bluebellbeam.node.command import CancelAttempt
 from bluebellbeam.node.dispatch import (
@@ -77,6 +77,9 @@
 UNSERVED_CODES = frozenset({"no_backend", "stream_version_gone"})
 """Error codes of a peer whose region has no server for the request."""
 
+SHORTAGE_CODES = frozenset({"deadline_passed", "deadline_unreachable", "queue_full"})
+"""Error codes of a peer that serves such requests, but not all of them in time."""
+
 CONFIG_CODES = frozenset({"config_ahead", "config_behind", "config_differs"})
 """Error codes of a peer that say nothing about its load."""
 
@@ -245,7 +248,12 @@
     """Record that a peer refused a forwarded request for want of room or servers."""
     request = attempt.request
     until_ms = now_ms + max(LENDER_BACKOFF_MS, min(error.retry_after_ms, 10_000))
-    state.borrower.refused_until_ms[attempt.peer, request.pool] = until_ms
+    key = (attempt.peer, request.pool)
+    state.borrower.refused_until_ms[key] = until_ms
+    if error.code in SHORTAGE_CODES:
+        record_shortage(state.borrower, *key, now_ms + LENDER_BACKOFF_MS)
+    else:
+        state.borrower.unable_until_ms[key] = until_ms
     exclude_rejecting_region(state, request, attempt.peer, now_ms)
     state.borrower.rows.pop(attempt.lease_id, None)
     if error.code in UNSERVED_CODES and request.route is not None:
--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -1,6 +1,6 @@
 """Forwarding of routed requests to other daemons, mostly of other regions."""
 
-from bluebellbeam.borrowing import record_offer, usable_offers
+from bluebellbeam.borrowing import count_shortages, record_offer, usable_offers
 from bluebellbeam.membership import usable_members
 from bluebellbeam.node.reachability import has_lost_servers, has_room_at_lost_servers
 from bluebellbeam.node.regional_load import choose_offload, is_region_excluded
@@ -238,6 +238,10 @@
     does not reach. One that may run only in other regions, whose stream no server of
     this region may continue, or for which this daemon reaches no server, is forwarded
     even without an offer. Parameters are as for :func:`forward_targets`.
+
+    Without an offer, daemons that lately could serve no such request are left out, but
+    not those that were short of room: if all are, the few that have refused none lately
+    would get the requests of all others.
     """
     if request.origin:
         return None
@@ -259,12 +263,16 @@
     elif _is_served_locally(state, request):
         return None
     else:
-        rested = [row for row in peers if not _has_refused(state, request, row, now_ms)]
-        peers = rested or peers
+        unable = state.borrower.unable_until_ms
+        able = [
+            row for row in peers if unable.get((row.name, request.pool), 0) <= now_ms
+        ]
+        peers = able or peers
     if not peers:
         return None
-    delays = state.base.regions[state.region].one_way_delay_ms
-    return min(peers, key=lambda row: _peer_sort_key(state, row, offers, delays))
+    return min(
+        peers, key=lambda row: _peer_sort_key(state, request, row, offers, now_ms)
+    )
 
 
 def describe_choice(state, request, member, now_ms):
@@ -329,18 +337,22 @@
     )
 
 
-def _peer_sort_key(state, row, offers, delays):
+def _peer_sort_key(state, request, row, offers, now_ms):
     """Return a sort key by expected delay, then by requests in flight at the peer.
 
     The delay is that of the network plus the offered wait. It is rounded to 10 ms,
-    so that peers at about the same delay share the load. Those at which as many run
-    are taken in random order, so that several daemons do not choose the same one.
+    so that peers at about the same delay share the load. Requests that the peer has
+    refused lately for want of room count as in flight, so that one that refuses at once
+    does not get the most. Those at which as many run are taken in random order, so that
+    several daemons do not choose the same one.
     """
     offer = offers.get(row.name)
     wait_ms = offer.wait_ms if offer is not None else 0.0
-    running = _count_running(state, row.name)
+    delays = state.base.regions[state.region].one_way_delay_ms
     delay_ms = round(delays.get(row.region, 0.0) + wait_ms, -1)
-    return (delay_ms, running, state.rng.random(), row.name)
+    load = _count_running(state, row.name)
+    load += count_shortages(state.borrower, row.name, request.pool, now_ms)
+    return (delay_ms, load, state.rng.random(), row.name)
 
 
 def _count_running(state, name):
