Forward without an offer from a region whose servers are unlisted or leave

Callers saw: in a region without a server that may be used, every request was refused at once or after a wait while the other regions, which were short of room themselves, served two thirds and more of theirs.

Cause: a daemon took its region for one that serves its callers unless a listed server was out of reach. With no server listed, all of them leaving, or their domain evacuated, its requests were forwarded only on an offer, which is what the other region leaves over: nothing while all are short. Servers that are cut off from the store as well leave the list when their entries lapse, so a cut of this kind ends in that state. Class: the list of servers decides what a daemon can do, instead of whether it has a server to use.

Change: a request is forwarded without an offer unless this daemon has a usable server: one that it reaches, that does not leave and whose domain is not evacuated.

--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -2,10 +2,14 @@
 
 from bluebellbeam.borrowing import count_shortages, record_offer, usable_offers
 from bluebellbeam.membership import usable_members
-from bluebellbeam.node.reachability import has_lost_servers, has_room_at_lost_servers
+from bluebellbeam.node.reachability import (
+    has_lost_servers,
+    has_room_at_lost_servers,
+    has_usable_server,
+)
 from bluebellbeam.node.regional_load import choose_offload, is_region_excluded
 from bluebellbeam.origins import live_versions
-from bluebellbeam.routing import cached_tokens, may_continue_at, prefill_speed
+from bluebellbeam.routing import cached_tokens, prefill_speed
 
 __all__ = [
     "choose_faster_peer",
@@ -15,7 +19,6 @@
     "exclude_region",
     "expected_forward_start_ms",
     "forward_targets",
-    "is_continued_locally",
     "record_forward_offer",
 ]
 
@@ -36,8 +39,8 @@
     """Return the expected time in ms until a request starts at another daemon.
 
     It is 0 if a neighbour may reach a free server that this daemon does not. Without
-    that and a usable offer it is 0 for a request that may run only in other
-    regions, since it is forwarded in any case. For one that may run locally it
+    that and a usable offer it is 0 for a request that no server of this region can
+    serve, since it is forwarded in any case. For one that may be served locally it
     is a time beyond every deadline, so that the local wait decides.
     """
     offers = _usable_offers_by_lender(state, request, now_ms)
@@ -47,11 +50,9 @@
     ):
         return 0.0
     if not offers:
-        return (
-            0.0
-            if state.region not in request.allowed
-            else float(request.response_deadline_ms)
-        )
+        if _is_served_locally(state, request):
+            return float(request.response_deadline_ms)
+        return 0.0
     return min(
         forward_first_event_ms(state, request, offer) for offer in offers.values()
     )
@@ -235,9 +236,9 @@
 
     A request that may run locally is forwarded only to a daemon that has
     offered a free slot, or to one of this region if a server has one that this daemon
-    does not reach. One that may run only in other regions, whose stream no server of
-    this region may continue, or for which this daemon reaches no server, is forwarded
-    even without an offer. Parameters are as for :func:`forward_targets`.
+    does not reach. One that may run only in other regions, or for which this daemon has
+    no usable server, is forwarded even without an offer. Parameters are as for
+    :func:`forward_targets`.
 
     Without an offer, daemons that lately could serve no such request are left out, but
     not those that were short of room: if all are, the few that have refused none lately
@@ -295,11 +296,7 @@
 
 def _is_served_locally(state, request):
     """Return whether this daemon can expect to send a request to a server."""
-    return (
-        state.region in request.allowed
-        and is_continued_locally(state, request)
-        and not has_lost_servers(state, request)
-    )
+    return state.region in request.allowed and has_usable_server(state, request)
 
 
 def _has_refused(state, request, row, now_ms):
@@ -308,19 +305,6 @@
     return until_ms > now_ms
 
 
-def is_continued_locally(state, request):
-    """Return whether some server of this region may continue the request's stream.
-
-    A request without a stream may run at any of them.
-    """
-    return request.stream_origin is None or any(
-        may_continue_at(row, request.stream_origin)
-        and not row.leaving
-        and row.failure_domain not in state.evacuated
-        for row in state.replicas.rows.values()
-    )
-
-
 def _has_free_slot(state, offer):
     """Return whether an offer has a slot beyond the requests already in flight."""
     if offer is None:
--- a/bluebellbeam/node/reachability.py
+++ b/bluebellbeam/node/reachability.py
@@ -11,6 +11,7 @@
     "count_usable_servers",
     "has_lost_servers",
     "has_room_at_lost_servers",
+    "has_usable_server",
     "record_failed_connection",
     "record_failed_contact",
     "tick_reachability",
@@ -43,6 +44,18 @@
     )
 
 
+def has_usable_server(state, request):
+    """Return whether a server of this region is reached and may serve a request.
+
+    There is none as well while all servers leave, their failure domain is evacuated, or
+    none is listed.
+    """
+    return any(
+        row.identified and not row.unproven and _may_serve(state, row, request)
+        for row in state.replicas.rows.values()
+    )
+
+
 def has_room_at_lost_servers(state, request):
     """Return whether a server that this daemon does not reach has a free slot.
 
