Refuse a waiting forward at once when its region has no usable server left

Callers saw: a request forwarded to a region whose servers then left the list waited there until its deadline, while other regions could have served it.

The new test got no error before, now no_backend (not run) when the list is read.

--- a/bluebellbeam/node/dispatch.py
+++ b/bluebellbeam/node/dispatch.py
@@ -22,7 +22,7 @@
 from bluebellbeam.node.load_exchange import announce_long_prompt
 from bluebellbeam.node.queue_rates import record_queue_start
 from bluebellbeam.node.quotas import refund_quota
-from bluebellbeam.node.reachability import has_lost_servers
+from bluebellbeam.node.reachability import has_lost_servers, has_usable_server
 from bluebellbeam.node.request import Attempt
 from bluebellbeam.node.request_times import may_be_cut_off
 from bluebellbeam.node.retry_after import SHUTDOWN_RETRY_AFTER_MS
@@ -226,7 +226,9 @@
         member = choose_forward_peer(state, request, now_ms)
     if member is None and not local and _is_stranded(state, request):
         remove_request(queue, request)
-        fail_request(state, request, make_error("servers_unreachable"), now_ms)
+        is_lost = has_lost_servers(state, request)
+        code = "servers_unreachable" if is_lost else "no_backend"
+        fail_request(state, request, make_error(code), now_ms)
         return True, False
     if member is not None:
         choice = describe_choice(state, request, member, now_ms)
@@ -252,11 +254,11 @@
 
 
 def _is_stranded(state, request):
-    """Return whether a forwarded request waits at a daemon that reaches no server.
+    """Return whether a forwarded request waits at a daemon without a usable server.
 
     The daemon that forwarded it can try others.
     """
-    return bool(request.origin) and has_lost_servers(state, request)
+    return bool(request.origin) and not has_usable_server(state, request)
 
 
 def _prefers_lease(state, request, local, lease):
--- a/bluebellbeam/node/tests/test_lost_servers.py
+++ b/bluebellbeam/node/tests/test_lost_servers.py
@@ -69,6 +69,16 @@
         codes = [error.code for error in final_errors(commands)]
         self.assertEqual(codes, ["servers_unreachable"])
 
+    def test_it_is_refused_once_no_server_is_listed(self):
+        while started_attempts(self.forward(f"f{self.harness.state.next_attempt_id}")):
+            pass
+        self.harness.commands.clear()
+        self.harness.publish_servers()
+        found = [
+            (error.code, error.outcome) for error in final_errors(self.harness.commands)
+        ]
+        self.assertIn(("no_backend", "not_run"), found)
+
     def test_it_is_served_while_one_server_is_reached(self):
         lose_servers(self.harness, "s1")
         self.assertEqual(started_attempts(self.forward())[0].server, "s2")
