Close unused connections before a process runs out of descriptors

Cause: nothing counted descriptors. Accepted connections without a request are kept for seconds, whatever is left; once all descriptors are in use no connection is accepted, but the readiness check is answered on one that is open. Class: readiness speaks for another path than the one that callers use, and a shared resource has no limit of its own.

Evidence: a daemon process with 260 descriptors and clients that want 520 connections answered 0 of 40 requests on new ones within 5 s, readiness 200, in all four tests of test_descriptors (no request, one request, a head that never ends, the directory). Now 40 of 40 in each.

Change: accepted connections may use half of the descriptors, since the request on each needs at most one connection to a server or a peer. At the limit, the least recently used one without a complete head is closed, on the listener that has most. If all have a request, the new one is closed and the VM is not ready for a second. The limit is that of the process, or max_descriptors of the settings if that is lower, which the deployment sets to the descriptors that its VM allows.

--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -7,6 +7,7 @@
 import structlog
 
 from bluebellbeam.daemon.auth import make_peer_auth
+from bluebellbeam.daemon.connection_limit import make_connection_limit
 from bluebellbeam.daemon.connection_pool import PEER_MAX_IDLE_MS, make_connection_pool
 from bluebellbeam.daemon.exchange import Chunk, End, Head, make_exchange
 from bluebellbeam.daemon.native_provider import SERVER_CALL_TIMEOUT_S
@@ -64,6 +65,8 @@
         Session with shared connections, for calls that may be retried.
     auth : PeerAuth or NullPeerAuth
         Authentication of messages between daemons.
+    connection_limit : ConnectionLimit
+        Connections that the listeners have accepted.
     connection_pool : ConnectionPool
         Connections of routed requests.
     response_buffers : ResponseBuffers
@@ -102,6 +105,7 @@
         "auth",
         "provider",
         "session",
+        "connection_limit",
         "connection_pool",
         "response_buffers",
         "peer_connections",
@@ -124,6 +128,9 @@
         self.settings = settings
         self.provider = provider
         self.clock = clock
+        self.connection_limit = make_connection_limit(
+            clock, settings.vm, settings.max_descriptors
+        )
         self.connection_pool = make_connection_pool(clock)
         self.response_buffers = make_response_buffers()
         self.peer_connections = make_connection_pool(clock, PEER_MAX_IDLE_MS)
--- a/bluebellbeam/daemon/listener.py
+++ b/bluebellbeam/daemon/listener.py
@@ -3,13 +3,18 @@
 import math
 import secrets
 import socket
+from collections import OrderedDict
 
 import structlog
 from sanic import Sanic, response
 from sanic.exceptions import SanicException
-from sanic.http import Stage
 from sanic.server import HttpProtocol
 
+from bluebellbeam.daemon.connection_limit import (
+    admit_connection,
+    is_unused,
+    make_connection_limit,
+)
 from bluebellbeam.daemon.wire import encode_error
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.utils.clock import monotonic_clock
@@ -68,18 +73,25 @@
 
     Attributes
     ----------
-    accepted, open : int
-        Connections accepted, and those of them that are open.
+    accepted : int
+        Connections accepted.
     accepted_ms : int or None
         Time of the last accepted connection; None before the first.
+    connections : OrderedDict of CountedProtocol to None
+        Open connections, that from which bytes were read least recently first.
     """
 
-    __slots__ = ("accepted", "open", "accepted_ms")
+    __slots__ = ("accepted", "accepted_ms", "connections")
 
     def __init__(self):
         self.accepted = 0
-        self.open = 0
         self.accepted_ms = None
+        self.connections = OrderedDict()
+
+    @property
+    def open(self):
+        """Number of open connections."""
+        return len(self.connections)
 
 
 class CountedProtocol(HttpProtocol):
@@ -91,7 +103,7 @@
         """Count an accepted connection, and log the first."""
         activity = self.app.ctx.activity
         activity.accepted += 1
-        activity.open += 1
+        activity.connections[self] = None
         activity.accepted_ms = self.app.ctx.clock.now_ms()
         if activity.accepted == 1:
             structlog.get_logger().info(
@@ -100,10 +112,18 @@
                 listener=self.app.ctx.listener,
             )
         super().connection_made(transport)
+        admit_connection(self.app.ctx.connection_limit, self)
+
+    def data_received(self, data):
+        """Note that the connection is in use."""
+        connections = self.app.ctx.activity.connections
+        if self in connections:
+            connections.move_to_end(self)
+        super().data_received(data)
 
     def connection_lost(self, exc):
         """Count a closed connection."""
-        self.app.ctx.activity.open -= 1
+        self.app.ctx.activity.connections.pop(self, None)
         super().connection_lost(exc)
 
 
@@ -149,6 +169,7 @@
     app.config.MOTD = False
     app.ctx.activity = ListenerActivity()
     app.ctx.clock = monotonic_clock()
+    app.ctx.connection_limit = make_connection_limit(app.ctx.clock, vm)
     app.ctx.listener = name
     app.ctx.vm = vm
     app.exception(Exception)(_handle_exception)
@@ -235,10 +256,7 @@
         Number of other open connections, whose requests or responses are incomplete.
     """
     for connection in list(server.connections):
-        http = connection.http
-        # Bytes may have been read before the task of a new connection starts.
-        idle = http is None or http.stage is Stage.IDLE
-        if idle and not connection.recv_buffer and connection.transport is not None:
+        if is_unused(connection) and not connection.recv_buffer:
             connection.transport.close()
     return len(server.connections)
 
--- a/bluebellbeam/daemon/metrics.py
+++ b/bluebellbeam/daemon/metrics.py
@@ -122,6 +122,8 @@
         ("peer_sent_bytes", "Message bytes sent.", driver.peer_bytes_sent),
         ("peer_received_bytes", "Message bytes got.", driver.peer_bytes_received),
         ("max_tick_delay_ms", "Longest delay of a tick.", driver.max_tick_delay_ms),
+        ("closed_connections", "Closed at the limit.", driver.connection_limit.closed),
+        ("refused_connections", "Refused there.", driver.connection_limit.refused),
     )
     for name, text, value in gauges:
         family = GaugeMetricFamily(f"bluebellbeam_{name}", text)
--- a/bluebellbeam/daemon/operators.py
+++ b/bluebellbeam/daemon/operators.py
@@ -3,6 +3,7 @@
 import msgspec
 from sanic import response
 
+from bluebellbeam.daemon.connection_limit import has_refused_lately
 from bluebellbeam.daemon.listener import error_response, make_listener_app
 from bluebellbeam.node import TABLES, dump_state, explain_request, make_error
 
@@ -21,6 +22,8 @@
 
     async def readyz(request):
         if state.ready and not state.leaving:
+            if has_refused_lately(driver.connection_limit):
+                return response.text("no connection left\n", 503)
             return response.text("ready\n")
         return response.text("leaving\n" if state.leaving else "starting\n", 503)
 
--- a/bluebellbeam/daemon/server.py
+++ b/bluebellbeam/daemon/server.py
@@ -82,7 +82,10 @@
         self.metrics.listeners.activities = {
             name: app.ctx.activity for name, app in apps.items()
         }
+        limit = self.driver.connection_limit
+        limit.activities = [app.ctx.activity for app in apps.values()]
         for name, app in apps.items():
+            app.ctx.connection_limit = limit
             self.servers.append(await start_listener(app, self.sockets[name]))
 
     def request_stop(self):
--- a/bluebellbeam/daemon/tests/test_metrics.py
+++ b/bluebellbeam/daemon/tests/test_metrics.py
@@ -3,6 +3,7 @@
 
 from prometheus_client import CollectorRegistry, Histogram, generate_latest
 
+from bluebellbeam.daemon.connection_limit import make_connection_limit
 from bluebellbeam.daemon.metrics import (
     LATENCY_BUCKETS_S,
     LatencyHistogram,
@@ -62,6 +63,7 @@
         driver = SimpleNamespace(
             node=Harness().node,
             clock=manual_clock(),
+            connection_limit=make_connection_limit(manual_clock(), "vm-1"),
             peer_bytes_sent=0,
             peer_bytes_received=0,
             max_tick_delay_ms=0,
--- a/bluebellbeam/platform/listeners.py
+++ b/bluebellbeam/platform/listeners.py
@@ -3,6 +3,7 @@
 import msgspec
 from sanic import response
 
+from bluebellbeam.daemon.connection_limit import has_refused_lately
 from bluebellbeam.daemon.listener import make_listener_app
 from bluebellbeam.node import entry_addresses_for_region
 
@@ -22,6 +23,7 @@
     async def readiness(request):
         state = driver.node.state
         ready = state.ready and not state.leaving
+        ready = ready and not has_refused_lately(driver.connection_limit)
         return response.text("ready" if ready else "not ready", 200 if ready else 503)
 
     app.add_route(readiness, "/readiness", name="readiness")
--- a/bluebellbeam/platform/tests/test_descriptors.py
+++ b/bluebellbeam/platform/tests/test_descriptors.py
@@ -111,11 +111,12 @@
             host, port = self.addresses[listener].split(":")
             while True:
                 with contextlib.suppress(OSError):
-                    async with asyncio.timeout(20):
-                        reader, writer = await asyncio.open_connection(host, port)
+                    reader, writer = await asyncio.open_connection(host, port)
+                    try:
                         writer.write(sent)
                         while await reader.read(4096):
                             pass
+                    finally:
                         writer.close()
                 await asyncio.sleep(0.2)
 
