Do not offer or count the slots of servers in an evacuated domain

Callers saw: requests of a region that is short of room were forwarded to the daemons of an evacuated one, which refused them.

Cause: free slots, expected waits and rates were computed over all servers of a pool, also those that get no request because their failure domain is evacuated. So an evacuated region offered its idle slots.

Change: servers of evacuated domains are left out where the others are counted. The new test got an offer of 's/portal' before, none now.

--- a/bluebellbeam/node/regional_load.py
+++ b/bluebellbeam/node/regional_load.py
@@ -331,7 +331,7 @@
     rows = unlimited_replicas(state, pool)
     own = sum(row.inflight for row in rows)
     total = own + sum(row.peer_inflight for row in rows)
-    slots = sum(row.slots for row in rows if row.failure_domain not in state.evacuated)
+    slots = sum(row.slots for row in rows)
     service_ms = state.pool_service_ms.get(pool, 0.0)
     members = len(state.region_members())
     offers = _offers_by_region(state, pool, now_ms)
--- a/bluebellbeam/node/routed.py
+++ b/bluebellbeam/node/routed.py
@@ -220,8 +220,7 @@
     first_event_ms = [
         earliest_first_token_ms(row, request, speed, cached, now_ms)
         for row in unlimited_replicas(state, request.pool)
-        if row.failure_domain not in state.evacuated
-        and may_continue_at(row, request.stream_origin)
+        if may_continue_at(row, request.stream_origin)
         for cached in (
             cached_tokens(state.prefixes, row.name, request, state.block_tokens),
         )
--- a/bluebellbeam/node/tests/test_lost_servers.py
+++ b/bluebellbeam/node/tests/test_lost_servers.py
@@ -4,6 +4,7 @@
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.errors import make_error
+from bluebellbeam.node.lending import capacity_offers
 from bluebellbeam.node.message import Envelope, ServerLoads
 from bluebellbeam.node.tests.harness import (
     Harness,
@@ -125,6 +126,16 @@
         self.assertEqual([lines[0].fields[name] for name in names], [3.0, 2, 1])
 
 
+class TestOffersOfEvacuatedServers(unittest.TestCase):
+    def test_slots_in_an_evacuated_domain_are_not_offered(self):
+        harness = Harness()
+        records = (server("s1"), server("s2"))
+        harness.publish_servers(*records)
+        self.assertIn("s/portal", capacity_offers(harness.state, harness.now_ms))
+        harness.publish_servers(*records, evacuated=("dom-e",))
+        self.assertEqual(capacity_offers(harness.state, harness.now_ms), {})
+
+
 class TestServerListedWhileNoneIsReached(unittest.TestCase):
     def setUp(self):
         self.harness = Harness()
--- a/bluebellbeam/node/wait_estimates.py
+++ b/bluebellbeam/node/wait_estimates.py
@@ -42,8 +42,13 @@
     """Return the replicas that may serve `pool` and state no limit.
 
     A limited one accepts so few requests that its slots say nothing about the wait.
+    Those of evacuated failure domains are sent none.
     """
-    return [row for row in pool_replicas(state, pool) if row.limit_per_s is None]
+    return [
+        row
+        for row in pool_replicas(state, pool)
+        if row.limit_per_s is None and row.failure_domain not in state.evacuated
+    ]
 
 
 def pool_slots(state, pool):
@@ -133,7 +138,6 @@
     waits = [
         1000.0 * tokens_ahead(row, speed, now_ms) / speed * row.pace + slot_wait_ms(row)
         for row in unlimited_replicas(state, pool)
-        if row.failure_domain not in state.evacuated
     ]
     return min(waits, default=0.0)
 
