Try a request refused for want of room elsewhere only on an offer

Callers saw: with queues ordered by urgency, where a request that cannot be served in time is refused on arrival, requests of daemons without servers got nearly twice the share of those of the daemons that serve them.

Cause: a refused request was tried at up to six daemons, one of the lender's own callers is decided upon once. All daemons of a region use the same servers, so each further try is another chance for the same slots.

Change: a request that only other daemons can serve, and that one of them has refused for want of room, is refused at once unless a daemon offers a free slot. Refusals for other reasons (no server reached, another configuration) are tried elsewhere as before.

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -14,7 +14,7 @@
     start_second_attempt,
 )
 from bluebellbeam.node.errors import ERRORS, make_error
-from bluebellbeam.node.forwarding import exclude_region
+from bluebellbeam.node.forwarding import exclude_region, is_turned_away
 from bluebellbeam.node.lending import LENDER_BACKOFF_MS
 from bluebellbeam.node.reachability import (
     record_failed_connection,
@@ -251,6 +251,7 @@
     key = (attempt.peer, request.pool)
     state.borrower.refused_until_ms[key] = until_ms
     if error.code in SHORTAGE_CODES:
+        request.is_refused_for_room = True
         record_shortage(state.borrower, *key, now_ms + LENDER_BACKOFF_MS)
     else:
         state.borrower.unable_until_ms[key] = until_ms
@@ -357,6 +358,7 @@
     )
     if (
         has_target_left(state, request)
+        and not is_turned_away(state, request, now_ms)
         and not is_quarantined(state, request)
         and consume_retry(state, request, not_run, now_ms)
     ):
--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -19,6 +19,7 @@
     "exclude_region",
     "expected_forward_start_ms",
     "forward_targets",
+    "is_turned_away",
     "record_forward_offer",
 ]
 
@@ -294,6 +295,22 @@
     }
 
 
+def is_turned_away(state, request, now_ms):
+    """Return whether a request that only other daemons can serve has been refused.
+
+    A refusal for want of room is the same decision that a caller of that daemon gets.
+    With further tries without an offer, the requests of daemons without servers would
+    displace those of the daemons that have some.
+    """
+    if not request.is_refused_for_room or _is_served_locally(state, request):
+        return False
+    offers = _usable_offers_by_lender(state, request, now_ms)
+    return not any(
+        _has_free_slot(state, offers.get(row.name))
+        for row in forward_targets(state, request)
+    )
+
+
 def _is_served_locally(state, request):
     """Return whether this daemon can expect to send a request to a server."""
     return state.region in request.allowed and has_usable_server(state, request)
--- a/bluebellbeam/node/request.py
+++ b/bluebellbeam/node/request.py
@@ -99,6 +99,8 @@
     tried_targets : set of str
         Backend servers and peers at which an attempt has failed; no further
         attempt is sent to them.
+    is_refused_for_room : bool
+        Whether a daemon that it was forwarded to has refused it for want of room.
     attempts : int
         Attempts started so far.
     maybe_sent : bool
@@ -177,6 +179,7 @@
         "lease_id",
         "state",
         "tried_targets",
+        "is_refused_for_room",
         "attempts",
         "maybe_sent",
         "emitted_tokens",
@@ -245,6 +248,7 @@
             raise TypeError(f"unknown fields of request {request_id}: {sorted(values)}")
         self.state = "queued"
         self.tried_targets = set()
+        self.is_refused_for_room = False
         self.attempts = 0
         self.maybe_sent = False
         self.emitted_tokens = 0
--- a/bluebellbeam/node/tests/cut_region.py
+++ b/bluebellbeam/node/tests/cut_region.py
@@ -55,6 +55,9 @@
     west_servers : {"cut", "unlisted", "leaving", "evacuated"}
         Why the daemons of ``west`` can use no server: they reach none of those that
         are listed, none is listed, all are leaving, or their domain is evacuated.
+    by_urgency : bool
+        Whether queues are ordered by urgency, so that requests which cannot be served
+        in time are refused on arrival.
 
     Attributes
     ----------
@@ -73,6 +76,7 @@
         seed,
         regular=False,
         west_servers="cut",
+        by_urgency=False,
     ):
         self.regions = {f"e{n}": "east" for n in range(east)}
         self.regions |= {f"w{n}": "west" for n in range(west)}
@@ -81,6 +85,7 @@
         self.open = {}
         self.service_ms = service_ms
         self.west_servers = west_servers
+        self.by_urgency = by_urgency
         super().__init__(0, 0, rate_per_s, seed)
         self.events.clear()
         self.servers = {
@@ -102,6 +107,8 @@
         base = make_base()
         for route in base["routes"]:
             route["objective_ms"] = OBJECTIVE_MS
+        if self.by_urgency:
+            base["workspaces"]["all"]["urgency"] = 0
         base["services"]["portal"]["expected_ms"] = 40
         for region in base["regions"].values():
             region["one_way_delay_ms"] = dict.fromkeys(
--- a/bluebellbeam/node/tests/test_cut_region.py
+++ b/bluebellbeam/node/tests/test_cut_region.py
@@ -10,11 +10,11 @@
 
 SHARE_OF_OTHERS = 2 / 3
 """Share of the requests served in a region without servers, relative to that in the
-others, which it must not fall short of."""
+others, which it must not fall short of; and the other way round."""
 
 
 class TestRegionWithoutServers(unittest.TestCase):
-    """Guards against callers that get only what the other regions leave over."""
+    """Guards against callers that get only what others leave over, or displace them."""
 
     def check_served(self, **values):
         for seed in SEEDS:
@@ -23,6 +23,7 @@
                 shares = [region.served_share(name) for name in ("west", "east")]
                 self.assertLess(shares[1], 0.9, "not short of room")
                 self.assertGreaterEqual(shares[0], SHARE_OF_OTHERS * shares[1])
+                self.assertGreaterEqual(shares[1], SHARE_OF_OTHERS * shares[0])
 
     def test_callers_of_daemons_that_reach_no_server_are_served_like_others(self):
         self.check_served(west_servers="cut")
@@ -39,6 +40,12 @@
     def test_callers_of_an_evacuated_region_are_served_like_others(self):
         self.check_served(west_servers="evacuated", service_ms=1000)
 
+    def test_requests_refused_on_arrival_are_not_tried_until_one_lender_has_room(self):
+        for west_servers in ("cut", "unlisted", "evacuated"):
+            with self.subTest(west_servers=west_servers):
+                values = {"west_servers": west_servers, "service_ms": 1000}
+                self.check_served(by_urgency=True, **values)
+
 
 class TestLendersThatAreShort(unittest.TestCase):
     LENDERS = ("w1", "w2", "w3", "w4")
--- a/bluebellbeam/node/tests/test_lost_servers.py
+++ b/bluebellbeam/node/tests/test_lost_servers.py
@@ -123,7 +123,7 @@
             if isinstance(c, cmd.Log) and c.sentence == text and c.request_id == "a3"
         ]
         names = ("offered_slots", "running_there", "refused_lately")
-        self.assertEqual([lines[0].fields[name] for name in names], [3.0, 2, 1])
+        self.assertEqual([lines[0].fields[name] for name in names], [3.0, 1, 1])
 
 
 class TestOffersOfEvacuatedServers(unittest.TestCase):
