Try a neighbour while servers that a daemon has lost are known to be free

Callers saw, by a test only: a request of a daemon without servers that one neighbour refused for want of room was refused, though the servers had free slots and another neighbour could use them.

Cause: the rule for refused requests counted offers only, which go to other regions. The choice of a daemon and this rule now use the same list of daemons with a free slot. The new test got no second attempt before.

--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -249,17 +249,7 @@
         return None
     peers = forward_targets(state, request, neighbours)
     offers = _usable_offers_by_lender(state, request, now_ms)
-    near = neighbours and has_room_at_lost_servers(state, request)
-    with_slot = [
-        row
-        for row in peers
-        if _has_free_slot(state, offers.get(row.name))
-        or (
-            near
-            and row.region == state.region
-            and not _has_refused(state, request, row, now_ms)
-        )
-    ]
+    with_slot = _with_free_slot(state, request, peers, offers, now_ms)
     if with_slot:
         peers = with_slot
     elif _is_served_locally(state, request):
@@ -304,11 +294,27 @@
     """
     if not request.is_refused_for_room or _is_served_locally(state, request):
         return False
+    peers = forward_targets(state, request)
     offers = _usable_offers_by_lender(state, request, now_ms)
-    return not any(
-        _has_free_slot(state, offers.get(row.name))
-        for row in forward_targets(state, request)
-    )
+    return not _with_free_slot(state, request, peers, offers, now_ms)
+
+
+def _with_free_slot(state, request, peers, offers, now_ms):
+    """Return the daemons of `peers` that are known to have a free slot for a request.
+
+    Those of this region have one if a server that this daemon does not reach has one.
+    """
+    near = has_room_at_lost_servers(state, request)
+    return [
+        row
+        for row in peers
+        if _has_free_slot(state, offers.get(row.name))
+        or (
+            near
+            and row.region == state.region
+            and not _has_refused(state, request, row, now_ms)
+        )
+    ]
 
 
 def _is_served_locally(state, request):
--- a/bluebellbeam/node/tests/test_cut_region.py
+++ b/bluebellbeam/node/tests/test_cut_region.py
@@ -1,12 +1,19 @@
+import os
 import unittest
 
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.errors import make_error
 from bluebellbeam.node.tests.cut_region import run_cut
-from bluebellbeam.node.tests.harness import Harness, server, started_attempts
+from bluebellbeam.node.tests.harness import (
+    Harness,
+    final_errors,
+    server,
+    started_attempts,
+)
 from bluebellbeam.node.tests.test_lost_servers import lose_servers
 
-SEEDS = (1, 2, 3)
+FIRST, LAST = os.environ.get("BLUEBELLBEAM_CUT_SEEDS", "1-3").split("-")
+SEEDS = range(int(FIRST), int(LAST) + 1)
 
 SHARE_OF_OTHERS = 2 / 3
 """Share of the requests served in a region without servers, relative to that in the
@@ -78,5 +85,49 @@
         self.assertEqual(sorted(found.values()), [2, 2, 2, 2], found)
 
 
+class TestRequestRefusedForWantOfRoom(unittest.TestCase):
+    def setUp(self):
+        self.harness = Harness()
+        self.harness.publish_servers(server("s1"))
+        lose_servers(self.harness, "s1")
+
+    def refuse(self, commands, code):
+        """Refuse the attempt in `commands` at once; return what the node does then."""
+        attempt = started_attempts(commands)[0]
+        error = make_error(code, retry_after_ms=700)
+        event = ev.AttemptRefused(attempt.attempt_id, error, sends=0)
+        return self.harness.handle(event)
+
+    def test_its_caller_is_told_at_once_and_when_to_come_back(self):
+        self.harness.announce_peer("w1", others=("w2",))
+        commands = self.refuse(self.harness.send_request(), "deadline_unreachable")
+        error = final_errors(commands)[0]
+        self.assertEqual(
+            (error.code, error.outcome), ("deadline_unreachable", "not_run")
+        )
+        self.assertGreaterEqual(error.retry_after_ms, 500)
+
+    def test_it_is_tried_at_a_daemon_that_offers_a_slot(self):
+        self.harness.announce_peer("w1", others=("w2",))
+        commands = self.harness.send_request()
+        peer = started_attempts(commands)[0].peer
+        other = "w2" if peer == "w1" else "w1"
+        self.harness.handle(ev.CapacityOfferReceived(other, "s/portal", 2.0, 0.0))
+        commands = self.refuse(commands, "deadline_unreachable")
+        self.assertEqual([c.peer for c in started_attempts(commands)], [other])
+
+    def test_it_is_tried_at_a_neighbour_while_servers_have_free_slots(self):
+        self.harness.announce_peer("e2", region="east", others=("e3",))
+        commands = self.refuse(self.harness.send_request(), "deadline_unreachable")
+        self.assertEqual(len(started_attempts(commands)), 1)
+        commands = self.refuse(commands, "deadline_unreachable")
+        self.assertEqual(final_errors(commands)[0].code, "deadline_unreachable")
+
+    def test_one_refused_for_another_reason_is_tried_elsewhere(self):
+        self.harness.announce_peer("w1", others=("w2",))
+        commands = self.refuse(self.harness.send_request(), "servers_unreachable")
+        self.assertEqual(len(started_attempts(commands)), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/bluebellbeam/platform/tests/loopback.py
+++ b/bluebellbeam/platform/tests/loopback.py
@@ -30,7 +30,8 @@
         await self.store.server.start()
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
-            timeout=aiohttp.ClientTimeout(total=20), auto_decompress=False
+            timeout=aiohttp.ClientTimeout(total=20),
+            auto_decompress=False,
         )
         for zone in DOMAINS:
             for service, events in (("portal", 0), ("llm", 6)):
