Close no connection whose head is complete, at the limit or at the end

Callers could have seen: a connection closed after the head of a request was read.

At the end a head of which bytes were read must be answered.

Change: at the limit, a connection counts as unused if it is idle or if the end of a head has not been received; at the end of the process only if it is idle, as before.

--- a/bluebellbeam/daemon/connection_limit.py
+++ b/bluebellbeam/daemon/connection_limit.py
@@ -14,7 +14,7 @@
     "ConnectionLimit",
     "admit_connection",
     "has_refused_lately",
-    "is_unused",
+    "is_idle",
     "make_connection_limit",
 ]
 
@@ -34,6 +34,9 @@
 LOG_INTERVAL_MS = 10_000
 """Shortest time between two log lines."""
 
+HEAD_END = b"\r\n\r\n"
+"""End of the head of a request."""
+
 
 class ConnectionLimit:
     """Connections of the listeners of one process.
@@ -87,20 +90,17 @@
     return ConnectionLimit(clock, vm, max_descriptors)
 
 
-def is_unused(connection):
-    """Return whether no complete head of a request has been read from a connection.
+def is_idle(connection):
+    """Return whether no byte of a further request has been read from a connection.
 
     Parameters
     ----------
     connection : sanic.server.HttpProtocol
     """
-    if connection.transport is None:
-        return False
     http = connection.http
     # Bytes may have been read before the task of a new connection starts.
-    if http is None or http.stage is Stage.IDLE:
-        return not connection.recv_buffer
-    return http.stage is Stage.REQUEST
+    idle = http is None or http.stage is Stage.IDLE
+    return idle and not connection.recv_buffer and connection.transport is not None
 
 
 def admit_connection(limit, connection):
@@ -146,12 +146,23 @@
     connections = activity.connections
     for _ in range(min(MAX_SCANNED, len(connections))):
         connection = next(iter(connections))
-        if is_unused(connection) and not connection.transport.is_closing():
+        if _may_be_closed(connection):
             return connection
         connections.move_to_end(connection)
     return None
 
 
+def _may_be_closed(connection):
+    """Return whether a connection has no request whose head is complete."""
+    if connection.transport is None or connection.transport.is_closing():
+        return False
+    received = connection.recv_buffer
+    is_incomplete = received and HEAD_END not in received
+    http = connection.http
+    is_head = http is not None and http.stage is Stage.REQUEST
+    return is_idle(connection) or bool(is_head and is_incomplete)
+
+
 def _read_limit(limit, now_ms):
     if limit.read_ms is not None and now_ms - limit.read_ms < READ_INTERVAL_MS:
         return
--- a/bluebellbeam/daemon/listener.py
+++ b/bluebellbeam/daemon/listener.py
@@ -12,7 +12,7 @@
 
 from bluebellbeam.daemon.connection_limit import (
     admit_connection,
-    is_unused,
+    is_idle,
     make_connection_limit,
 )
 from bluebellbeam.daemon.wire import encode_error
@@ -256,7 +256,7 @@
         Number of other open connections, whose requests or responses are incomplete.
     """
     for connection in list(server.connections):
-        if is_unused(connection) and not connection.recv_buffer:
+        if is_idle(connection):
             connection.transport.close()
     return len(server.connections)
 
