--- a/bluebellbeam/node/tests/test_cut_region.py
+++ b/bluebellbeam/node/tests/test_cut_region.py
@@ -98,7 +98,7 @@
         event = ev.AttemptRefused(attempt.attempt_id, error, sends=0)
         return self.harness.handle(event)
 
-    def test_its_caller_is_told_at_once_and_when_to_come_back(self):
+    def test_its_caller_is_answered_at_once_with_a_time_to_come_back(self):
         self.harness.announce_peer("w1", others=("w2",))
         commands = self.refuse(self.harness.send_request(), "deadline_unreachable")
         error = final_errors(commands)[0]
