Eject no server that does not respond and is therefore in no pool

Daemons that were cut off from all servers are in the same position when the cut ends.

Cause: a share of each pool stays in use whatever fails, but a server that has stopped responding is in no pool, so nothing was checked for it. Requests on it that time out after that ejected it, and all others likewise. Class: a belief that turns work away and is renewed by what it turned away before.

The new test ejected four of four servers before, none now.

--- a/bluebellbeam/recovery/outlier.py
+++ b/bluebellbeam/recovery/outlier.py
@@ -155,6 +155,12 @@
 
 
 def _may_eject(table, replica, policy, now_ms):
+    """Return whether every pool keeps enough servers without `replica`.
+
+    A server that does not respond is in no pool, and is not used in any case.
+    """
+    if not replica.pools:
+        return False
     for pool in replica.pools:
         replicas = table.pools[pool]
         active = sum(1 for other in replicas if other.ejected_until_ms <= now_ms)
--- a/bluebellbeam/recovery/tests/test_outlier.py
+++ b/bluebellbeam/recovery/tests/test_outlier.py
@@ -4,7 +4,11 @@
 
 from bluebellbeam.node.tests.harness import server
 from bluebellbeam.recovery import record_failure, refresh_slowness, update_pace
-from bluebellbeam.routing.replica import make_replica_table, update_replicas
+from bluebellbeam.routing.replica import (
+    make_replica_table,
+    record_miss,
+    update_replicas,
+)
 
 NOW_MS = 50_000
 POLICY = SimpleNamespace(eject_failures=3, eject_ms=5_000, eject_floor=0.5)
@@ -78,3 +82,15 @@
         self.assertEqual(len(ejected), 2)
         longest_ms = max(row.ejected_until_ms for row in ejected) - NOW_MS
         self.assertLessEqual(longest_ms, 1.5 * POLICY.eject_ms)
+
+
+class TestEjectionOfServersThatDoNotRespond(unittest.TestCase):
+    """Guards against servers that all stay ejected when they respond again."""
+
+    def test_servers_that_are_not_used_are_not_ejected(self):
+        table, rows = make_table(4)
+        for row in rows:
+            record_miss(table, row)
+            for _ in range(2 * POLICY.eject_failures):
+                record_failure(table, row, POLICY, NOW_MS, random.Random(1))
+        self.assertEqual([row.ejected_until_ms for row in rows], [0] * 4)
