Define usable servers once, and count recent refusals from their table

The servers that are reached and may serve a request were selected in three functions. The log field refused_lately went over all daemons of the allowed regions a second time for each forward; it now counts the entries of recent refusals. No decision changes.

--- a/bluebellbeam/node/forwarding.py
+++ b/bluebellbeam/node/forwarding.py
@@ -272,15 +272,16 @@
 
     Called before the request is counted as in flight there. The fields are the free
     slots that it has offered, or None; the requests of this daemon in flight there; and
-    how many of the daemons that may get the request have refused one lately.
+    how many daemons have lately refused such a request.
     """
     offer = _usable_offers_by_lender(state, request, now_ms).get(member.name)
-    targets = forward_targets(state, request)
+    refused_until_ms = state.borrower.refused_until_ms
     return {
         "offered_slots": offer.spare if offer is not None else None,
         "running_there": _count_running(state, member.name),
         "refused_lately": sum(
-            _has_refused(state, request, row, now_ms) for row in targets
+            pool == request.pool and until_ms > now_ms
+            for (_, pool), until_ms in refused_until_ms.items()
         ),
     }
 
--- a/bluebellbeam/node/reachability.py
+++ b/bluebellbeam/node/reachability.py
@@ -22,37 +22,34 @@
 which servers that have not responded yet are not assumed to be reached."""
 
 
-def has_lost_servers(state, request):
-    """Return whether servers of this region may serve a request, but none is reached.
+def has_usable_server(state, request):
+    """Return whether a server of this region is reached and may serve a request.
 
-    A server without a response to its last health check or connection is not reached.
+    There is none as well while all servers leave, their failure domain is evacuated, or
+    none is listed. A server without a response to its last health check or connection
+    is not reached.
     """
-    found = False
-    for row in state.replicas.rows.values():
-        if _may_serve(state, row, request):
-            if row.identified and not row.unproven:
-                return False
-            found = True
-    return found
+    return any(_usable_servers(state, request))
 
 
 def count_usable_servers(state, request):
     """Return how many servers of this region are reached and may serve a request."""
-    return sum(
-        row.identified and not row.unproven and _may_serve(state, row, request)
-        for row in state.replicas.rows.values()
-    )
+    return sum(1 for _ in _usable_servers(state, request))
 
 
-def has_usable_server(state, request):
-    """Return whether a server of this region is reached and may serve a request.
+def has_lost_servers(state, request):
+    """Return whether servers may serve a request, but this daemon reaches none."""
+    return not has_usable_server(state, request) and any(
+        _may_serve(state, row, request) for row in state.replicas.rows.values()
+    )
 
-    There is none as well while all servers leave, their failure domain is evacuated, or
-    none is listed.
-    """
-    return any(
-        row.identified and not row.unproven and _may_serve(state, row, request)
+
+def _usable_servers(state, request):
+    """Return an iterator over the servers that are reached and may serve a request."""
+    return (
+        row
         for row in state.replicas.rows.values()
+        if row.identified and not row.unproven and _may_serve(state, row, request)
     )
 
 
