--- a/bluebellbeam/platform/tests/test_descriptors.py
+++ b/bluebellbeam/platform/tests/test_descriptors.py
@@ -46,11 +46,36 @@
             entry = replica.entry(service, "hall-e", born=1)
             self.store.put(f"servers/{replica.name}", entry)
         self.store.put("op/config", config())
+        async with asyncio.timeout(30):
+            while not await self.start_process():
+                pass
+
+    async def start_process(self):
+        """Start the daemon; return whether it serves, not whether a port was taken."""
         sockets = {name: bind_address("127.0.0.1:0") for name in LISTENERS}
         self.addresses = {name: bound_address(sock) for name, sock in sockets.items()}
         for sock in sockets.values():
             sock.close()
-        settings = {
+        path = self.folder / "settings.json"
+        path.write_text(json.dumps(self.settings()))
+        limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
+        with (self.folder / "log").open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "bluebellbeam", "serve", str(path)),
+                stdout=log,
+                stderr=log,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limits),
+            )
+        while await self.read_readiness() != 200:
+            if self.process.returncode is not None:
+                return False
+            await asyncio.sleep(0.05)
+        while await self.send_request("first") != 200:
+            await asyncio.sleep(0.05)
+        return True
+
+    def settings(self):
+        return {
             "vm": "vm-1",
             "region": "east",
             "failure_domain": "hall-e",
@@ -65,21 +90,13 @@
                 "directory_address": self.addresses["directory"],
             },
         }
-        path = self.folder / "settings.json"
-        path.write_text(json.dumps(settings))
-        limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
-        with (self.folder / "log").open("wb") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "bluebellbeam", "serve", str(path)),
-                stdout=log,
-                stderr=log,
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limits),
-            )
-        async with asyncio.timeout(20):
-            while await self.read_readiness() != 200:
-                await asyncio.sleep(0.05)
-            while await self.send_request("first") != 200:
-                await asyncio.sleep(0.05)
+
+    def last_lines(self, count=40):
+        """Return the end of the log, without answered requests."""
+        lines = (self.folder / "log").read_text().splitlines()
+        kept = [line for line in lines if "send to" not in line]
+        kept = [line for line in kept if "answered" not in line]
+        return "\n".join(kept[-count:])
 
     async def read_readiness(self):
         """Return the status of the readiness check, on a connection that is kept."""
@@ -142,8 +159,18 @@
 
     REQUESTS = 40
 
+    async def measure_delay(self):
+        """Record the longest time by which the loop of this process is late."""
+        loop = asyncio.get_running_loop()
+        while True:
+            since_s = loop.time()
+            await asyncio.sleep(0.05)
+            self.delay_s = max(self.delay_s, loop.time() - since_s - 0.05)
+
     def check_served(self, sent, listener="callers"):
         async def run():
+            self.delay_s = 0.0
+            delay = asyncio.ensure_future(self.measure_delay())
             with tempfile.TemporaryDirectory() as folder:
                 daemon = DaemonProcess(folder)
                 try:
@@ -156,8 +183,11 @@
                     found = await asyncio.gather(*found)
                     readiness = await daemon.read_readiness()
                 finally:
+                    delay.cancel()
                     await daemon.stop()
-            self.assertEqual((readiness, found.count(200)), (200, self.REQUESTS))
+                log = f"late by {self.delay_s:.2f} s at most\n{daemon.last_lines()}"
+            served = found.count(200)
+            self.assertEqual((readiness, served), (200, self.REQUESTS), log)
 
         uvloop.run(run())
 
