--- a/bluebellbeam/recovery/outlier.py
+++ b/bluebellbeam/recovery/outlier.py
@@ -40,13 +40,16 @@
     At least the share `policy.eject_floor` of every pool stays in use regardless of
     how many servers fail, so that a fault of this daemon cannot eject them all. The
     duration doubles with each ejection, up to `MAX_EJECTION_FACTOR` times
-    `policy.eject_ms`, and is multiplied by a random factor from 0.5 to 1.5.
+    `policy.eject_ms`, and is multiplied by a random factor from 0.5 to 1.5. A server in
+    no pool has stopped responding: it is not used, and its failures do not count.
 
     Returns
     -------
     bool
         Whether the server has been ejected.
     """
+    if not replica.pools:
+        return False
     replica.failures += 1
     if replica.failures < policy.eject_failures:
         return False
@@ -155,12 +158,6 @@
 
 
 def _may_eject(table, replica, policy, now_ms):
-    """Return whether every pool keeps enough servers without `replica`.
-
-    A server that does not respond is in no pool, and is not used in any case.
-    """
-    if not replica.pools:
-        return False
     for pool in replica.pools:
         replicas = table.pools[pool]
         active = sum(1 for other in replicas if other.ejected_until_ms <= now_ms)
