--- a/bluebellbeam/config/settings.py
+++ b/bluebellbeam/config/settings.py
@@ -74,9 +74,6 @@
         Metadata store that takes the place of `platform`.
     seed_peers : tuple of str
         Peer addresses to contact before the VM list has been read.
-    max_descriptors : int
-        File descriptors that the process may use; 0 if only the limit of the operating
-        system applies.
     """
 
     vm: str
@@ -90,7 +87,6 @@
     platform: PlatformAddresses | None = None
     store: StoreAccess | None = None
     seed_peers: tuple[str, ...] = ()
-    max_descriptors: int = 0
 
 
 def decode_settings(raw):
@@ -131,9 +127,6 @@
             Fault("$", "two listeners share an address", "give each its own address")
         )
     _check_provider(settings, faults)
-    if settings.max_descriptors < 0:
-        text = f"{settings.max_descriptors} is below 0"
-        faults.append(Fault("$.max_descriptors", text, "use 0 for no limit"))
     for i, address in enumerate(settings.seed_peers):
         _check_address(address, f"$.seed_peers[{i}]", faults)
     needs_key = settings.store is None or settings.peer_key
--- a/bluebellbeam/daemon/connection_limit.py
+++ b/bluebellbeam/daemon/connection_limit.py
@@ -45,9 +45,6 @@
     ----------
     clock : Clock
     vm : str
-    max_descriptors : int
-        Descriptors that the process may use; 0 if only the limit of the operating
-        system applies.
     activities : list of ListenerActivity
         Those of all listeners.
     closed, refused : int
@@ -62,7 +59,6 @@
     __slots__ = (
         "clock",
         "vm",
-        "max_descriptors",
         "activities",
         "closed",
         "refused",
@@ -72,10 +68,9 @@
         "logged_ms",
     )
 
-    def __init__(self, clock, vm, max_descriptors):
+    def __init__(self, clock, vm):
         self.clock = clock
         self.vm = vm
-        self.max_descriptors = max_descriptors
         self.activities = []
         self.closed = 0
         self.refused = 0
@@ -85,9 +80,9 @@
         self.logged_ms = None
 
 
-def make_connection_limit(clock, vm, max_descriptors=0):
+def make_connection_limit(clock, vm):
     """Return the limit of a process without connections."""
-    return ConnectionLimit(clock, vm, max_descriptors)
+    return ConnectionLimit(clock, vm)
 
 
 def is_idle(connection):
@@ -167,11 +162,9 @@
     if limit.read_ms is not None and now_ms - limit.read_ms < READ_INTERVAL_MS:
         return
     limit.read_ms = now_ms
-    limits = [limit.max_descriptors] if limit.max_descriptors else []
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft != resource.RLIM_INFINITY:
-        limits.append(soft)
-    limit.max_open = int(INCOMING_SHARE * min(limits)) if limits else None
+    is_limited = soft != resource.RLIM_INFINITY
+    limit.max_open = int(INCOMING_SHARE * soft) if is_limited else None
 
 
 def _log(limit, open_count, now_ms):
--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -128,9 +128,7 @@
         self.settings = settings
         self.provider = provider
         self.clock = clock
-        self.connection_limit = make_connection_limit(
-            clock, settings.vm, settings.max_descriptors
-        )
+        self.connection_limit = make_connection_limit(clock, settings.vm)
         self.connection_pool = make_connection_pool(clock)
         self.response_buffers = make_response_buffers()
         self.peer_connections = make_connection_pool(clock, PEER_MAX_IDLE_MS)
