Answer 503 where no region is permitted by both tenant and route

Callers saw: requests with a valid key, on a route that exists, got 403 (DENIED).

Class: a state of the configuration told as a fault of the request.

Change: region_not_permitted has the status 503, still refused at once and without Retry-After. Callers may rely on it that the request has not run, which 403 does not say. The other place where the regions run out, a changed configuration while a request waits, has the same code.

--- a/bluebellbeam/node/errors.py
+++ b/bluebellbeam/node/errors.py
@@ -71,8 +71,9 @@
     "not_permitted": ErrorKind(
         403, "not_run", "The workspace may not use this model or service."
     ),
+    # Not the caller's fault: its key and its request are valid.
     "region_not_permitted": ErrorKind(
-        403, "not_run", "No region allowed for the workspace can be used."
+        503, "not_run", "No region is permitted by both the workspace and the route."
     ),
     "unknown_model": ErrorKind(404, "not_run", "There is no such model or adapter."),
     "unknown_service": ErrorKind(404, "not_run", "There is no such service."),
--- a/bluebellbeam/platform/tests/test_caller_keys.py
+++ b/bluebellbeam/platform/tests/test_caller_keys.py
@@ -155,11 +155,15 @@
             self.assertEqual(headers["x-tenant"], "West Ltd.")
             self.assertNotIn("api-key", headers)
             self.assertIn("hall-w", deployment.runs("f1")[0])
-            # The home regions of the route and those of the workspace are disjoint.
-            made = with_tenants(3, home_regions=["east"])
+
+        self.run_with(step, daemons=("hall-e", "hall-w"))
+
+    def test_valid_key_without_a_common_region_is_no_error_of_the_caller(self):
+        async def step(deployment):
+            made = with_tenants(2, home_regions=["east"])
             await self.publish(deployment, made)
             found = await self.fetch(deployment, "/chat/1", "f2", "west-secret")
-            self.assertEqual((found[0], deployment.runs("f2")), (403, []))
+            self.assertEqual((found[0], deployment.runs("f2")), (503, []))
 
         self.run_with(step, daemons=("hall-e", "hall-w"))
 
