Confirm the version of streams that began in an outage of the store

Cause: a version in doubt was recorded as unknown, and neither the daemon that serves the stream nor its holders corrected the record when the list showed that the server had not started again. Ruled out: that the origin was lost (the error is only sent for a known one).

The record now names the server and its incarnation. Every daemon that lists the server confirms the version from a list that is up to date; the serving daemon tells its holders, and one that runs a forwarded stream the daemon that forwarded it. A lookup goes on while the version is unknown.

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -38,6 +38,7 @@
 from bluebellbeam.node.trials import record_evidence
 from bluebellbeam.node.urgency import set_queue_order
 from bluebellbeam.operations import mark_not_run, record_outcome
+from bluebellbeam.origins import UnconfirmedVersion
 from bluebellbeam.recovery import (
     record_failure,
     record_success,
@@ -150,13 +151,25 @@
     """
     if request.route is None or request.route.kind != "stream":
         return
+    unconfirmed = None
     if request.stream_origin is None:
         version = attempt.server_version
-        if state.is_list_settling(now_ms):
+        if origin is None and _is_version_doubtful(state, attempt, now_ms):
+            unconfirmed = UnconfirmedVersion(
+                version, attempt.server, attempt.server_incarnation
+            )
             version = UNKNOWN_VERSION
         own = StreamOrigin(request.service, version)
         request.stream_origin = origin or own
-    tell_origin(state, request, now_ms)
+    tell_origin(state, request, now_ms, unconfirmed)
+
+
+def _is_version_doubtful(state, attempt, now_ms):
+    """Return whether the server may have started again at another version."""
+    row = state.replicas.rows.get(attempt.server)
+    if row is None or row.incarnation != attempt.server_incarnation:
+        return True
+    return row.is_version_doubtful or state.is_list_settling(now_ms)
 
 
 def _confirm_server(state, attempt, now_ms):
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -8,6 +8,7 @@
 
 from bluebellbeam.feeds.feed import Delta, Snapshot
 from bluebellbeam.membership.table import StatusUpdate
+from bluebellbeam.origins.table import ServingDaemon, UnconfirmedVersion
 from bluebellbeam.provider.records import VmRecord
 from bluebellbeam.utils.decoding import decode_json
 
@@ -175,12 +176,21 @@
         None if it has not run for long enough to know them.
     recent : dict of str to tuple of str
         In that case, those that it has seen.
+    ages_ms : tuple of int
+        Time since the first event of each of the streams; empty if it has just arrived.
+    unconfirmed : dict of int to UnconfirmedVersion
+        Where streams of unknown version began, if it can still be confirmed, by key.
+    served_by : ServingDaemon or None
+        Daemon that serves these streams; None if it is the sender.
     """
 
     origins: tuple[tuple[int, str, str], ...] = ()
     unknown: tuple[int, ...] = ()
     versions: dict[str, tuple[str, ...]] | None = None
     recent: dict[str, tuple[str, ...]] = {}
+    ages_ms: tuple[int, ...] = ()
+    unconfirmed: dict[int, UnconfirmedVersion] = {}
+    served_by: ServingDaemon | None = None
 
 
 class OriginQuery(Struct, frozen=True, array_like=True, tag="oq"):
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -61,6 +61,7 @@
     send_pending_order,
     tick_orders,
 )
+from bluebellbeam.node.origin_holders import tick_holders
 from bluebellbeam.node.pause import detect_pause
 from bluebellbeam.node.quotas import (
     handle_quota_report,
@@ -188,6 +189,7 @@
         self._run("tick_membership", tick_membership, state, now_ms)
         self._run("tick_requests", tick_requests, state, now_ms)
         self._run("tick_lookups", _tick_lookups, state, now_ms)
+        self._run("tick_holders", tick_holders, state, now_ms)
         if state.config is not None:
             self._run("tick_server_checks", tick_server_checks, state, now_ms)
             self._run("tick_reachability", tick_reachability, state)
--- a/bluebellbeam/node/stream_origins.py
+++ b/bluebellbeam/node/stream_origins.py
@@ -1,12 +1,21 @@
 """Exchange of the origins of streams between daemons, and lookups for callers."""
 
+import msgspec
+
 from bluebellbeam.membership import alive_peers
 from bluebellbeam.node.command import Log
 from bluebellbeam.node.message import OriginQuery, StreamOrigins
+from bluebellbeam.node.origin_holders import (
+    confirm_if_current,
+    origins_message,
+    request_stream_key,
+    serving_daemon,
+    tell_holders,
+    update_running_requests,
+)
 from bluebellbeam.node.peer_send import send_to_member
 from bluebellbeam.origins import (
     MAX_ORIGINS,
-    choose_holders,
     choose_sources,
     find_origin,
     is_complete,
@@ -20,7 +29,7 @@
     start_watch,
     stream_key,
 )
-from bluebellbeam.routing import StreamOrigin
+from bluebellbeam.routing import UNKNOWN_VERSION, StreamOrigin
 
 __all__ = [
     "OriginLookup",
@@ -53,17 +62,27 @@
         Time of the queries.
     is_partial : bool
         Whether a member was not reached.
+    is_unconfirmed : bool
+        Whether the origin is known but for its version.
     told : dict of str to set of str
         Versions by service that members have named which have not watched for long.
     """
 
-    __slots__ = ("requests", "sources", "started_ms", "is_partial", "told")
+    __slots__ = (
+        "requests",
+        "sources",
+        "started_ms",
+        "is_partial",
+        "is_unconfirmed",
+        "told",
+    )
 
     def __init__(self, request, sources, started_ms):
         self.requests = [request]
         self.sources = sources
         self.started_ms = started_ms
         self.is_partial = False
+        self.is_unconfirmed = False
         self.told = {}
 
 
@@ -78,20 +97,21 @@
     )
 
 
-def tell_origin(state, request, now_ms):
-    """Record where the stream of a caller's request began, and tell its holders.
+def tell_origin(state, request, now_ms, unconfirmed=None):
+    """Record where the stream of a request began, and tell its holders.
 
-    Streams that cannot be resumed are left out.
+    Streams that cannot be resumed are left out. Those of other daemons are recorded
+    only if their version is `unconfirmed`, which this daemon may confirm later.
     """
-    if request.origin or not request.route.resumable:
+    if not request.route.resumable or (request.origin and unconfirmed is None):
         return
-    key = stream_key(request.host, request.resumes or request.attempt_key)
+    key = request_stream_key(request)
     origin = request.stream_origin
-    record_origin(state.origins, key, origin, now_ms)
-    message = StreamOrigins(((key, origin.service, origin.version),))
-    peers = alive_peers(state.members, state.identity.vm)
-    for name in choose_holders(key, peers, state.identity):
-        send_to_member(state, name, (message,))
+    own = serving_daemon(state.identity)
+    row = record_origin(state.origins, key, origin, own, now_ms, unconfirmed)
+    row.holders = {}
+    if not request.origin:
+        tell_holders(state, {key: row}, now_ms)
 
 
 def start_lookup(state, request, now_ms):
@@ -108,8 +128,9 @@
         return True, None
     # Members are asked for the versions that they know if no stream is named.
     key = stream_key(request.host, request.resumes or f"?{request.request_id}")
-    origin = find_origin(state.origins, key, now_ms)
-    if origin is not None:
+    origin = _known_origin(state, key, now_ms)
+    is_unconfirmed = origin is not None and origin.version == UNKNOWN_VERSION
+    if origin is not None and not is_unconfirmed:
         _log_origin(state, request, origin, "own record", 0)
         return True, origin
     lookup = state.origin_lookups.get(key)
@@ -119,32 +140,56 @@
     peers = alive_peers(state.members, state.identity.vm)
     sources = choose_sources(key, peers, state.identity)
     if not sources:
-        is_alone = not state.members.rows
-        return True, _assumed_origin(state, request, 0, now_ms, is_alone)
+        is_informed = not (state.members.rows or is_unconfirmed)
+        return True, _assumed_origin(state, request, 0, now_ms, is_informed)
     for name in sources:
         send_to_member(state, name, (OriginQuery((key,)),))
-    state.origin_lookups[key] = OriginLookup(request, set(sources), now_ms)
+    lookup = OriginLookup(request, set(sources), now_ms)
+    lookup.is_unconfirmed = is_unconfirmed
+    state.origin_lookups[key] = lookup
     return False, None
 
 
+def _known_origin(state, key, now_ms):
+    """Return the recorded origin of a stream, confirmed if that is possible now."""
+    origin = find_origin(state.origins, key, now_ms)
+    if origin is not None and origin.version == UNKNOWN_VERSION:
+        confirm_if_current(state, key, now_ms)
+        origin = find_origin(state.origins, key, now_ms)
+    return origin
+
+
 def handle_origin_query(state, sender, message, now_ms):
     """Send a member the origins that it asks for, as far as they are known."""
-    found, unknown = [], []
+    found, unknown = {}, []
     for key in message.keys:
-        origin = find_origin(state.origins, key, now_ms)
-        if origin is None:
+        if _known_origin(state, key, now_ms) is None:
             unknown.append(key)
         else:
-            found.append((key, origin.service, origin.version))
+            found[key] = state.origins.rows[key]
     seen = {}
     if unknown:
         _record_local_versions(state, now_ms)
         seen = seen_versions(state.versions)
     versions = seen if unknown and is_complete(state.versions, now_ms) else None
-    message = StreamOrigins(
-        tuple(found), tuple(unknown), versions, seen if versions is None else {}
+    groups = _by_serving_daemon(found).items()
+    messages = [
+        origins_message(state, rows, served_by, now_ms) for served_by, rows in groups
+    ] or [StreamOrigins()]
+    messages[-1] = msgspec.structs.replace(
+        messages[-1],
+        unknown=tuple(unknown),
+        versions=versions,
+        recent=seen if versions is None else {},
     )
-    send_to_member(state, sender, (message,))
+    send_to_member(state, sender, messages)
+
+
+def _by_serving_daemon(rows):
+    groups = {}
+    for key, row in rows.items():
+        groups.setdefault(row.served_by, {})[key] = row
+    return groups
 
 
 def handle_stream_origins(state, sender, message, now_ms):
@@ -156,15 +201,16 @@
         Requests whose lookup has ended.
     """
     ended = []
-    for key, service, version in message.origins:
+    changed = {}
+    for index, (key, service, version) in enumerate(message.origins):
+        age_ms = message.ages_ms[index] if message.ages_ms else 0
         origin = StreamOrigin(service, version)
-        record_origin(state.origins, key, origin, now_ms)
-        lookup = state.origin_lookups.pop(key, None)
-        if lookup is not None:
-            took_ms = now_ms - lookup.started_ms
-            for request in lookup.requests:
-                _log_origin(state, request, origin, sender, took_ms)
-                ended.append((request, origin))
+        if _record_told(state, sender, message, key, origin, now_ms - age_ms, now_ms):
+            changed[key] = state.origins.rows[key]
+        origin = _known_origin(state, key, now_ms)
+        if origin is not None:
+            ended += _end_lookup(state, sender, key, origin, now_ms)
+    tell_holders(state, changed, now_ms)
     if message.versions is not None:
         merge_seen_versions(state.versions, message.versions, now_ms)
     for key in message.unknown:
@@ -173,6 +219,51 @@
     return ended
 
 
+def _record_told(state, sender, message, key, origin, began_ms, now_ms):
+    """Record an origin that a member has told.
+
+    Returns
+    -------
+    bool
+        Whether it tells the version of a stream that this daemon serves, whose holders
+        know it without.
+    """
+    before = find_origin(state.origins, key, now_ms)
+    served_by = message.served_by or _member_process(state, sender)
+    if served_by is None:
+        return False
+    unconfirmed = message.unconfirmed.get(key)
+    row = record_origin(state.origins, key, origin, served_by, began_ms, unconfirmed)
+    if before is None or before.version != UNKNOWN_VERSION or row.origin == before:
+        return False
+    update_running_requests(state, key, row.origin)
+    row.holders = {}
+    return row.served_by == serving_daemon(state.identity)
+
+
+def _member_process(state, name):
+    row = state.members.rows.get(name)
+    return None if row is None else serving_daemon(row)
+
+
+def _end_lookup(state, sender, key, origin, now_ms):
+    """End the lookup of a stream; return its requests with the origin.
+
+    It goes on at other members while the version is unknown.
+    """
+    lookup = state.origin_lookups.get(key)
+    if lookup is None:
+        return []
+    if origin.version == UNKNOWN_VERSION:
+        lookup.is_unconfirmed = True
+        return _drop_source(state, key, sender, now_ms)
+    del state.origin_lookups[key]
+    took_ms = now_ms - lookup.started_ms
+    for request in lookup.requests:
+        _log_origin(state, request, origin, sender, took_ms)
+    return [(request, origin) for request in lookup.requests]
+
+
 def _note_versions(state, key, versions):
     """Note the versions that a member has seen for one lookup.
 
@@ -215,7 +306,7 @@
     """End a lookup that found nothing."""
     lookup = state.origin_lookups.pop(key)
     took_ms = now_ms - lookup.started_ms
-    is_informed = not (lookup.is_partial or lookup.sources)
+    is_informed = not (lookup.is_partial or lookup.is_unconfirmed or lookup.sources)
     return [
         (
             request,
--- a/bluebellbeam/origins/__init__.py
+++ b/bluebellbeam/origins/__init__.py
@@ -3,13 +3,18 @@
 A caller may resume a stream at another daemon, often because the one that served it is
 gone. The daemon that serves the first event therefore tells a few others where the
 stream began, chosen by rendezvous hash of the stream, and the daemon that the caller
-resumes at asks those that would have been told.
+resumes at asks those that would have been told. An origin whose version is unknown at
+first is told again once the version has been confirmed.
 """
 
 from bluebellbeam.origins.holders import choose_holders, choose_sources
 from bluebellbeam.origins.table import (
     MAX_ORIGINS,
+    OriginRow,
     OriginTable,
+    ServingDaemon,
+    UnconfirmedVersion,
+    confirm_origin,
     find_origin,
     make_origin_table,
     prune_origins,
@@ -32,10 +37,14 @@
 
 __all__ = [
     "MAX_ORIGINS",
+    "OriginRow",
     "OriginTable",
+    "ServingDaemon",
+    "UnconfirmedVersion",
     "VersionTable",
     "choose_holders",
     "choose_sources",
+    "confirm_origin",
     "find_origin",
     "is_complete",
     "live_versions",
--- a/bluebellbeam/origins/holders.py
+++ b/bluebellbeam/origins/holders.py
@@ -17,7 +17,7 @@
 region. One that has died may still be ranked before the holder."""
 
 
-def choose_holders(key, members, own):
+def choose_holders(key, members, served_by):
     """Return the names of the members to tell the origin of a stream.
 
     Parameters
@@ -26,13 +26,14 @@
         Key of the stream.
     members : iterable of Member
         Other members that are alive.
-    own : NodeIdentity
+    served_by : ServingDaemon
         The daemon that serves the stream.
     """
+    region, domain = served_by.region, served_by.failure_domain
     ranked = _rank(key, members)
-    near = [row for row in ranked if row.region == own.region]
-    apart = [row for row in near if row.failure_domain != own.failure_domain]
-    far = [row for row in ranked if row.region != own.region]
+    near = [row for row in ranked if row.region == region]
+    apart = [row for row in near if row.failure_domain != domain]
+    far = [row for row in ranked if row.region != region]
     found = [*(apart or near)[:1], *far[:1]]
     for row in (*_other_regions(far), *ranked):
         if len(found) == HOLDERS:
