Keep the holders of a stream's origin informed while the members change

Cause: an origin was told once, with the first event, to two members; during a rolling restart all that were told are gone when the stream is cut. Daemons that were leaving still knew it but were not asked.

The serving daemon now compares the holders with the members when those change and tells the new ones; when it has gone, each holder does. The choice depends on the serving daemon's place, so that all choose the same. Leaving members are asked too.

--- a/bluebellbeam/membership/__init__.py
+++ b/bluebellbeam/membership/__init__.py
@@ -22,6 +22,7 @@
     make_member_table,
     queue_update,
     record_contact,
+    responsive_peers,
     update_listed,
     usable_members,
 )
@@ -43,6 +44,7 @@
     "next_targets",
     "queue_update",
     "record_contact",
+    "responsive_peers",
     "start_probe",
     "suspect",
     "take_updates",
--- a/bluebellbeam/membership/table.py
+++ b/bluebellbeam/membership/table.py
@@ -13,6 +13,7 @@
     "apply_update",
     "make_member_table",
     "record_contact",
+    "responsive_peers",
     "update_listed",
     "usable_members",
 ]
@@ -279,6 +280,15 @@
     ]
 
 
+def responsive_peers(table, own):
+    """Return the members that are not suspected, leaving or not, without `own`."""
+    return [
+        row
+        for _, row in sorted(table.rows.items())
+        if row.status == "alive" and row.name != own
+    ]
+
+
 def _apply_leaving(table, row, update):
     if row.leaving:
         return False
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -61,7 +61,7 @@
     send_pending_order,
     tick_orders,
 )
-from bluebellbeam.node.origin_holders import tick_holders
+from bluebellbeam.node.origin_holders import handle_unreachable_holder, tick_holders
 from bluebellbeam.node.pause import detect_pause
 from bluebellbeam.node.quotas import (
     handle_quota_report,
@@ -337,6 +337,7 @@
             handle_feed_read_failed(state, key, now_ms)
         case ev.PeerUnreachable(vm):
             handle_unreachable_peer(state, vm, now_ms)
+            handle_unreachable_holder(state, vm)
             ended = handle_unreachable_source(state, vm, now_ms)
             _admit_looked_up(state, ended, now_ms)
             ended = handle_unreachable_ledger(state, vm, now_ms)
--- a/bluebellbeam/node/origin_holders.py
+++ b/bluebellbeam/node/origin_holders.py
@@ -1,10 +1,11 @@
-"""Holders of the origins of streams.
+"""Holders of the origins of streams, kept informed while the members change.
 
 The daemon that serves a stream tells its origin to the holders: with the first event,
-and once an unknown version has been confirmed.
+when the choice of holders changes, and once an unknown version has been confirmed. When
+that daemon has gone, each holder that is left does the first two.
 """
 
-from bluebellbeam.membership import alive_peers
+from bluebellbeam.membership import alive_peers, responsive_peers
 from bluebellbeam.node.message import StreamOrigins
 from bluebellbeam.node.peer_send import send_to_member
 from bluebellbeam.node.state import LIST_SETTLE_MS, NodeIdentity
@@ -18,6 +19,7 @@
 
 __all__ = [
     "confirm_if_current",
+    "handle_unreachable_holder",
     "origins_message",
     "request_stream_key",
     "serving_daemon",
@@ -26,6 +28,9 @@
     "update_running_requests",
 ]
 
+VISITED_ROWS_PER_TICK = 500
+"""Largest number of origins whose holders are compared with the members in one tick."""
+
 ORIGINS_PER_MESSAGE = 200
 """Largest number of origins in one message, which bounds its size to some 15 KB."""
 
@@ -86,9 +91,20 @@
 
 
 def _holder_candidates(state):
-    """Return the members that may hold origins, this daemon included, by name."""
+    """Return the members that may hold origins, this daemon included, by name.
+
+    Leaving members are chosen only if there are no others.
+    """
+    depends_on = (state.members.generation, state.leaving)
+    return state.cached(
+        "origin holder candidates", depends_on, lambda: _find_candidates(state)
+    )
+
+
+def _find_candidates(state):
     own = state.identity
     peers = alive_peers(state.members, own.vm)
+    peers = peers or responsive_peers(state.members, own.vm)
     found = {row.name: row for row in peers}
     if not state.leaving:
         found[own.vm] = serving_daemon(own)
@@ -132,9 +148,75 @@
 
 
 def tick_holders(state, now_ms):
-    """Confirm the unknown versions of streams as far as that is possible now."""
+    """Confirm unknown versions, and tell origins to holders that are new."""
     for key in list(state.origins.unconfirmed_keys):
         confirm_if_current(state, key, now_ms)
+    table = state.origins
+    if not table.unvisited_keys:
+        _compare_members(state)
+    if not table.unvisited_keys:
+        return
+    candidates = _holder_candidates(state)
+    keys = table.unvisited_keys[-VISITED_ROWS_PER_TICK:]
+    del table.unvisited_keys[-VISITED_ROWS_PER_TICK:]
+    untold = {}
+    for key in keys:
+        row = table.rows.get(key)
+        if row is not None:
+            _visit(state, key, row, candidates, untold)
+    _send_origins(state, untold, now_ms)
+
+
+def _compare_members(state):
+    """Record which members have joined and left, and which rows that may affect."""
+    table = state.origins
+    key = (state.members.generation, state.leaving)
+    if key == table.members_key and not table.unreached:
+        return
+    table.members_key = key
+    candidates = _holder_candidates(state)
+    now = {name: row.incarnation for name, row in candidates.items()}
+    before = table.members
+    gone = {name for name, i in before.items() if now.get(name) != i}
+    table.joined = frozenset(n for n, i in now.items() if before.get(n) != i)
+    table.left = frozenset(gone | table.unreached)
+    table.unreached = set()
+    table.members = now
+    if table.joined or table.left:
+        table.unvisited_keys = list(table.rows)
+
+
+def _visit(state, key, row, candidates, untold):
+    """Choose the holders of a stream again if a change of the members affects them."""
+    table = state.origins
+    is_own = row.served_by == serving_daemon(state.identity)
+    if not is_own and _is_running(state, row.served_by):
+        return
+    left = table.left & row.holders.keys()
+    for name in left:
+        del row.holders[name]
+    if row.holders and not left:
+        # Only members that have joined can take the place of a holder.
+        if not table.joined:
+            return
+        names = {*row.holders, *table.joined}
+        candidates = {name: candidates[name] for name in names if name in candidates}
+    _choose_again(state, key, row, candidates, untold)
+
+
+def _is_running(state, process):
+    """Return whether a daemon's process is still a member, leaving or not."""
+    row = state.members.rows.get(process.name)
+    return (
+        row is not None
+        and row.status == "alive"
+        and row.incarnation == process.incarnation
+    )
+
+
+def handle_unreachable_holder(state, name):
+    """Record that member `name` may lack origins that it was told."""
+    state.origins.unreached.add(name)
 
 
 def confirm_if_current(state, key, now_ms):
--- a/bluebellbeam/node/stream_origins.py
+++ b/bluebellbeam/node/stream_origins.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bluebellbeam.membership import alive_peers
+from bluebellbeam.membership import responsive_peers
 from bluebellbeam.node.command import Log
 from bluebellbeam.node.message import OriginQuery, StreamOrigins
 from bluebellbeam.node.origin_holders import (
@@ -137,7 +137,7 @@
     if lookup is not None:
         lookup.requests.append(request)
         return False, None
-    peers = alive_peers(state.members, state.identity.vm)
+    peers = responsive_peers(state.members, state.identity.vm)
     sources = choose_sources(key, peers, state.identity)
     if not sources:
         is_informed = not (state.members.rows or is_unconfirmed)
--- a/bluebellbeam/origins/__init__.py
+++ b/bluebellbeam/origins/__init__.py
@@ -3,8 +3,9 @@
 A caller may resume a stream at another daemon, often because the one that served it is
 gone. The daemon that serves the first event therefore tells a few others where the
 stream began, chosen by rendezvous hash of the stream, and the daemon that the caller
-resumes at asks those that would have been told. An origin whose version is unknown at
-first is told again once the version has been confirmed.
+resumes at asks those that would have been told. Every daemon that knows an origin tells
+it again when the members change and others are to know it, and when a version that was
+unknown at first has been confirmed.
 """
 
 from bluebellbeam.origins.holders import choose_holders, choose_sources
--- a/bluebellbeam/origins/holders.py
+++ b/bluebellbeam/origins/holders.py
@@ -20,6 +20,9 @@
 def choose_holders(key, members, served_by):
     """Return the names of the members to tell the origin of a stream.
 
+    The choice from some of the members is the same as from all of them, as long as the
+    chosen ones are among them.
+
     Parameters
     ----------
     key : int
@@ -46,6 +49,8 @@
 def choose_sources(key, members, own):
     """Return the names of the members to ask for the origin of a stream.
 
+    Leaving members are asked as well, since they may be the last ones that know it.
+
     Parameters
     ----------
     key : int
@@ -58,7 +63,8 @@
     groups = {}
     for row in _rank(key, members):
         domain = row.failure_domain if row.region == own.region else ""
-        groups.setdefault((row.region, domain), []).append(row.name)
+        group = (row.region, domain, row.leaving)
+        groups.setdefault(group, []).append(row.name)
     return [name for names in groups.values() for name in names[:SOURCES_PER_GROUP]]
 
 
--- a/bluebellbeam/origins/table.py
+++ b/bluebellbeam/origins/table.py
@@ -99,6 +99,18 @@
         By key of the stream.
     unconfirmed_keys : dict of int to None
         Keys of the rows with an unconfirmed version, the oldest first.
+    members : dict of str to int
+        Incarnation of each member that holders are chosen from.
+    members_key : tuple
+        State that `members` was taken from.
+    joined, left : frozenset of str
+        Members added to `members` and removed from it by the last change of it; those
+        that were not reached count as removed.
+    unvisited_keys : list of int
+        Keys of the rows whose holders do not reflect that change yet.
+    unreached : set of str
+        Members that a message could not be delivered to since then; they may lack
+        origins.
     dropped : int
         Number of origins dropped because the table was full, since that was last
         logged.
@@ -107,12 +119,23 @@
     __slots__ = (
         "rows",
         "unconfirmed_keys",
+        "members",
+        "members_key",
+        "joined",
+        "left",
+        "unvisited_keys",
+        "unreached",
         "dropped",
     )
 
     def __init__(self):
         self.rows = OrderedDict()
         self.unconfirmed_keys = {}
+        self.members = {}
+        self.members_key = ()
+        self.joined = self.left = frozenset()
+        self.unvisited_keys = []
+        self.unreached = set()
         self.dropped = 0
 
 
