Let connections take turns at what they have received

Cause: the work for a response followed its events and chunks, not its bytes (37 ms for 64 KB of events of five bytes), and each connection did all of it before the event loop came to the next. A proper stream of small events or a body in chunks of one byte does the same, so that no definition of malformed bytes would help.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -15,6 +15,7 @@
 import httptools
 import structlog
 
+from bluebellbeam.daemon.receive_turns import make_receive_turns
 from bluebellbeam.exception import UpstreamError
 from bluebellbeam.utils.counts import parse_count
 
@@ -31,6 +32,10 @@
 MAX_PART_BYTES = 64 * 1024
 """Largest part of a body that is handled before other work gets its turn."""
 
+PARSED_BYTES = 4 * 1024
+"""Largest number of received bytes that are parsed in one turn of a connection. Chunks
+of one byte take about a third of a millisecond."""
+
 MAX_RESPONSE_HEADER_BYTES = 64 * 1024
 """Largest total size of the header names and values of a response. Also the largest
 number of bytes received in a row that add nothing to a body, such as a status line, a
@@ -116,6 +121,9 @@
         "_error",
         "_invalidated",
         "_unexpected",
+        "_turns",
+        "_unparsed",
+        "_body_parts",
         "_chunks",
         "_buffered_bytes",
         "_has_cut_part",
@@ -123,8 +131,9 @@
         "_method",
     )
 
-    def __init__(self, key):
+    def __init__(self, key, turns):
         self.key = key
+        self._turns = turns
         self.uses = 0
         self.idle_since_ms = 0
         self.keep_alive_ms = None
@@ -148,8 +157,40 @@
             _set_tcp_timeouts(sock)
 
     def data_received(self, data):
-        """Parse received bytes; unexpected ones bar the connection from reuse."""
+        """Parse received bytes, many of them in turns with other connections.
+
+        Unexpected ones bar the connection from reuse.
+        """
+        if not self._in_flight or self._complete:
+            self._reject_bytes()
+        elif self._unparsed:
+            self._unparsed += data
+        elif len(data) <= PARSED_BYTES:
+            self._parse(data)
+        else:
+            self._unparsed = bytearray(data)
+            self._transport.pause_reading()
+            self._turns.add(self._parse_some)
+
+    def _parse_some(self):
+        """Parse some of the received bytes; return whether there are more."""
+        if not self._unparsed:
+            return False
+        part = bytes(self._unparsed[:PARSED_BYTES])
+        del self._unparsed[:PARSED_BYTES]
+        self._parse(part)
+        if self._unparsed:
+            return True
+        self._resume_reading()
+        return False
+
+    def _resume_reading(self):
+        if not (self._unparsed or self._chunks or self._transport.is_closing()):
+            self._transport.resume_reading()
+
+    def _parse(self, data):
         if not self._in_flight or self._complete:
+            self._unparsed.clear()
             self._reject_bytes()
             return
         self._bytes_without_body += len(data)
@@ -162,6 +203,7 @@
                 self._reject_bytes()
             else:
                 self._fail(f"the response is malformed: {error}", lost=False)
+        self._append_body()
         if self._bytes_without_body > MAX_RESPONSE_HEADER_BYTES and not self._complete:
             self._fail(
                 f"{self._bytes_without_body} bytes without a part of a body exceed "
@@ -172,6 +214,15 @@
             self._transport.pause_reading()
         self._wake()
 
+    def _append_body(self):
+        """Append the parts of the body that were just parsed as one chunk."""
+        if self._body_parts:
+            chunk = b"".join(self._body_parts)
+            self._body_parts.clear()
+            self._chunks.append(chunk)
+            self._buffered_bytes += len(chunk)
+            self._bytes_without_body = 0
+
     def eof_received(self):
         """Record that the server has closed its side of the connection."""
         self._end_received = True
@@ -182,6 +233,8 @@
         A response that is neither chunked nor has a length is complete if the server
         closed the connection; any other one is truncated.
         """
+        while self._unparsed and not self._invalidated:
+            self._parse_some()
         self._invalidated = True
         if self._in_flight and not self._complete:
             unframed = self._head_done and not self._framed
@@ -239,9 +292,7 @@
         if self._complete:
             self._reject_bytes()
             return
-        self._chunks.append(data)
-        self._buffered_bytes += len(data)
-        self._bytes_without_body = 0
+        self._body_parts.append(data)
 
     def on_message_complete(self):
         """Mark the response as complete, unless it is an interim one."""
@@ -306,8 +357,7 @@
         data = self._take_part()
         self._buffered_bytes = max(0, self._buffered_bytes - len(data))
         self._has_cut_part = bool(self._chunks)
-        if not (self._has_cut_part or self._transport.is_closing()):
-            self._transport.resume_reading()
+        self._resume_reading()
         return data
 
     def _take_part(self):
@@ -346,7 +396,7 @@
         """End the current request; close the connection unless it is reusable."""
         unsent = self._transport.get_write_buffer_size() if self._transport else 0
         clean = self._complete and self._framed and not (self._chunks or unsent)
-        clean = clean and not self._invalidated
+        clean = clean and not (self._unparsed or self._invalidated)
         self._in_flight = False
         self.idle_since_ms = now_ms
         if not clean or self._has_close_header():
@@ -391,12 +441,15 @@
         self._complete = False
         self._framed = False
         self._error = None
+        self._unparsed = bytearray()
+        self._body_parts = []
         self._chunks = deque()
         self._buffered_bytes = 0
         self._has_cut_part = False
 
     def _fail(self, reason, lost):
         self._invalidated = True
+        self._unparsed.clear()
         if self._error is None:
             self._error = UpstreamConnectionError(reason, lost)
         if self._transport is not None:
@@ -489,9 +542,17 @@
             sock.setsockopt(level, name, value)
 
 
-async def open_upstream_connection(key, address, timeout_ms):
+async def open_upstream_connection(key, address, timeout_ms, turns=None):
     """Open a connection to `address`, given as ``ip:port``.
 
+    Parameters
+    ----------
+    key : hashable
+    address : str
+    timeout_ms : int
+    turns : ReceiveTurns, optional
+        Turns that the connection shares with others.
+
     Raises
     ------
     UpstreamConnectionError
@@ -499,10 +560,11 @@
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
+    turns = turns or make_receive_turns()
     try:
         async with asyncio.timeout(timeout_ms / 1000.0):
             _, connection = await loop.create_connection(
-                lambda: UpstreamConnection(key), host, int(port)
+                lambda: UpstreamConnection(key, turns), host, int(port)
             )
     except (TimeoutError, OSError, ValueError, OverflowError) as error:
         # A port out of range is an OverflowError.
--- a/bluebellbeam/daemon/connection_pool.py
+++ b/bluebellbeam/daemon/connection_pool.py
@@ -1,6 +1,7 @@
 """Pools of idle connections to backend servers and peers."""
 
 from bluebellbeam.daemon.connection import open_upstream_connection
+from bluebellbeam.daemon.receive_turns import make_receive_turns
 
 __all__ = ["PEER_MAX_IDLE_MS", "ConnectionPool", "make_connection_pool"]
 
@@ -40,15 +41,18 @@
         Number of connections opened so far.
     max_idle_ms : int
         Largest idle time for which a connection is reused.
+    turns : ReceiveTurns
+        Turns at which the connections parse what they have received.
     """
 
-    __slots__ = ("idle", "opened", "clock", "max_idle_ms")
+    __slots__ = ("idle", "opened", "clock", "max_idle_ms", "turns")
 
     def __init__(self, clock, max_idle_ms):
         self.idle = {}
         self.opened = 0
         self.clock = clock
         self.max_idle_ms = max_idle_ms
+        self.turns = make_receive_turns()
 
     async def acquire(self, key, address, cross_region=False, once=False):
         """Return an idle or a new connection to the process `key` at `address`.
@@ -82,7 +86,7 @@
         limit_ms = (
             CROSS_REGION_CONNECT_TIMEOUT_MS if cross_region else CONNECT_TIMEOUT_MS
         )
-        return await open_upstream_connection(key, address, limit_ms)
+        return await open_upstream_connection(key, address, limit_ms, self.turns)
 
     def release(self, connection):
         """Return a connection to the pool, or close it if it is not reusable."""
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -23,7 +23,7 @@
     read_peer_headers,
     without_credentials,
 )
-from bluebellbeam.daemon.sse import is_comment, make_event_splitter
+from bluebellbeam.daemon.sse import EventBlock, is_comment, make_event_splitter
 from bluebellbeam.exception import UpstreamError
 from bluebellbeam.node import event as ev
 from bluebellbeam.node.errors import ERRORS, make_error
@@ -42,6 +42,10 @@
 EVENT_REPORT_INTERVAL_MS = 250
 """Interval at which the events of a stream are reported to the node."""
 
+CHECKED_BYTES = 4 * 1024
+"""Largest part of a continued stream whose events are checked one by one before other
+work gets its turn."""
+
 EVENT_STREAM = "text/event-stream"
 
 MAX_ID_DIGITS = 18
@@ -359,24 +363,20 @@
     splitter = make_event_splitter()
     meter = _make_event_meter(driver, command, response)
     continues = bool(exchange.last_event_id or exchange.emitted)
-    while data := await connection.read_some():
-        events = splitter.feed(data)
-        if not events:
-            continue
-        if continues:
-            _check_continuation(exchange.last_event_id, events)
+    async for block in _read_events(connection, splitter, exchange, continues):
         if not _report_start(driver, command, progress):
             return
         if meter is not None:
-            meter.count(len(events))
-        await _put_events(exchange, connection.status, response, events)
+            meter.count(block.count)
+        await _put_events(exchange, connection.status, response, block)
     if not connection.is_framed:
         _log_unframed_end(driver, command, exchange.emitted, len(splitter.rest))
     _check_stream_end(connection, splitter, exchange)
     if not _report_start(driver, command, progress):
         return
     if splitter.rest:
-        await _put_events(exchange, connection.status, response, [("", splitter.rest)])
+        rest = EventBlock(splitter.rest)
+        await _put_events(exchange, connection.status, response, rest)
     progress.settled = True
     load = response.load if meter is None else None
     _report_finish(driver, command, connection, exchange.emitted, load)
@@ -386,6 +386,25 @@
     await exchange.put(End())
 
 
+async def _read_events(connection, splitter, exchange, continues):
+    """Yield the events of a response in blocks, as they arrive.
+
+    Those that continue a stream are checked one by one.
+    """
+    while data := await connection.read_some():
+        if not continues:
+            block = splitter.feed_block(data)
+            if block is not None:
+                yield block
+            continue
+        for start in range(0, len(data), CHECKED_BYTES):
+            events = splitter.feed(data[start : start + CHECKED_BYTES])
+            if events:
+                _check_continuation(exchange.last_event_id, events)
+                yield EventBlock(b"".join(raw for _, raw in events))
+            await asyncio.sleep(0)
+
+
 def _check_continuation(last_id, events):
     """Raise an error unless `events` follow the event with id `last_id`.
 
@@ -450,14 +469,13 @@
     )
 
 
-async def _put_events(exchange, status, response, events):
+async def _put_events(exchange, status, response, block):
     if not exchange.head_sent:
         exchange.head_sent = True
         await exchange.put(Head(status, response.passed))
-    for event_id, _ in events:
-        exchange.emitted += 1
-        exchange.last_event_id = event_id or exchange.last_event_id
-    await exchange.put(Chunk(tuple(raw for _, raw in events)))
+    exchange.emitted += block.count
+    exchange.last_event_id = block.last_id or exchange.last_event_id
+    await exchange.put(Chunk((block.raw,)))
 
 
 def _report_start(driver, command, progress):
--- a/bluebellbeam/daemon/sse.py
+++ b/bluebellbeam/daemon/sse.py
@@ -2,7 +2,13 @@
 
 import re
 
-__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "is_comment", "make_event_splitter"]
+__all__ = [
+    "MAX_EVENT_BYTES",
+    "EventBlock",
+    "EventSplitter",
+    "is_comment",
+    "make_event_splitter",
+]
 
 MAX_EVENT_BYTES = 256 * 1024
 """Largest incomplete event that is buffered; a daemon serves hundreds of streams."""
@@ -10,10 +16,38 @@
 _BLANK_LINE = re.compile(rb"\n\n|\r\n\r\n")
 _CONTENT = re.compile(rb"[^\r\n]")
 
+_EVENT_END = re.compile(rb"[^\r\n][\r\n]*?(?:\n\n|\r\n\r\n)")
+_ID_LINE = re.compile(rb"(?:\A|[\r\n])id:[^\r\n]*")
+
 MAX_BLANK_LINE_BYTES = 4
 """Length of the longest match of `_BLANK_LINE`."""
 
 
+class EventBlock:
+    """Whole events that follow each other in a stream.
+
+    Attributes
+    ----------
+    raw : bytes
+        The bytes of all of them.
+    count : int
+        Number of events.
+    last_id : str
+        Last id that is not empty; empty if there is none.
+    """
+
+    __slots__ = ("raw", "count", "last_id")
+
+    def __init__(self, raw):
+        self.raw = raw
+        self.count = len(_EVENT_END.findall(raw))
+        self.last_id = ""
+        for line in reversed(_ID_LINE.findall(raw)):
+            self.last_id = line.partition(b":")[2].strip().decode("latin-1")
+            if self.last_id:
+                break
+
+
 class EventSplitter:
     """Incremental splitter of an event stream.
 
@@ -41,6 +75,24 @@
         """Whether the data received so far ends inside an event."""
         return self._content_start < len(self._buffer)
 
+    def feed_block(self, data):
+        """Add received bytes and return the events that they complete as one block.
+
+        The work depends on the number of bytes, hardly on that of events.
+
+        Returns
+        -------
+        EventBlock or None
+            None if no event is complete.
+
+        Raises
+        ------
+        ValueError
+            If an incomplete event exceeds `MAX_EVENT_BYTES`.
+        """
+        raw = self._take_whole(data)
+        return EventBlock(raw) if raw else None
+
     def feed(self, data):
         """Add received bytes and return the events that they complete.
 
@@ -55,34 +107,51 @@
         ValueError
             If an incomplete event exceeds `MAX_EVENT_BYTES`.
         """
-        self._buffer += data
+        raw = self._take_whole(data)
         found = []
         start = 0
-        while (end := self._next_end()) is not None:
-            raw = bytes(self._buffer[start:end])
-            found.append((_event_id(raw), raw))
-            start = self._content_start = end
-        del self._buffer[:start]
-        self._content_start -= start
-        self._searched_bytes = max(0, self._searched_bytes - start)
+        while start < len(raw):
+            content = _CONTENT.search(raw, start)
+            end = _BLANK_LINE.search(raw, content.start()).end()
+            found.append((_event_id(raw[start:end]), raw[start:end]))
+            start = end
+        return found
+
+    def _take_whole(self, data):
+        """Add received bytes; remove and return those up to the last whole event."""
+        self._buffer += data
+        end = self._last_end()
+        raw = bytes(self._buffer[:end])
+        if end:
+            del self._buffer[:end]
+            self._content_start = self._searched_bytes = 0
+            self._find_content()
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-        return found
+        return raw
 
-    def _next_end(self):
-        """Return the index after the next event, or None if it is incomplete."""
+    def _last_end(self):
+        """Return the index after the last whole event in the buffer, or 0."""
+        if not self._find_content():
+            return 0
+        buffer = self._buffer
+        first = max(self._content_start, self._searched_bytes)
+        last = max(buffer.rfind(b"\n\n", first), buffer.rfind(b"\r\n\r\n", first))
+        if last < 0:
+            self._searched_bytes = max(first, len(buffer) - MAX_BLANK_LINE_BYTES + 1)
+            return 0
+        # Of several blank lines in a row the first one ends the event.
+        content_end = len(buffer[:last].rstrip(b"\r\n"))
+        return _BLANK_LINE.search(buffer, max(first, content_end)).end()
+
+    def _find_content(self):
+        """Return whether the incomplete event has content, and note where it starts."""
         content = _CONTENT.search(self._buffer, self._content_start)
         if content is None:
             self._content_start = len(self._buffer)
-            return None
+            return False
         self._content_start = content.start()
-        first = max(self._content_start, self._searched_bytes)
-        blank_line = _BLANK_LINE.search(self._buffer, first)
-        if blank_line is None:
-            last = len(self._buffer) - MAX_BLANK_LINE_BYTES + 1
-            self._searched_bytes = max(self._searched_bytes, last)
-            return None
-        return blank_line.end()
+        return True
 
 
 def make_event_splitter():
--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -62,6 +62,41 @@
     return True
 
 
+class TestResponseInSeveralTurns(unittest.IsolatedAsyncioTestCase):
+    """Guards against bytes that are lost or accepted between two turns of parsing."""
+
+    async def open(self, raw):
+        scripted = ScriptedServer([raw, raw])
+        server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        connection = await open_upstream_connection("s", f"{host}:{port}", 1000)
+        self.addCleanup(connection.close)
+        connection.send("GET", REQUEST, b"")
+        await connection.read_head()
+        return connection
+
+    async def test_large_response_is_whole_and_its_connection_reused(self):
+        body = bytes(range(256)) * 2000
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        connection = await self.open(head + body)
+        for _ in range(2):
+            self.assertEqual(await connection.read_all(len(body)), body)
+            connection.finish(0)
+            self.assertTrue(connection.is_reusable)
+            connection.send("GET", REQUEST, b"")
+
+    async def test_bytes_behind_a_large_response_bar_its_connection(self):
+        body = b"x" * 10_000
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n"
+        for extra in (b"y", head + body):
+            connection = await self.open(head + body + extra)
+            self.assertEqual(await connection.read_all(10_000), body)
+            connection.finish(0)
+            await asyncio.sleep(0.05)
+            self.assertFalse(connection.is_reusable)
+
+
 class TestAddressOutOfRange(unittest.IsolatedAsyncioTestCase):
     async def test_port_out_of_range_is_a_failed_connection(self):
         for port in ("65536", "99999", "9" * 400, "-1"):
--- a/bluebellbeam/daemon/tests/test_sse.py
+++ b/bluebellbeam/daemon/tests/test_sse.py
@@ -29,6 +29,45 @@
         self.assertFalse(splitter.is_inside_event)
 
 
+class TestBlocksOfEvents(unittest.TestCase):
+    """Guards against work that grows with the number of events."""
+
+    def test_blocks_hold_the_same_events(self):
+        rng = random.Random(64)
+        parts = (b"\n", b"\r", b"\r\n", b":", b"id: 1", b"id: 22\n", b"id:", b"\n\n")
+        for _ in range(400):
+            stream = b"".join(rng.choice(parts) for _ in range(rng.randrange(60)))
+            single, joined = make_event_splitter(), make_event_splitter()
+            for start in range(0, len(stream), 9):
+                events = single.feed(stream[start : start + 9])
+                block = joined.feed_block(stream[start : start + 9])
+                raw = b"".join(raw for _, raw in events)
+                self.assertEqual(block.raw if block else b"", raw, stream)
+                self.assertEqual(block.count if block else 0, len(events), stream)
+            self.assertEqual(joined.rest, single.rest, stream)
+
+    def test_block_names_the_last_id(self):
+        for stream, last_id in (
+            (b"id: 1\ndata: a\n\nid: 2\r\ndata: b\n\n", "2"),
+            (b"id: 1\n\n: comment\n\ndata: id: 9\n\n", "1"),
+            (b"id: 1\n\nid:\n\n", "1"),
+            (b"data: a\n\n", ""),
+        ):
+            self.assertEqual(make_event_splitter().feed_block(stream).last_id, last_id)
+
+    def test_small_events_cost_little_more_than_large_ones(self):
+        times = {}
+        for unit in (b"0\r\n\r\n", b"data: %s\n\n" % (b"x" * 4000)):
+            raw = unit * (65_536 // len(unit))
+            spent = []
+            for _ in range(5):
+                started_s = time.process_time()
+                make_event_splitter().feed_block(raw)
+                spent.append(time.process_time() - started_s)
+            times[unit] = min(spent)
+        self.assertLess(max(times.values()), 0.01, times)
+
+
 class TestEventInSmallParts(unittest.TestCase):
     def test_event_without_end_costs_little_and_ends_at_the_limit(self):
         splitter = make_event_splitter()
