Use a list read in pages of several revisions only after the changes between

Cause: the revision of the first page was taken for that of the whole range, though a later page that may be stale can be older. The changes between both were never seen, and the list had the higher version, so that the others adopted it.

The changes from the lowest revision of the pages to at least the highest are now applied before the items are used.

--- a/bluebellbeam/platform/store.py
+++ b/bluebellbeam/platform/store.py
@@ -302,8 +302,9 @@
     async def _read_all(self, linearizable):
         """Read all items with range requests.
 
-        The pages may be read at different revisions. The watch therefore continues
-        from the revision of the first page.
+        The pages may be read at different revisions, and later ones at lower ones if
+        the reads may be stale. The changes after the lowest revision are therefore
+        applied to all of them before the items are used.
 
         Parameters
         ----------
@@ -312,7 +313,7 @@
             may be stale.
         """
         items = {}
-        first = 0
+        revisions = []
         era = None
         after = ""
         for _ in range(MAX_PAGES):
@@ -328,18 +329,43 @@
                 raise PlatformError(f"restored while it was read, era {self.era}")
             era = self.era
             page, revision, has_more = decode_page(raw, self._log_unreadable)
-            first = first or revision
+            revisions.append(revision)
             items.update((item.key, item) for item in page)
             if not has_more or not page:
                 break
             after = page[-1].key
-        if first < self.revision:
+        lowest, highest = min(revisions), max(revisions)
+        if lowest < self.revision:
             raise PlatformError(
-                f"the store is at revision {first}, before revision {self.revision}"
+                f"the store is at revision {lowest}, before revision {self.revision}"
             )
-        self._replace(items, first)
+        if lowest < highest:
+            self.log.info(
+                "platform: the pages of a range are of several revisions, applying "
+                "the changes between them",
+                lowest=lowest,
+                highest=highest,
+            )
+        self._replace(items, await self._catch_up(items, lowest, highest))
         self._record_success()
 
+    async def _catch_up(self, items, revision, until):
+        """Apply the changes after `revision` to `items`, at least those up to `until`.
+
+        Returns
+        -------
+        int
+            Revision that `items` reflects then.
+        """
+        while revision < until:
+            events, reached = await self._read_changes(revision, MIN_WATCH_WAIT_MS)
+            if reached <= revision:
+                raise PlatformError(f"no change after revision {revision} of {until}")
+            for item in events:
+                _apply_change(items, item)
+            revision = reached
+        return revision
+
     def _replace(self, items, revision):
         before, self.items = self.items, items
         restored = not self.revision
@@ -352,28 +378,22 @@
 
     async def _watch(self):
         wait_ms = random.randint(MIN_WATCH_WAIT_MS, MAX_WATCH_WAIT_MS)
-        query = {
-            "pathPrefix": "",
-            "after": str(self.revision),
-            "waitMs": str(wait_ms),
-        }
-        raw = await self.client.get(
-            "/kv-watch", query, wait_ms + WATCH_MARGIN_MS, self._check_era
-        )
-        events, revision = decode_events(raw, self._log_unreadable)
+        events, revision = await self._read_changes(self.revision, wait_ms)
         for item in events:
-            held = self.items.get(item.key)
-            if held is not None and held.revision >= item.revision:
-                continue
-            if item.value is None:
-                self.items.pop(item.key, None)
-            else:
-                self.items[item.key] = item
-            self._bump_version(item.key, item.revision)
+            if _apply_change(self.items, item):
+                self._bump_version(item.key, item.revision)
         self.revision = max(self.revision, revision)
         if events:
             self._record_success()
 
+    async def _read_changes(self, revision, wait_ms):
+        """Wait for changes after `revision`; return them and the store revision."""
+        query = {"pathPrefix": "", "after": str(revision), "waitMs": str(wait_ms)}
+        raw = await self.client.get(
+            "/kv-watch", query, wait_ms + WATCH_MARGIN_MS, self._check_era
+        )
+        return decode_events(raw, self._log_unreadable)
+
     def _bump_version(self, key, revision):
         """Raise the version of the feed that contains `key`, changed at `revision`."""
         if key == CONFIG_KEY:
@@ -504,6 +524,18 @@
         )
 
 
+def _apply_change(items, item):
+    """Apply a change to `items`; return False if they reflect it already."""
+    held = items.get(item.key)
+    if held is not None and held.revision >= item.revision:
+        return False
+    if item.value is None:
+        items.pop(item.key, None)
+    else:
+        items[item.key] = item
+    return True
+
+
 def _describe(error):
     """Return the text of an expected error, or the type of any other.
 
--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -29,6 +29,8 @@
         Number of times that the store was restored from a copy, plus one.
     copy : tuple
         Items, history and revision kept by :meth:`keep_copy`.
+    stale_pages : set of int
+        Pages that reads which may be stale get from that copy, counted from 0.
     """
 
     def __init__(self):
@@ -41,6 +43,7 @@
         self.calls = []
         self.era = 1
         self.copy = ({}, [], 1)
+        self.stale_pages = set()
         self.changed = asyncio.Event()
         app = web.Application()
         app.add_routes(
@@ -91,10 +94,14 @@
         if self.fault:
             return await self._fail()
         prefix, after = request.query["pathPrefix"], request.query.get("after", "")
-        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-        page = [self.items[key] for key in keys[: self.page_size]]
+        items, revision = self.items, self.revision
+        number = sum(key <= after for key in items) // self.page_size
+        if "serializable" in request.query and number in self.stale_pages:
+            items, _, revision = self.copy
+        keys = sorted(k for k in items if k.startswith(prefix) and k > after)
+        page = [items[key] for key in keys[: self.page_size]]
         more = len(keys) > self.page_size
-        body = {"items": page, "hasMore": more, "storeRevision": self.revision}
+        body = {"items": page, "hasMore": more, "storeRevision": revision}
         return self._json_response(body)
 
     async def watch(self, request):
@@ -139,8 +146,8 @@
         reset (``reset``) or nothing (``hang``). A stream may also end inside its
         third event (``cut``) or before its first one (``empty``), or send comments
         without end after its first event (``drip``). One that is to be continued may
-        get an event without an id (``strange``) or begin anew (``again``). Bytes
-        without end
+        get an event without an id (``strange``) or begin anew (``again``). A response
+        may have any status (``status 600``). Bytes without end
         may follow the head of a refusal (``full endless``) or of a response
         (``endless``). The connection of a refusal may be kept for seconds
         (``full kept``), and the refusal may be written once more on it before the
@@ -401,6 +408,8 @@
         if self.events:
             return await self._stream(writer, headers, head, behaviour)
         body = f"body of {key}".encode()
+        if behaviour.startswith("status "):
+            return self._write(writer, behaviour.removeprefix("status "), head, body)
         if behaviour == "error":
             return self._write(writer, 500, head, b"failed")
         if behaviour == "truncate":
