Take a close during an upload for a broken response

Cause: a response that only the close of its connection delimits was complete at any close.

At such a close the bytes of the request that were not acknowledged are now counted; if there are any, the response is cut.

Before: test_close_is_not_the_end_of_a_response failed with 60,000 and 200,000 bytes. After: it passes, and a close after the whole upload is still an end.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -8,8 +8,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
 import struct
+import sys
+import termios
 from collections import deque
 
 import httptools
@@ -224,8 +227,21 @@
             self._bytes_without_body = 0
 
     def eof_received(self):
-        """Record that the server has closed its side of the connection."""
+        """Record that the server has closed its side of the connection.
+
+        A response that only this close delimits is not known to be complete if the
+        server has not received the whole request: a process that ends while it reads
+        closes its connections in the same way.
+        """
         self._end_received = True
+        if self._in_flight and not (self._complete or self._framed):
+            unsent_bytes = _unacknowledged_bytes(self._transport)
+            if unsent_bytes:
+                self._fail(
+                    f"the connection ended with {unsent_bytes} bytes of the request "
+                    "not received",
+                    lost=True,
+                )
 
     def connection_lost(self, exc):
         """End the current response.
@@ -520,6 +536,15 @@
     return None
 
 
+def _unacknowledged_bytes(transport):
+    """Return the number of sent bytes that the remote host has not acknowledged."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return transport.get_write_buffer_size()
+    raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    return transport.get_write_buffer_size() + int.from_bytes(raw, sys.byteorder)
+
+
 def _discard_unsent(transport):
     """Let the kernel reset a connection when it is closed, and discard unsent bytes."""
     sock = transport.get_extra_info("socket")
--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -1,9 +1,15 @@
 import asyncio
 import socket
+import struct
+import threading
+import time
 import unittest
 
+import uvloop
+
 from bluebellbeam.daemon.connection import (
     UpstreamConnectionError,
+    encode_request,
     open_upstream_connection,
 )
 from bluebellbeam.daemon.connection_pool import make_connection_pool
@@ -97,6 +103,93 @@
             self.assertFalse(connection.is_reusable)
 
 
+class TestEndDuringAnUpload(unittest.TestCase):
+    """Guards against part of an early response that is taken for the whole."""
+
+    RECEIVE_BUFFER_BYTES = 4096
+
+    def send(self, upload_bytes, end):
+        """Send an upload on a used connection; return the body of its response.
+
+        Its server answers the head of the upload with part of a body without a length,
+        and ends the connection by the function `end`.
+        """
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, self.RECEIVE_BUFFER_BYTES
+        )
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+
+        def serve():
+            sock, _ = listener.accept()
+            with sock:
+                sock.recv(len(REQUEST))
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+                sock.recv(1000)
+                sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 20_000)
+                end(sock)
+
+        async def run():
+            host, port = listener.getsockname()
+            connection = await open_upstream_connection("s", f"{host}:{port}", 1000)
+            try:
+                connection.send("GET", REQUEST, b"")
+                await connection.read_head()
+                await connection.read_all(10)
+                connection.finish(0)
+                body = b"u" * upload_bytes
+                head = encode_request("POST", "/", "a", (), body)
+                connection.send("POST", head, body)
+                await connection.read_head()
+                return await connection.read_all(1_000_000)
+            finally:
+                connection.close()
+
+        server = threading.Thread(target=serve)
+        server.start()
+        try:
+            return uvloop.run(asyncio.wait_for(run(), 5))
+        finally:
+            server.join()
+
+    def check_cut(self, end):
+        for upload_bytes in (60_000, 200_000, 3_000_000, 30_000_000):
+            with (
+                self.subTest(upload_bytes),
+                self.assertRaises(UpstreamConnectionError),
+            ):
+                self.send(upload_bytes, end)
+
+    def test_reset_is_not_the_end_of_a_response(self):
+        self.check_cut(reset)
+
+    def test_close_is_not_the_end_of_a_response(self):
+        def close(sock):
+            sock.shutdown(socket.SHUT_WR)
+            time.sleep(0.05)
+            reset(sock)
+
+        self.check_cut(close)
+
+    def test_close_after_the_whole_upload_is_the_end_of_a_response(self):
+        def read_and_close(sock):
+            left = (
+                60_000 - 1000 + len(encode_request("POST", "/", "a", (), b"u" * 60_000))
+            )
+            while left > 0:
+                left -= len(sock.recv(left))
+
+        self.assertEqual(self.send(60_000, read_and_close), b"x" * 20_000)
+
+
+def reset(sock):
+    """Reset a connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
 class TestAddressOutOfRange(unittest.IsolatedAsyncioTestCase):
     async def test_port_out_of_range_is_a_failed_connection(self):
         for port in ("65536", "99999", "9" * 400, "-1"):
