Reject responses whose status is outside 100 to 599

Cause: any three digits were accepted, and whatever is below 200 counted as an interim response. RFC 9110, section 15, calls statuses outside 100 to 599 invalid. They are now a malformed response when the head is read, on all connections to servers and peers.

Before: test_status_outside_the_valid_range_fails_at_once failed with 600 and 999, test_invalid_status_is_a_failure_at_once timed out. After: both pass, and interim responses are still skipped.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -58,6 +58,8 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER``: on, for 0 s."""
 
+MIN_STATUS, MAX_STATUS = 100, 599
+MIN_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -287,12 +289,16 @@
     def on_headers_complete(self):
         """Store the status and whether the headers delimit the body.
 
-        Interim responses (1xx) are skipped.
+        Interim responses (1xx) are skipped. A status outside 100 to 599 is invalid
+        (RFC 9110, section 15).
         """
         if self._complete:
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self._fail(f"the response has the invalid status {status:03}", lost=False)
+            return
+        if status < MIN_FINAL_STATUS:
             self.headers.clear()
             return
         self.status = status
--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -103,6 +103,35 @@
             self.assertFalse(connection.is_reusable)
 
 
+class TestStatusOfAResponse(unittest.IsolatedAsyncioTestCase):
+    """Guards against a status that is taken for an interim one or passed on."""
+
+    async def read_status(self, raw):
+        scripted = ScriptedServer([raw])
+        server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        connection = await open_upstream_connection("s", f"{host}:{port}", 1000)
+        self.addCleanup(connection.close)
+        connection.send("GET", REQUEST, b"")
+        async with asyncio.timeout(2):
+            await connection.read_head()
+            await connection.read_all(10)
+        return connection.status
+
+    async def test_status_outside_the_valid_range_fails_at_once(self):
+        for status in ("000", "001", "020", "099", "600", "999"):
+            raw = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode()
+            with self.subTest(status), self.assertRaises(UpstreamConnectionError):
+                await self.read_status(raw)
+
+    async def test_interim_responses_are_skipped(self):
+        for interim in ("100", "103", "199"):
+            raw = f"HTTP/1.1 {interim} X\r\n\r\n".encode()
+            raw += b"HTTP/1.1 599 X\r\nContent-Length: 0\r\n\r\n"
+            self.assertEqual(await self.read_status(raw), 599)
+
+
 class TestEndDuringAnUpload(unittest.TestCase):
     """Guards against part of an early response that is taken for the whole."""
 
--- a/bluebellbeam/platform/tests/test_requests.py
+++ b/bluebellbeam/platform/tests/test_requests.py
@@ -122,6 +122,25 @@
 
         self.run_with(step)
 
+    def test_invalid_status_is_a_failure_at_once(self):
+        async def step(deployment):
+            for status in ("000", "099", "600", "999"):
+                deployment.queue_behaviours("portal", f"status {status}")
+                async with asyncio.timeout(1.0):
+                    found = await deployment.fetch("/unsafe/1", f"u{status}")
+                self.assertEqual(found[0], 502)
+                self.assertNotIn("X-Response-Stamp", found[1])
+                for replica in deployment.replicas.values():
+                    replica.behaviours.clear()
+                deployment.replicas["portal-hall-e-1"].behaviours = [f"status {status}"]
+                for number in range(4):
+                    found = await deployment.fetch(
+                        "/safe/1", f"s{status}{number}", method="GET"
+                    )
+                    self.assertEqual(found[0], 200)
+
+        self.run_with(step)
+
     def test_second_response_is_discarded(self):
         async def step(deployment):
             deployment.queue_behaviours("portal", *["extra"] * 10)
