Read the store over connections that bound what they receive

A store that sent interim responses without end held the event loop of a daemon for the time-out of its read, 1.6 s, and 138 MB of memory (bytes without end, reported from another system for replicas; a trial here of all that a daemon reads).

Cause: the store was read by another HTTP client than servers and peers, with limits of body and time only.

The store is now read over the same connections. A read lost on an idle connection is sent once more, as the other client did.

--- a/bluebellbeam/platform/provider.py
+++ b/bluebellbeam/platform/provider.py
@@ -9,6 +9,9 @@
 
 __all__ = ["Platform", "make_platform"]
 
+STORE_MAX_IDLE_MS = 15_000
+"""Largest idle time for which a connection to the store is reused."""
+
 
 class Platform:
     """Provider whose feeds are built from the platform's store.
@@ -27,9 +30,10 @@
         Local copy of the store; None until :meth:`open`.
     checks : ConnectionPool
         Connections of health checks.
+    store_connections : ConnectionPool
     """
 
-    __slots__ = ("codec", "access", "region", "mirror", "checks")
+    __slots__ = ("codec", "access", "region", "mirror", "checks", "store_connections")
 
     def __init__(self, access, region):
         self.codec = make_platform_codec()
@@ -37,6 +41,9 @@
         self.region = region
         self.mirror = None
         self.checks = make_connection_pool(monotonic_clock())
+        self.store_connections = make_connection_pool(
+            monotonic_clock(), STORE_MAX_IDLE_MS
+        )
 
     def open(self, session, on_response):
         """Create the store mirror, which connects on its first read.
@@ -44,10 +51,13 @@
         Parameters
         ----------
         session : aiohttp.ClientSession
+            Not used: all requests go over connections that bound what they receive.
         on_response : callable
             Called without arguments after each successful response of the store.
         """
-        self.mirror = make_store_mirror(session, self.access, self.region, on_response)
+        self.mirror = make_store_mirror(
+            self.store_connections, self.access, self.region, on_response
+        )
 
     def feed_client(self, key):
         """Return the client of feed `key`."""
@@ -78,10 +88,11 @@
             self.mirror.reload(settings.store)
 
     def close(self):
-        """Stop the store mirror and close the connections of health checks."""
+        """Stop the store mirror and close all idle connections."""
         self.checks.close()
         if self.mirror is not None:
             self.mirror.close()
+        self.store_connections.close()
 
 
 def make_platform(settings):
--- a/bluebellbeam/platform/store.py
+++ b/bluebellbeam/platform/store.py
@@ -138,8 +138,8 @@
         "log",
     )
 
-    def __init__(self, session, access, region, on_response):
-        self.client = make_store_client(session, access, on_response)
+    def __init__(self, connections, access, region, on_response):
+        self.client = make_store_client(connections, access, on_response)
         self.access = access
         self.region = region
         self.items = {}
@@ -558,6 +558,6 @@
             raise PlatformError(f"invalid configuration {version}: {document}: {fault}")
 
 
-def make_store_mirror(session, access, region, on_response):
+def make_store_mirror(connections, access, region, on_response):
     """Return a mirror, which connects to the store on its first read."""
-    return StoreMirror(session, access, region, on_response)
+    return StoreMirror(connections, access, region, on_response)
--- a/bluebellbeam/platform/store_client.py
+++ b/bluebellbeam/platform/store_client.py
@@ -1,9 +1,10 @@
 """HTTP client of the platform's metadata store, and the errors of its calls."""
 
-import aiohttp
+import asyncio
+from urllib.parse import urlencode
 
+from bluebellbeam.daemon.connection import UpstreamConnectionError, encode_request
 from bluebellbeam.exception import PlatformError
-from bluebellbeam.utils.http_body import read_body
 
 __all__ = [
     "HistoryCompactedError",
@@ -13,7 +14,7 @@
     "read_era",
 ]
 
-ERA_HEADER = "Store-Era"
+ERA_HEADER = "store-era"
 """Number of times that the store was restored; it rises by one each time."""
 
 MAX_ERA_DIGITS = 9
@@ -45,7 +46,7 @@
 
     Attributes
     ----------
-    session : aiohttp.ClientSession
+    connections : ConnectionPool
     access : StoreAccess
         Address of the store, from the settings.
     on_response : callable
@@ -54,10 +55,10 @@
         Number of requests sent to the store.
     """
 
-    __slots__ = ("session", "access", "on_response", "calls")
+    __slots__ = ("connections", "access", "on_response", "calls")
 
-    def __init__(self, session, access, on_response):
-        self.session = session
+    def __init__(self, connections, access, on_response):
+        self.connections = connections
         self.access = access
         self.on_response = on_response
         self.calls = 0
@@ -82,23 +83,45 @@
             If the store does not respond, or refuses the request.
         """
         self.calls += 1
-        url = f"http://{self.access.address}{path}"
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000.0)
+        target = f"{path}?{urlencode(query)}"
         try:
-            async with self.session.get(
-                url, params=query, timeout=timeout, allow_redirects=False
-            ) as response:
-                raw = await read_body(response, MAX_STORE_BODY_BYTES)
-                check_era(read_era(response.headers.getall(ERA_HEADER, [])))
-                if response.status == 410:
-                    raise HistoryCompactedError(f"status 410 for {path}")
-                if response.status != 200:
-                    raise PlatformError(f"status {response.status} for {path}")
-                self.on_response()
-                return raw
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            text = f"no response for {path}: {type(error).__name__}"
-            raise PlatformError(text) from error
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                status, eras, raw = await self._fetch(target)
+        except (TimeoutError, UpstreamConnectionError) as error:
+            reason = str(error) or "timeout"
+            raise PlatformError(f"no response for {path}: {reason}") from error
+        check_era(read_era(eras))
+        if status == 410:
+            raise HistoryCompactedError(f"status 410 for {path}")
+        if status != 200:
+            raise PlatformError(f"status {status} for {path}")
+        self.on_response()
+        return raw
+
+    async def _fetch(self, target):
+        """Return status, values of `ERA_HEADER` and body of the response to a GET.
+
+        An idle connection may have been closed by the store just before, so a request
+        that is lost on one is sent once more.
+        """
+        address = self.access.address
+        request = encode_request("GET", target, address, (), b"")
+        while True:
+            connection = await self.connections.acquire(address, address, True)
+            was_used = connection.uses > 0
+            try:
+                connection.send("GET", request, b"")
+                await connection.read_head()
+                raw = await connection.read_all(MAX_STORE_BODY_BYTES)
+                eras = [
+                    value for name, value in connection.headers if name == ERA_HEADER
+                ]
+                return connection.status, eras, raw
+            except UpstreamConnectionError as error:
+                if not (was_used and error.lost and not connection.status):
+                    raise
+            finally:
+                self.connections.release(connection)
 
 
 def read_era(values):
@@ -109,6 +132,6 @@
     return int(text)
 
 
-def make_store_client(session, access, on_response):
+def make_store_client(connections, access, on_response):
     """Return a client of the store that `access` names."""
-    return StoreClient(session, access, on_response)
+    return StoreClient(connections, access, on_response)
--- a/bluebellbeam/platform/tests/test_platform.py
+++ b/bluebellbeam/platform/tests/test_platform.py
@@ -4,9 +4,11 @@
 from unittest import mock
 
 import bluebellbeam
+from bluebellbeam.daemon.connection_pool import make_connection_pool
 from bluebellbeam.platform.store import make_store_mirror
 from bluebellbeam.platform.tests.fake_platform import HOST, config
 from bluebellbeam.platform.tests.loopback import PlatformCase
+from bluebellbeam.utils.clock import monotonic_clock
 
 
 class TestStoreMirror(PlatformCase):
@@ -101,7 +103,8 @@
     def test_mirror_without_reads_sends_no_requests(self):
         async def step(deployment):
             access = deployment.daemons["hall-e"].driver.settings.store
-            mirror = make_store_mirror(deployment.session, access, "west", lambda: None)
+            connections = make_connection_pool(monotonic_clock())
+            mirror = make_store_mirror(connections, access, "west", lambda: None)
             with mock.patch("bluebellbeam.platform.store.IDLE_STOP_S", 0.0):
                 first = await mirror.read("config", 0, wait=False)
                 await deployment.wait(lambda: mirror.task is None, 5.0)
@@ -112,6 +115,7 @@
             again = await mirror.read("config", first.version, wait=True)
             self.assertGreater(again.version, first.version)
             mirror.close()
+            connections.close()
 
         self.run_with(step)
 
