Doubt the version of a server to which the last connection was lost

Cause: a health check names the server, not its process. A server that had started again under its name was used, with the version of its former entry, from its first check until the new entry was read. The version was in doubt only while the whole list was out of date.

The connection pool now reports when a server has ended the last connection to it. From then on, or from a refused connection, until 2.2 s after its next response, the version is in doubt; streams that begin there are confirmed from the list. A server that responds within 200 ms without a refusal has not ended.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -104,9 +104,14 @@
         Status of the current response; 0 until its headers are complete.
     headers : list of (str, str)
         Headers of the current response, with names in lower case.
+    on_closed : callable or None
+        Called with the connection when it is closed, and whether the remote process
+        has ended it while it was idle or had an incomplete response.
     """
 
     __slots__ = (
+        "on_closed",
+        "_is_aborted",
         "key",
         "uses",
         "idle_since_ms",
@@ -138,6 +143,8 @@
 
     def __init__(self, key, turns):
         self.key = key
+        self.on_closed = None
+        self._is_aborted = False
         self._turns = turns
         self.uses = 0
         self.idle_since_ms = 0
@@ -265,6 +272,9 @@
                     lost=True,
                 )
         self._wake()
+        if self.on_closed is not None:
+            is_complete = self._in_flight and self._complete
+            self.on_closed(self, not (self._is_aborted or is_complete))
 
     # Callbacks of httptools.
 
@@ -328,6 +338,11 @@
         """Whether a length or chunks delimit the body of the current response."""
         return self._framed
 
+    @property
+    def is_open(self):
+        """Whether neither side has closed the connection."""
+        return self._transport is not None and not self._transport.is_closing()
+
     @property
     def is_reusable(self):
         """Whether another request may be sent on the connection."""
@@ -437,7 +452,7 @@
             return
         if not self._complete:
             _discard_unsent(self._transport)
-        self._transport.abort()
+        self._abort()
 
     def _end_cause(self, exc):
         """Return how the connection ended, given the error that it was lost with."""
@@ -475,7 +490,12 @@
         if self._error is None:
             self._error = UpstreamConnectionError(reason, lost)
         if self._transport is not None:
-            self._transport.abort()
+            self._abort()
+
+    def _abort(self):
+        if not self._transport.is_closing():
+            self._is_aborted = True
+        self._transport.abort()
 
     def _reject_bytes(self):
         """Bar the connection from reuse after bytes that belong to no response.
@@ -493,7 +513,7 @@
                 status=self.status,
             )
         if not self._in_flight and self._transport is not None:
-            self._transport.abort()
+            self._abort()
 
     async def _wait(self):
         if self._error is not None:
--- a/bluebellbeam/daemon/connection_pool.py
+++ b/bluebellbeam/daemon/connection_pool.py
@@ -43,9 +43,22 @@
         Largest idle time for which a connection is reused.
     turns : ReceiveTurns
         Turns at which the connections parse what they have received.
+    open : dict of hashable to set of UpstreamConnection
+        All connections that are open, by the key of their remote process.
+    on_all_lost : callable or None
+        Called with a key when its last connection was closed or reset by the remote
+        process while it was idle or had an incomplete response.
     """
 
-    __slots__ = ("idle", "opened", "clock", "max_idle_ms", "turns")
+    __slots__ = (
+        "idle",
+        "opened",
+        "clock",
+        "max_idle_ms",
+        "turns",
+        "open",
+        "on_all_lost",
+    )
 
     def __init__(self, clock, max_idle_ms):
         self.idle = {}
@@ -53,6 +66,8 @@
         self.clock = clock
         self.max_idle_ms = max_idle_ms
         self.turns = make_receive_turns()
+        self.open = {}
+        self.on_all_lost = None
 
     async def acquire(self, key, address, cross_region=False, once=False):
         """Return an idle or a new connection to the process `key` at `address`.
@@ -86,7 +101,20 @@
         limit_ms = (
             CROSS_REGION_CONNECT_TIMEOUT_MS if cross_region else CONNECT_TIMEOUT_MS
         )
-        return await open_upstream_connection(key, address, limit_ms, self.turns)
+        connection = await open_upstream_connection(key, address, limit_ms, self.turns)
+        if connection.is_open:
+            connection.on_closed = self._handle_closed
+            self.open.setdefault(key, set()).add(connection)
+        return connection
+
+    def _handle_closed(self, connection, is_lost):
+        others = self.open[connection.key]
+        others.discard(connection)
+        if not others:
+            del self.open[connection.key]
+        is_last = not any(other.is_open for other in others)
+        if is_lost and is_last and self.on_all_lost is not None:
+            self.on_all_lost(connection.key)
 
     def release(self, connection):
         """Return a connection to the pool, or close it if it is not reusable."""
--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -130,6 +130,7 @@
         self.clock = clock
         self.connection_limit = make_connection_limit(clock, settings.vm)
         self.connection_pool = make_connection_pool(clock)
+        self.connection_pool.on_all_lost = self._handle_all_lost
         self.response_buffers = make_response_buffers()
         self.peer_connections = make_connection_pool(clock, PEER_MAX_IDLE_MS)
         self.routed_id_counter = 0
@@ -434,6 +435,9 @@
             return
         self.handle(ev.FeedRead(snapshot))
 
+    def _handle_all_lost(self, key):
+        self.handle(ev.ConnectionsLost(*key))
+
     async def _read_load(self, command):
         try:
             event = await self.provider.poll_server(self.session, command)
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -32,7 +32,8 @@
 )
 from bluebellbeam.node.request_times import record_request_time
 from bluebellbeam.node.retries import REFUSED_RETRY_AFTER_MS, add_sends, consume_retry
-from bluebellbeam.node.server_checks import apply_response_load
+from bluebellbeam.node.server_checks import apply_response_load, record_lost_server
+from bluebellbeam.node.state import LIST_SETTLE_MS
 from bluebellbeam.node.stream_origins import tell_origin
 from bluebellbeam.node.targets import has_target_left
 from bluebellbeam.node.trials import record_evidence
@@ -50,6 +51,7 @@
     StreamOrigin,
     record_full,
     record_response,
+    record_return,
 )
 from bluebellbeam.routing.completion import record_events, record_stream_end
 
@@ -177,6 +179,7 @@
     row = attempt_replica(state, attempt)
     if row is not None:
         record_response(row, now_ms)
+        record_return(row, attempt.started_ms, now_ms, LIST_SETTLE_MS)
         state.failed_connections.pop(row.service, None)
 
 
@@ -314,6 +317,7 @@
     elif event.refused_connection:
         key = (attempt.server, attempt.server_incarnation)
         record_refused_connection(state, key, now_ms)
+        record_lost_server(state, *key, now_ms)
     if attempt.peer:
         drop_lender(state.borrower, attempt.peer)
     _retry_or_fail(
--- a/bluebellbeam/node/event.py
+++ b/bluebellbeam/node/event.py
@@ -26,6 +26,7 @@
     "FeedReadFailed",
     "FeedSourceResponded",
     "HealthCheckAnswered",
+    "ConnectionsLost",
     "LeavingStated",
     "LimitStated",
     "LoadReadFailed",
@@ -248,6 +249,19 @@
     refused_connection: bool = False
 
 
+class ConnectionsLost(Struct, frozen=True):
+    """All connections to a process are gone, the last one closed or reset by it.
+
+    Parameters
+    ----------
+    server : str
+    incarnation : int
+    """
+
+    server: str
+    incarnation: int
+
+
 class LoadMalformed(Struct, frozen=True):
     """A response of a backend server has a load header that cannot be read.
 
--- a/bluebellbeam/node/node.py
+++ b/bluebellbeam/node/node.py
@@ -80,12 +80,14 @@
     tick_quarantine,
 )
 from bluebellbeam.node.server_checks import (
+    handle_connections_lost,
     handle_health_check,
     handle_leaving_stated,
     handle_load_read_failed,
     handle_load_report,
     handle_malformed_load,
     handle_pause_stated,
+    record_lost_server,
     tick_server_checks,
 )
 from bluebellbeam.node.server_limits import handle_limit_stated
@@ -312,6 +314,8 @@
             handle_brittle_stated(state, event, now_ms)
         case ev.LeavingStated():
             handle_leaving_stated(state, event)
+        case ev.ConnectionsLost():
+            handle_connections_lost(state, event, now_ms)
         case ev.LimitStated():
             handle_limit_stated(state, event, now_ms)
         case ev.LoadMalformed():
@@ -323,6 +327,7 @@
             if event.refused_connection:
                 key = (server, event.incarnation)
                 record_refused_connection(state, key, now_ms)
+                record_lost_server(state, *key, now_ms)
         case ev.CacheEventsReceived(events):
             apply_cache_events(state.prefixes, events)
         case ev.OrderAnswered():
--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -6,7 +6,7 @@
 from bluebellbeam.node.feed_sync import listed_backends
 from bluebellbeam.node.reachability import record_failed_contact
 from bluebellbeam.node.server_limits import apply_limit
-from bluebellbeam.node.state import backends_feed
+from bluebellbeam.node.state import LIST_SETTLE_MS, backends_feed
 from bluebellbeam.recovery import record_failure, refresh_slowness
 from bluebellbeam.routing import (
     age_peer_load,
@@ -20,6 +20,8 @@
     may_send_limited,
     needs_check,
     pause_replica,
+    record_lost_process,
+    record_return,
     record_warm_up,
     reindex,
     remove_server_blocks,
@@ -32,12 +34,14 @@
     "apply_load_report",
     "apply_response_load",
     "check_unconfirmed",
+    "handle_connections_lost",
     "handle_health_check",
     "handle_leaving_stated",
     "handle_load_read_failed",
     "handle_load_report",
     "handle_malformed_load",
     "handle_pause_stated",
+    "record_lost_server",
     "poll_interval_ms",
     "tick_server_checks",
 ]
@@ -86,7 +90,9 @@
     settling = state.is_list_settling(now_ms)
     _check_overdue_servers(state, now_ms)
     for row in state.replicas.rows.values():
-        row.is_version_doubtful = settling
+        row.is_version_doubtful = (
+            settling or row.lost_ms is not None or now_ms < row.doubtful_until_ms
+        )
         age_peer_load(state.replicas, row, state.queue_slack, now_ms)
         if row.paused_until_ms:
             if now_ms < row.paused_until_ms:
@@ -268,6 +274,41 @@
         state.log_server(row, "pause requests to a server", pause_ms=event.pause_ms)
 
 
+def record_lost_server(state, server, incarnation, now_ms, has_ended=True):
+    """Doubt the version of a server whose process has ended, or may have.
+
+    Returns
+    -------
+    Replica or None
+        None if the server is not known with this incarnation.
+    """
+    row = state.replicas.rows.get(server)
+    if row is None or row.incarnation != incarnation:
+        return None
+    if not row.is_version_doubtful:
+        reason = "connection refused" if has_ended else "no connection is left"
+        state.log_server(row, "doubt the version of a server", reason=reason)
+    record_lost_process(row, now_ms, has_ended)
+    return row
+
+
+def handle_connections_lost(state, event, now_ms):
+    """Doubt the version of a server that has ended all connections, and check it.
+
+    One that answers sooner than a process starts has not ended. It is not checked if a
+    check counts as a request there.
+    """
+    key = (event.server, event.incarnation)
+    row = record_lost_server(state, *key, now_ms, has_ended=False)
+    if (
+        row is not None
+        and now_ms - row.checked_ms >= RECHECK_INTERVAL_MS
+        and not is_cold(row, now_ms)
+        and not is_brittle(state.brittle, row.service, now_ms)
+    ):
+        _check_server(state, row, now_ms)
+
+
 def handle_health_check(state, event, now_ms):
     """Apply the response of a server that does not report its load."""
     row = state.replicas.rows.get(event.server)
@@ -279,6 +320,7 @@
         apply_brittle(state, row, event.brittle, event.sent_ms, now_ms)
         if event.leaving:
             mark_server_leaving(state, row)
+        record_return(row, event.sent_ms, now_ms, LIST_SETTLE_MS)
     was_used = row.identified
     same = confirm_replica(state.replicas, row, event.name, event.incarnation, now_ms)
     if row.identified != was_used:
--- a/bluebellbeam/node/tests/test_origin_confirmation.py
+++ b/bluebellbeam/node/tests/test_origin_confirmation.py
@@ -98,6 +98,88 @@
         self.assertEqual(self.told()["vm-w"], {KEY: "v1"})
 
 
+class TestStreamsAtAServerThatMayHaveEnded(OutageCase):
+    """Guards against a version that is taken from the entry of an earlier process."""
+
+    SERVERS = ("llm-1", "llm-2")
+
+    def lose(self, away_ms):
+        """Lose all connections to the servers, which answer after `away_ms`."""
+        self.age_list(0)
+        for name in self.SERVERS:
+            self.harness.handle(ev.ConnectionsLost(name, 1))
+        checks = {
+            c.server: c.sent_ms
+            for c in self.harness.commands
+            if isinstance(c, cmd.ReadLoad)
+        }
+        self.assertEqual(set(checks), set(self.SERVERS))
+        self.harness.tick(away_ms)
+        for name in self.SERVERS:
+            answer = ev.HealthCheckAnswered(name, name, 1, sent_ms=checks[name])
+            self.harness.handle(answer)
+        self.harness.tick()
+        self.harness.commands.clear()
+
+    def versions(self):
+        return {version for rows in self.told().values() for version in rows.values()}
+
+    def test_version_is_unknown_at_a_server_that_was_away(self):
+        self.lose(400)
+        attempt = self.begin()
+        self.assertEqual(self.versions(), {UNKNOWN_VERSION})
+        self.harness.commands.clear()
+        self.harness.handle(
+            ev.AttemptFailed(attempt.attempt_id, True, emitted_tokens=2)
+        )
+        self.assertEqual(self.started(), [])
+
+    def test_version_of_a_new_process_is_not_taken_from_the_former_entry(self):
+        self.lose(400)
+        self.begin()
+        self.harness.tick(400)
+        self.restart_servers("v2")
+        self.harness.commands.clear()
+        self.end_outage()
+        self.assertEqual(self.versions(), set())
+
+    def test_version_is_confirmed_if_no_other_process_writes_its_entry(self):
+        self.lose(400)
+        self.begin()
+        self.harness.commands.clear()
+        self.end_outage()
+        self.assertEqual(self.versions(), {"v1"})
+
+    def test_server_that_answers_at_once_has_not_ended(self):
+        self.lose(100)
+        self.begin()
+        self.assertEqual(self.versions(), {"v1"})
+
+    def test_server_that_refuses_until_it_is_back_has_ended(self):
+        self.age_list(0)
+        for name in self.SERVERS:
+            self.harness.handle(ev.ConnectionsLost(name, 1))
+            self.harness.handle(ev.LoadReadFailed(name, 1, refused_connection=True))
+        self.harness.tick(100)
+        for name in self.SERVERS:
+            answer = ev.HealthCheckAnswered(name, name, 1, sent_ms=self.harness.now_ms)
+            self.harness.handle(answer)
+        self.harness.tick()
+        self.begin()
+        self.assertEqual(self.versions(), {UNKNOWN_VERSION})
+
+    def test_refused_connection_is_a_sign_of_the_end(self):
+        self.age_list(0)
+        (attempt,) = started_attempts(self.harness.send_request("/c/x", "other"))
+        self.harness.handle(
+            ev.AttemptFailed(
+                attempt.attempt_id, False, lost_connection=True, refused_connection=True
+            )
+        )
+        row = self.harness.state.replicas.rows[attempt.server]
+        self.assertTrue(row.is_version_doubtful)
+
+
 class TestHoldersOfAnUnknownVersion(OutageCase):
     """Guards against a version that only the daemon that is gone could confirm."""
 
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -12,16 +12,21 @@
     "mark_leaving",
     "pause_replica",
     "prune_leaving",
+    "record_lost_process",
     "record_miss",
     "record_request_end",
     "record_request_start",
     "record_response",
+    "record_return",
     "record_warm_up",
     "reindex",
     "require_confirmation",
     "update_replicas",
 ]
 
+MIN_RESTART_MS = 200
+"""Shortest time from the end of a process to the first response of the next one."""
+
 MAX_MISSES = 2
 """Consecutive health checks or connections without a response after which a server
 is no longer used."""
@@ -58,6 +63,13 @@
         Version of its software; empty if the server list does not give it.
     is_version_doubtful : bool
         Whether the server may have started again since its entry was read.
+    lost_ms : int or None
+        Time at which its last connection was lost or a new one was refused; None if it
+        has responded to a request sent since then.
+    has_ended : bool
+        Whether a connection was refused since then, which shows that its process ended.
+    doubtful_until_ms : int
+        Time until which it may still write that it has started again.
     fenced, guarded : bool
         As in :class:`VmRecord`.
     slots, running, waiting, waiting_tokens : int
@@ -166,6 +178,9 @@
         "service",
         "version",
         "is_version_doubtful",
+        "lost_ms",
+        "has_ended",
+        "doubtful_until_ms",
         "fenced",
         "guarded",
         "listed",
@@ -223,6 +238,9 @@
         self.service = record.service
         self.version = record.version
         self.is_version_doubtful = False
+        self.lost_ms = None
+        self.has_ended = False
+        self.doubtful_until_ms = 0
         self.fenced = record.fenced
         self.guarded = record.guarded
         self.listed = record.slots > 0 and record.guarded
@@ -454,6 +472,29 @@
     replica.unproven = False
 
 
+def record_lost_process(replica, now_ms, has_ended):
+    """Record that the process of `replica` may have ended, or that it `has_ended`."""
+    if replica.lost_ms is None:
+        replica.lost_ms = now_ms
+    replica.has_ended = replica.has_ended or has_ended
+    replica.is_version_doubtful = True
+
+
+def record_return(replica, sent_ms, now_ms, settle_ms):
+    """Record a response of `replica` to a request sent at `sent_ms`.
+
+    If its process may have ended before, the one that has responded may be another.
+    Its entry tells so within `settle_ms`.
+    """
+    lost_ms = replica.lost_ms
+    if lost_ms is None or sent_ms < lost_ms:
+        return
+    if replica.has_ended or now_ms - lost_ms >= MIN_RESTART_MS:
+        replica.doubtful_until_ms = now_ms + settle_ms
+    replica.lost_ms = None
+    replica.has_ended = False
+
+
 def require_confirmation(table, replica):
     """Require a new health check of `replica` before it is used."""
     replica.identified = False
