Read on while a request with a large body is handled

Cause: the HTTP library pauses reading once 64 KiB wait to be parsed and resumes only when a request needs more, so that the close of the connection was not noticed after a body that came in large pieces.

Handlers now resume reading when the body is complete.

Before: test_close_after_a_large_body_cancels_its_request timed out. After: it passes.

--- a/bluebellbeam/daemon/callers.py
+++ b/bluebellbeam/daemon/callers.py
@@ -10,7 +10,7 @@
 from sanic import response
 
 from bluebellbeam.daemon.exchange import Chunk, End, Failed
-from bluebellbeam.daemon.listener import error_response, make_listener_app
+from bluebellbeam.daemon.listener import error_response, make_listener_app, read_on
 from bluebellbeam.daemon.relay import collect_service_response, relay_stream
 from bluebellbeam.daemon.routed import METHODS, serve_routed_request
 from bluebellbeam.daemon.upstream import FORWARDED_REQUEST_HEADERS
@@ -95,6 +95,7 @@
 
 async def _with_workspace(driver, request, handler):
     """Authenticate the caller and run `handler` for its workspace."""
+    read_on(request)
     request_id = _new_request_id(driver)
     scheme, _, key = request.headers.get("authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not key:
--- a/bluebellbeam/daemon/listener.py
+++ b/bluebellbeam/daemon/listener.py
@@ -27,6 +27,7 @@
     "close_unused_connections",
     "error_response",
     "make_listener_app",
+    "read_on",
     "start_listener",
     "status_of_outcome",
 ]
@@ -185,6 +186,16 @@
     return error_response(make_error(code), "")
 
 
+def read_on(request):
+    """Read on from the connection of a request whose body is complete.
+
+    Sanic pauses reading once 64 KiB wait to be parsed, and resumes it only when a
+    request needs more, so the close of the connection would not be noticed.
+    """
+    if request.transport is not None:
+        request.transport.resume_reading()
+
+
 def status_of_outcome(error):
     """Return the status of an error, or 502 if that would deny that it may have run.
 
--- a/bluebellbeam/daemon/peers.py
+++ b/bluebellbeam/daemon/peers.py
@@ -13,7 +13,7 @@
 from bluebellbeam.daemon.codec import RequestHead
 from bluebellbeam.daemon.driver import MESSAGES_PATH
 from bluebellbeam.daemon.exchange import RoutedExchange
-from bluebellbeam.daemon.listener import error_response, make_listener_app
+from bluebellbeam.daemon.listener import error_response, make_listener_app, read_on
 from bluebellbeam.daemon.relay import collect_service_response, relay_stream
 from bluebellbeam.daemon.routed import (
     make_forwarded_routed_request,
@@ -88,6 +88,7 @@
 
 
 async def _serve_forwarded(driver, request, vm, forwarded):
+    read_on(request)
     if forwarded.hops > MAX_HOPS:
         driver.node.state.counters.loops_refused += 1
         return error_response(make_error("bad_request"), forwarded.request_id)
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -23,7 +23,7 @@
     Head,
     RoutedExchange,
 )
-from bluebellbeam.daemon.listener import make_listener_app, status_of_outcome
+from bluebellbeam.daemon.listener import make_listener_app, read_on, status_of_outcome
 from bluebellbeam.daemon.routed_forward import (
     CODE_HEADER,
     FORWARD_HEADER,
@@ -236,6 +236,7 @@
         value) pairs to add to the response.
     """
     request_id = exchange.request.request_id
+    read_on(request)
     driver.accept_routed(exchange)
     try:
         item = await exchange.next_item()
--- a/bluebellbeam/platform/tests/test_requests.py
+++ b/bluebellbeam/platform/tests/test_requests.py
@@ -307,6 +307,26 @@
 
         self.run_with(step)
 
+    def test_close_after_a_large_body_cancels_its_request(self):
+        async def step(deployment):
+            deployment.queue_behaviours("portal", "hang", "hang")
+            address = deployment.daemons["hall-e"].address("callers")
+            host, _, port = address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            head = (
+                f"POST /unsafe/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: g1\r\n"
+                "X-Deadline-Ms: 5000\r\nContent-Length: 65536\r\n\r\n"
+            )
+            writer.write(head.encode() + b"x" * 65_536)
+            await deployment.wait(lambda: deployment.runs("g1"))
+            (name,) = deployment.runs("g1")
+            writer.transport.abort()
+            replica = deployment.replicas[name]
+            await deployment.wait(lambda: replica.disconnects > 0, 1.0)
+            self.assertEqual(deployment.state().requests, {})
+
+        self.run_with(step)
+
     def test_disconnecting_caller_cancels_its_request(self):
         async def step(deployment):
             deployment.queue_behaviours("portal", "hang", "hang")
