Count the bytes of a connection apart from earlier ones on its port

Traced, the test was wrong, not the daemon: it counted the bytes that the daemon reads by the port of the client.

A connection now starts from what had been read on its port. The check of each request is as strict as before: one that was read has to be answered.

--- a/bluebellbeam/platform/tests/test_stop_under_load.py
+++ b/bluebellbeam/platform/tests/test_stop_under_load.py
@@ -82,7 +82,8 @@
 
     async def _use(self, reader, writer):
         port = writer.get_extra_info("sockname")[1]
-        sent_bytes = 0
+        # An earlier connection may have had the same port.
+        sent_bytes = self.read.by_port.get(port, 0)
         while True:
             key = f"{self.name}-{len(self.results)}"
             path = self.rng.choice(self.paths)
