Wait for the loss of a connection before a response counts as cut

Cause: a reader that had consumed what was there raised as soon as the transport was closing. Whether such a response is complete is only known when the loss of the connection is reported, right after.

Before: test_response_without_a_length_is_whole_once_its_close_is_known failed with 'the connection is closed'. After: it passes.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -112,6 +112,7 @@
     __slots__ = (
         "on_closed",
         "_is_aborted",
+        "_is_lost",
         "key",
         "uses",
         "idle_since_ms",
@@ -145,6 +146,7 @@
         self.key = key
         self.on_closed = None
         self._is_aborted = False
+        self._is_lost = False
         self._turns = turns
         self.uses = 0
         self.idle_since_ms = 0
@@ -261,6 +263,7 @@
         while self._unparsed and not self._invalidated:
             self._parse_some()
         self._invalidated = True
+        self._is_lost = True
         if self._in_flight and not self._complete:
             unframed = self._head_done and not self._framed
             cause = self._end_cause(exc)
@@ -518,7 +521,8 @@
     async def _wait(self):
         if self._error is not None:
             raise self._error
-        if self._transport is None or self._transport.is_closing():
+        # Only the loss tells whether a response without a length is complete.
+        if self._transport is None or self._is_lost:
             raise UpstreamConnectionError("the connection is closed", lost=True)
         self._waiter = asyncio.get_running_loop().create_future()
         try:
--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -4,15 +4,18 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 import uvloop
 
 from bluebellbeam.daemon.connection import (
+    UpstreamConnection,
     UpstreamConnectionError,
     encode_request,
     open_upstream_connection,
 )
 from bluebellbeam.daemon.connection_pool import make_connection_pool
+from bluebellbeam.daemon.receive_turns import make_receive_turns
 from bluebellbeam.utils.clock import manual_clock
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -103,6 +106,36 @@
             self.assertFalse(connection.is_reusable)
 
 
+class ClosingTransport(mock.Mock):
+    """Transport that the remote host has closed, before its protocol is told."""
+
+    def get_extra_info(self, name):
+        return None
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def is_closing(self):
+        return True
+
+
+class TestReadBeforeTheLoss(unittest.IsolatedAsyncioTestCase):
+    """Guards against a whole response that is taken for cut while it is read."""
+
+    async def test_response_without_a_length_is_whole_once_its_close_is_known(self):
+        connection = UpstreamConnection("s", make_receive_turns())
+        connection.connection_made(ClosingTransport())
+        connection.send("GET", REQUEST, b"")
+        connection.data_received(b"HTTP/1.1 200 OK\r\n\r\nhi")
+        connection.eof_received()
+        await connection.read_head()
+        read = asyncio.ensure_future(connection.read_all(10))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        connection.connection_lost(None)
+        self.assertEqual(await read, b"hi")
+
+
 class TestStatusOfAResponse(unittest.IsolatedAsyncioTestCase):
     """Guards against a status that is taken for an interim one or passed on."""
 
