Send the metadata of a large forward before its body

Cause: a forward carries all headers of a request, encoded, in one header, and a peer accepts 16 KiB of headers.

Before: test_request_with_large_headers_is_forwarded_whole got 502 with a header of 15,900 bytes. After: it passes, also with 9,000 quotes.

--- a/bluebellbeam/daemon/peers.py
+++ b/bluebellbeam/daemon/peers.py
@@ -21,9 +21,9 @@
     run_routed_request,
 )
 from bluebellbeam.daemon.routed_forward import (
-    FORWARD_HEADER,
     ROUTED_PATH,
     RoutedForward,
+    read_forward,
 )
 from bluebellbeam.daemon.upstream import FORWARD_PATH
 from bluebellbeam.daemon.wire import (
@@ -66,15 +66,14 @@
         return await _serve_forwarded(driver, request, vm, forwarded)
 
     async def routed(request):
-        value = request.headers.get(FORWARD_HEADER, "")
-        raw = value.encode("utf-8", "surrogateescape")
+        raw, payload = read_forward(request.headers, request.body)
         try:
             header = request.headers.get(AUTH_HEADER)
-            vm, _ = driver.auth.verify(ROUTED_PATH, header, raw + request.body)
+            vm, _ = driver.auth.verify(ROUTED_PATH, header, raw + payload)
             forwarded = decode_json(raw, RoutedForward)
         except (PeerError, msgspec.DecodeError) as error:
             return _reject(error)
-        return await _serve_routed(driver, request, vm, forwarded)
+        return await _serve_routed(driver, request, vm, forwarded, payload)
 
     app.add_route(routed, ROUTED_PATH, ["POST"], name="routed")
     app.add_route(messages, MESSAGES_PATH, ["POST"], name="messages")
@@ -111,7 +110,7 @@
         driver.release(request_id)
 
 
-async def _serve_routed(driver, request, vm, forwarded):
+async def _serve_routed(driver, request, vm, forwarded, payload):
     """Serve a routed request forwarded by daemon `vm`."""
     request_id = driver.new_routed_id(forwarded.attempt_key)
     node_request = make_forwarded_routed_request(driver, forwarded, vm, request_id)
@@ -121,7 +120,7 @@
         passed=forwarded.passed,
     )
     exchange = RoutedExchange(
-        node_request, request.body, head, forwarded.target, driver.clock.now_ms()
+        node_request, payload, head, forwarded.target, driver.clock.now_ms()
     )
     make_headers = peer_header_factory(driver, node_request, forwarded.request_id)
     return await run_routed_request(driver, request, exchange, make_headers)
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -18,7 +18,7 @@
     OUTCOME_HEADER,
     RETRY_AFTER_HEADER,
     ROUTED_PATH,
-    forward_headers,
+    encode_forward,
     read_peer_head,
     read_peer_headers,
     without_credentials,
@@ -178,10 +178,10 @@
         once=not command.request.idempotent,
     )
     try:
-        method, raw = _encode(driver, command, exchange)
+        method, raw, payload = _encode(driver, command, exchange)
         progress.sent = True
         sent_ms = driver.clock.now_ms()
-        connection.send(method, raw, exchange.payload)
+        connection.send(method, raw, payload)
         await connection.read_head()
         response = _read_response_head(driver, command, connection)
         if response.request_id is None:
@@ -206,14 +206,14 @@
 
 
 def _encode(driver, command, exchange):
-    """Return the method and the encoded headers of the request to send."""
+    """Return the method, the encoded headers and the body of the request to send."""
     request = command.request
     left_ms = max(1, request.response_deadline_ms - driver.clock.now_ms())
     if command.peer:
-        pairs = forward_headers(driver, command, exchange, left_ms)
-        return "POST", encode_request(
-            "POST", ROUTED_PATH, command.peer_address, pairs, exchange.payload
-        )
+        pairs, payload = encode_forward(driver, command, exchange, left_ms)
+        address = command.peer_address
+        raw = encode_request("POST", ROUTED_PATH, address, pairs, payload)
+        return "POST", raw, payload
     upstream = UpstreamHead(
         server=command.server,
         incarnation=command.incarnation,
@@ -226,10 +226,9 @@
     passed = without_credentials(driver, exchange.head.passed)
     head = msgspec.structs.replace(exchange.head, passed=passed)
     pairs = driver.codec.write_request(head, upstream)
-    method = request.method
-    return method, encode_request(
-        method, exchange.target, request.host, pairs, exchange.payload
-    )
+    payload = exchange.payload
+    raw = encode_request(request.method, exchange.target, request.host, pairs, payload)
+    return request.method, raw, payload
 
 
 def _read_response_head(driver, command, connection):
--- a/bluebellbeam/daemon/routed_forward.py
+++ b/bluebellbeam/daemon/routed_forward.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "CODE_HEADER",
+    "FORWARD_BYTES_HEADER",
     "FORWARD_HEADER",
     "OFFER_HEADER",
     "ORIGIN_HEADER",
@@ -21,7 +22,8 @@
     "ROUTED_PATH",
     "SENDS_HEADER",
     "RoutedForward",
-    "forward_headers",
+    "encode_forward",
+    "read_forward",
     "read_peer_head",
     "read_peer_headers",
     "without_credentials",
@@ -29,12 +31,18 @@
 
 ROUTED_PATH = "/peer/v1/routed"
 FORWARD_HEADER = "x-bluebellbeam-forward"
+FORWARD_BYTES_HEADER = "x-bluebellbeam-forward-bytes"
 OUTCOME_HEADER = "x-bluebellbeam-outcome"
 CODE_HEADER = "x-bluebellbeam-code"
 RETRY_AFTER_HEADER = "x-bluebellbeam-retry-after-ms"
 OFFER_HEADER = "x-bluebellbeam-offer"
 SENDS_HEADER = "x-bluebellbeam-sends"
 ORIGIN_HEADER = "x-bluebellbeam-stream-origin"
+
+MAX_FORWARD_HEADER_BYTES = 12 * 1024
+"""Largest metadata of a forward that is sent in a header. Larger ones go before the
+body: a peer accepts 16 KiB of headers, which those of a caller may take up alone."""
+
 _GATEWAY_HEADER_PREFIX = "x-bluebellbeam-"
 
 
@@ -115,8 +123,8 @@
     return driver.codec.without_credentials(passed)
 
 
-def forward_headers(driver, command, exchange, left_ms):
-    """Return the headers of the forward of a request, as (name, value) pairs."""
+def encode_forward(driver, command, exchange, left_ms):
+    """Return the headers, as (name, value) pairs, and the body of a forward."""
     request = command.request
     forward = RoutedForward(
         request_id=request.request_id,
@@ -142,8 +150,29 @@
         retried_names=command.retried_names,
     )
     raw = msgspec.json.encode(forward)
-    signed = driver.auth.sign(ROUTED_PATH, driver.settings.vm, raw + exchange.payload)
-    return [(AUTH_HEADER, signed), (FORWARD_HEADER, raw.decode("latin-1"))]
+    body = raw + exchange.payload
+    signed = driver.auth.sign(ROUTED_PATH, driver.settings.vm, body)
+    pairs = [(AUTH_HEADER, signed)]
+    if len(raw) <= MAX_FORWARD_HEADER_BYTES:
+        pairs.append((FORWARD_HEADER, raw.decode("latin-1")))
+        return pairs, exchange.payload
+    pairs.append((FORWARD_BYTES_HEADER, str(len(raw))))
+    return pairs, body
+
+
+def read_forward(headers, body):
+    """Return the encoded metadata of a forward and the body of its request.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+    body : bytes
+    """
+    size = parse_count(headers.get(FORWARD_BYTES_HEADER, ""))
+    if size is not None:
+        return body[:size], body[size:]
+    raw = headers.get(FORWARD_HEADER, "").encode("utf-8", "surrogateescape")
+    return raw, body
 
 
 def read_peer_head(connection):
--- a/bluebellbeam/platform/tests/test_requests.py
+++ b/bluebellbeam/platform/tests/test_requests.py
@@ -360,6 +360,25 @@
 
         self.run_with(step, daemons=("hall-e", "hall-w"), home_regions=("east",))
 
+    def test_request_with_large_headers_is_forwarded_whole(self):
+        async def step(deployment):
+            await deployment.wait(
+                lambda: len(deployment.state("hall-w").members.rows) == 1
+            )
+            for size, character in ((1000, "h"), (15_900, "h"), (9000, '"')):
+                headers = {"X-Large": character * size}
+                status, _, _ = await deployment.fetch(
+                    "/chat/1", f"h{size}", zone="hall-w", headers=headers, data=b"body"
+                )
+                self.assertEqual(status, 200, size)
+                (name,) = deployment.runs(f"h{size}")
+                replica = deployment.replicas[name]
+                self.assertEqual(replica.bodies[f"h{size}"][2], b"body")
+                found = dict(replica.runs)[f"h{size}"]["x-large"]
+                self.assertEqual(found, headers["X-Large"])
+
+        self.run_with(step, daemons=("hall-e", "hall-w"), home_regions=("east",))
+
     def test_server_error_in_another_region_is_passed_on_unchanged(self):
         async def step(deployment):
             await deployment.wait(
