Harden turns of connections and the record of told origins

Read again after the fixes: an exception in one connection's turn left the others waiting until the next large read; an origin told by a member that is not known yet was not recorded, which it was before; the count of unacknowledged bytes could raise for a socket that is gone.

All three have a fallback now, the first two a test.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -568,11 +568,16 @@
 
 def _unacknowledged_bytes(transport):
     """Return the number of sent bytes that the remote host has not acknowledged."""
+    unwritten_bytes = transport.get_write_buffer_size()
     sock = transport.get_extra_info("socket")
     if sock is None:
-        return transport.get_write_buffer_size()
-    raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-    return transport.get_write_buffer_size() + int.from_bytes(raw, sys.byteorder)
+        return unwritten_bytes
+    try:
+        raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        # The kernel has discarded what was not acknowledged with the connection.
+        return unwritten_bytes
+    return unwritten_bytes + int.from_bytes(raw, sys.byteorder)
 
 
 def _discard_unsent(transport):
--- a/bluebellbeam/daemon/receive_turns.py
+++ b/bluebellbeam/daemon/receive_turns.py
@@ -49,6 +49,13 @@
 
     def _run_round(self):
         self._is_scheduled = False
+        try:
+            self._take_turns()
+        finally:
+            if self.waiting:
+                self._schedule()
+
+    def _take_turns(self):
         end_s = time.perf_counter() + ROUND_S
         for _ in range(TURNS_PER_ROUND):
             if not self.waiting:
@@ -57,9 +64,7 @@
             if parse_some():
                 self.waiting.append(parse_some)
             if time.perf_counter() >= end_s:
-                break
-        if self.waiting:
-            self._schedule()
+                return
 
 
 def make_receive_turns():
--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -71,6 +71,21 @@
     return True
 
 
+class TestTurnsAfterAnException(unittest.IsolatedAsyncioTestCase):
+    """Guards against connections that wait for ever behind one that failed."""
+
+    async def test_others_go_on(self):
+        handled = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: handled.append(context))
+        turns = make_receive_turns()
+        parsed = []
+        turns.add(lambda: 1 / 0)
+        turns.add(lambda: parsed.append(1) or len(parsed) < 40)
+        await asyncio.sleep(0.05)
+        self.assertEqual((len(parsed), len(handled)), (40, 1))
+
+
 class TestResponseInSeveralTurns(unittest.IsolatedAsyncioTestCase):
     """Guards against bytes that are lost or accepted between two turns of parsing."""
 
--- a/bluebellbeam/node/stream_origins.py
+++ b/bluebellbeam/node/stream_origins.py
@@ -16,6 +16,7 @@
 from bluebellbeam.node.peer_send import send_to_member
 from bluebellbeam.origins import (
     MAX_ORIGINS,
+    ServingDaemon,
     choose_sources,
     find_origin,
     is_complete,
@@ -230,8 +231,6 @@
     """
     before = find_origin(state.origins, key, now_ms)
     served_by = message.served_by or _member_process(state, sender)
-    if served_by is None:
-        return False
     unconfirmed = message.unconfirmed.get(key)
     row = record_origin(state.origins, key, origin, served_by, began_ms, unconfirmed)
     if before is None or before.version != UNKNOWN_VERSION or row.origin == before:
@@ -243,7 +242,7 @@
 
 def _member_process(state, name):
     row = state.members.rows.get(name)
-    return None if row is None else serving_daemon(row)
+    return ServingDaemon(name, 0, "", "") if row is None else serving_daemon(row)
 
 
 def _end_lookup(state, sender, key, origin, now_ms):
--- a/bluebellbeam/node/tests/test_origin_holders.py
+++ b/bluebellbeam/node/tests/test_origin_holders.py
@@ -4,7 +4,7 @@
 from bluebellbeam.membership import StatusUpdate
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
-from bluebellbeam.node.message import Ping, StreamOrigins
+from bluebellbeam.node.message import Envelope, Ping, StreamOrigins
 from bluebellbeam.node.tests.harness import make_base, server
 from bluebellbeam.node.tests.limited_region import LimitedRegion, LimitedServer
 from bluebellbeam.node.tests.test_stream_origins import KEY, StreamOriginCase
@@ -220,6 +220,14 @@
         self.resume()
         self.assertEqual(self.started(), [])
 
+    def test_origin_that_an_unknown_member_tells_is_known(self):
+        message = StreamOrigins(((KEY, "llm", "v2"),))
+        envelope = Envelope("vm-new", 1, (message,))
+        self.harness.handle(ev.PeerMessagesReceived(envelope))
+        self.harness.tick()
+        self.resume()
+        self.assertEqual(self.started(), ["llm-2"])
+
     def test_leaving_members_are_asked_for_an_origin(self):
         self.harness.announce_peer("vm-3", "east", state="leaving")
         self.resume()
