Confirm a version at a holder only after a response of the server

A daemon that was told a stream of unknown version, but has no connection to its server, could confirm the version from the entry of a process that had ended: the entry is listed for some seconds after the store's return.

The server must now have responded to this daemon since the stream began. The daemon that serves the stream is not affected: it has, and it sees the loss.

Before: test_holder_does_not_confirm_a_server_that_may_have_ended_since failed. After: it passes. Origins are also read by and from earlier builds in a test.

--- a/bluebellbeam/node/origin_holders.py
+++ b/bluebellbeam/node/origin_holders.py
@@ -222,7 +222,9 @@
 def confirm_if_current(state, key, now_ms):
     """Confirm the version of a stream if its server has not started again since.
 
-    That is known once the list of servers is up to date and would contain the start.
+    That is known once the list of servers is up to date and would contain the start,
+    and the server has responded since. The entry of one that has ended may still be
+    listed.
     """
     row = state.origins.rows[key]
     unconfirmed = row.unconfirmed
@@ -234,6 +236,7 @@
         or (replica.incarnation, replica.version)
         != (unconfirmed.incarnation, unconfirmed.version)
         or replica.is_version_doubtful
+        or (replica.confirmed_ms or 0) < row.recorded_ms
         or state.is_list_settling(now_ms)
     ):
         return
--- a/bluebellbeam/node/tests/test_origin_confirmation.py
+++ b/bluebellbeam/node/tests/test_origin_confirmation.py
@@ -188,9 +188,20 @@
         origins = ((KEY, "llm", UNKNOWN_VERSION),)
         self.deliver(sender, StreamOrigins(origins, unconfirmed={KEY: where}))
 
+    def test_holder_does_not_confirm_a_server_that_may_have_ended_since(self):
+        self.tell("vm-2")
+        self.end_outage()
+        self.resume()
+        self.deliver("vm-2", StreamOrigins(unknown=(KEY,)))
+        self.deliver("vm-w", StreamOrigins(unknown=(KEY,)))
+        self.assertEqual(self.started(), [])
+
     def test_holder_confirms_the_version_from_its_own_list(self):
         self.age_list(3001)
         self.tell("vm-2")
+        answer = ev.HealthCheckAnswered("llm-1", "llm-1", 1)
+        self.harness.tick()
+        self.harness.handle(answer)
         self.end_outage()
         self.resume()
         self.assertEqual(len(self.started()), 1)
--- a/bluebellbeam/node/tests/test_origin_holders.py
+++ b/bluebellbeam/node/tests/test_origin_holders.py
@@ -1,6 +1,8 @@
 import random
 import unittest
 
+import msgspec
+
 from bluebellbeam.membership import StatusUpdate
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
@@ -234,6 +236,31 @@
         self.assertIn("vm-3", self.queried())
 
 
+class EarlierOrigins(msgspec.Struct, frozen=True, array_like=True, tag="so"):
+    """Origins as daemons of earlier builds encode and decode them."""
+
+    origins: tuple[tuple[int, str, str], ...] = ()
+    unknown: tuple[int, ...] = ()
+
+
+class TestOriginsBesideEarlierBuilds(unittest.TestCase):
+    """Guards against messages that daemons of another build cannot read."""
+
+    def test_both_builds_read_the_origins_of_the_other(self):
+        rows = ((KEY, "llm", "?"),)
+        unconfirmed = {KEY: UnconfirmedVersion("v1", "s", 3)}
+        served_by = ServingDaemon("vm-1", 1, "east", "dom-e")
+        message = StreamOrigins(
+            rows, ages_ms=(7,), unconfirmed=unconfirmed, served_by=served_by
+        )
+        raw = msgspec.json.encode(message)
+        self.assertEqual(msgspec.json.decode(raw, type=StreamOrigins), message)
+        self.assertEqual(msgspec.json.decode(raw, type=EarlierOrigins).origins, rows)
+        raw = msgspec.json.encode(EarlierOrigins(rows, (1,)))
+        found = msgspec.json.decode(raw, type=StreamOrigins)
+        self.assertEqual((found.origins, found.unknown), (rows, (1,)))
+
+
 class TestChoiceAmongFewMembers(unittest.TestCase):
     """Guards against origins whose holders depend on who chooses them."""
 
