--- a/bluebellbeam/node/tests/test_origin_holders.py
+++ b/bluebellbeam/node/tests/test_origin_holders.py
@@ -12,6 +12,7 @@
 from bluebellbeam.node.tests.test_stream_origins import KEY, StreamOriginCase
 from bluebellbeam.origins import (
     ServingDaemon,
+    UnconfirmedVersion,
     choose_holders,
 )
 from bluebellbeam.origins.tests.test_holders import SHAPES, make_members
