End the doubt of a version with the response, not with the next tick

And by the time of its response, not of its sending, a check that waits for a slot or a late event loop counted as a restart.

The doubt now ends with the response, and what counts is when the request was sent: a process that has ended would have refused it. The check is sent with each loss.

--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -32,8 +32,11 @@
 )
 from bluebellbeam.node.request_times import record_request_time
 from bluebellbeam.node.retries import REFUSED_RETRY_AFTER_MS, add_sends, consume_retry
-from bluebellbeam.node.server_checks import apply_response_load, record_lost_server
-from bluebellbeam.node.state import LIST_SETTLE_MS
+from bluebellbeam.node.server_checks import (
+    apply_response_load,
+    record_lost_server,
+    record_server_return,
+)
 from bluebellbeam.node.stream_origins import tell_origin
 from bluebellbeam.node.targets import has_target_left
 from bluebellbeam.node.trials import record_evidence
@@ -51,7 +54,6 @@
     StreamOrigin,
     record_full,
     record_response,
-    record_return,
 )
 from bluebellbeam.routing.completion import record_events, record_stream_end
 
@@ -179,7 +181,7 @@
     row = attempt_replica(state, attempt)
     if row is not None:
         record_response(row, now_ms)
-        record_return(row, attempt.started_ms, now_ms, LIST_SETTLE_MS)
+        record_server_return(state, row, attempt.started_ms, now_ms)
         state.failed_connections.pop(row.service, None)
 
 
--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -16,6 +16,7 @@
     end_pause,
     is_brittle,
     is_cold,
+    is_restart_possible,
     mark_leaving,
     may_send_limited,
     needs_check,
@@ -42,6 +43,7 @@
     "handle_malformed_load",
     "handle_pause_stated",
     "record_lost_server",
+    "record_server_return",
     "poll_interval_ms",
     "tick_server_checks",
 ]
@@ -90,9 +92,7 @@
     settling = state.is_list_settling(now_ms)
     _check_overdue_servers(state, now_ms)
     for row in state.replicas.rows.values():
-        row.is_version_doubtful = (
-            settling or row.lost_ms is not None or now_ms < row.doubtful_until_ms
-        )
+        row.is_version_doubtful = settling or is_restart_possible(row, now_ms)
         age_peer_load(state.replicas, row, state.queue_slack, now_ms)
         if row.paused_until_ms:
             if now_ms < row.paused_until_ms:
@@ -292,17 +292,26 @@
     return row
 
 
+def record_server_return(state, row, sent_ms, now_ms):
+    """Record a response of a server to a request sent at `sent_ms`.
+
+    The doubt about its version ends if it has not ended since it was last used.
+    """
+    record_return(row, sent_ms, now_ms, LIST_SETTLE_MS)
+    settling = state.is_list_settling(now_ms)
+    row.is_version_doubtful = settling or is_restart_possible(row, now_ms)
+
+
 def handle_connections_lost(state, event, now_ms):
     """Doubt the version of a server that has ended all connections, and check it.
 
-    One that answers sooner than a process starts has not ended. It is not checked if a
-    check counts as a request there.
+    One that accepts the check has not ended: another process would need longer to
+    start. It is not checked if a check counts as a request there.
     """
     key = (event.server, event.incarnation)
     row = record_lost_server(state, *key, now_ms, has_ended=False)
     if (
         row is not None
-        and now_ms - row.checked_ms >= RECHECK_INTERVAL_MS
         and not is_cold(row, now_ms)
         and not is_brittle(state.brittle, row.service, now_ms)
     ):
@@ -320,7 +329,7 @@
         apply_brittle(state, row, event.brittle, event.sent_ms, now_ms)
         if event.leaving:
             mark_server_leaving(state, row)
-        record_return(row, event.sent_ms, now_ms, LIST_SETTLE_MS)
+        record_server_return(state, row, event.sent_ms, now_ms)
     was_used = row.identified
     same = confirm_replica(state.replicas, row, event.name, event.incarnation, now_ms)
     if row.identified != was_used:
--- a/bluebellbeam/routing/replica.py
+++ b/bluebellbeam/routing/replica.py
@@ -7,6 +7,7 @@
     "ReplicaTable",
     "confirm_replica",
     "end_pause",
+    "is_restart_possible",
     "drop_replica",
     "make_replica_table",
     "mark_leaving",
@@ -24,8 +25,8 @@
     "update_replicas",
 ]
 
-MIN_RESTART_MS = 200
-"""Shortest time from the end of a process to the first response of the next one."""
+MIN_RESTART_MS = 300
+"""Shortest time from the end of a process until the next one accepts connections."""
 
 MAX_MISSES = 2
 """Consecutive health checks or connections without a response after which a server
@@ -484,17 +485,23 @@
     """Record a response of `replica` to a request sent at `sent_ms`.
 
     If its process may have ended before, the one that has responded may be another.
-    Its entry tells so within `settle_ms`.
+    Its entry tells so within `settle_ms`. What counts is when the request was sent, not
+    how long the response took: a process that has ended would have refused it.
     """
     lost_ms = replica.lost_ms
     if lost_ms is None or sent_ms < lost_ms:
         return
-    if replica.has_ended or now_ms - lost_ms >= MIN_RESTART_MS:
+    if replica.has_ended or sent_ms - lost_ms >= MIN_RESTART_MS:
         replica.doubtful_until_ms = now_ms + settle_ms
     replica.lost_ms = None
     replica.has_ended = False
 
 
+def is_restart_possible(replica, now_ms):
+    """Return whether `replica` may have started again since its entry was read."""
+    return replica.lost_ms is not None or now_ms < replica.doubtful_until_ms
+
+
 def require_confirmation(table, replica):
     """Require a new health check of `replica` before it is used."""
     replica.identified = False
