--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -42,6 +42,18 @@
         writer.close()
 
 
+async def send_to_scripted(case, responses):
+    """Return a connection to a new scripted server, with a request sent."""
+    scripted = ScriptedServer(responses)
+    server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+    case.addCleanup(server.close)
+    host, port = server.sockets[0].getsockname()
+    connection = await open_upstream_connection("s", f"{host}:{port}", 1000)
+    case.addCleanup(connection.close)
+    connection.send("GET", REQUEST, b"")
+    return connection
+
+
 def survives_silence(options, start_ms, silence_ms):
     """Return whether an idle connection outlives a silence of its remote host.
 
@@ -90,13 +102,7 @@
     """Guards against bytes that are lost or accepted between two turns of parsing."""
 
     async def open(self, raw):
-        scripted = ScriptedServer([raw, raw])
-        server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        host, port = server.sockets[0].getsockname()
-        connection = await open_upstream_connection("s", f"{host}:{port}", 1000)
-        self.addCleanup(connection.close)
-        connection.send("GET", REQUEST, b"")
+        connection = await send_to_scripted(self, [raw, raw])
         await connection.read_head()
         return connection
 
@@ -155,13 +161,7 @@
     """Guards against a status that is taken for an interim one or passed on."""
 
     async def read_status(self, raw):
-        scripted = ScriptedServer([raw])
-        server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        host, port = server.sockets[0].getsockname()
-        connection = await open_upstream_connection("s", f"{host}:{port}", 1000)
-        self.addCleanup(connection.close)
-        connection.send("GET", REQUEST, b"")
+        connection = await send_to_scripted(self, [raw])
         async with asyncio.timeout(2):
             await connection.read_head()
             await connection.read_all(10)
--- a/bluebellbeam/node/server_checks.py
+++ b/bluebellbeam/node/server_checks.py
@@ -295,7 +295,8 @@
 def record_server_return(state, row, sent_ms, now_ms):
     """Record a response of a server to a request sent at `sent_ms`.
 
-    The doubt about its version ends if it has not ended since it was last used.
+    The doubt about its version ends with it if the response shows that the process
+    has run all the while.
     """
     record_return(row, sent_ms, now_ms, LIST_SETTLE_MS)
     settling = state.is_list_settling(now_ms)
--- a/bluebellbeam/node/tests/test_origin_confirmation.py
+++ b/bluebellbeam/node/tests/test_origin_confirmation.py
@@ -56,7 +56,7 @@
 class TestStreamsThatBeganInAnOutageOfTheStore(OutageCase):
     """Guards against a version that stays unknown after the store is back."""
 
-    def test_holders_are_told_the_version_once_the_list_confirms_it(self):
+    def test_holders_learn_the_version_once_the_list_confirms_it(self):
         self.age_list(3001)
         self.harness.commands.clear()
         self.begin()
--- a/bluebellbeam/node/tests/test_origin_holders.py
+++ b/bluebellbeam/node/tests/test_origin_holders.py
@@ -177,7 +177,7 @@
             if isinstance(message, StreamOrigins) and message.origins
         }
 
-    def test_holder_that_starts_again_is_told_the_origin_and_its_age(self):
+    def test_holder_that_starts_again_learns_the_origin_and_its_age(self):
         self.begin()
         self.harness.tick(200)
         self.assertEqual(self.told(), {})
@@ -185,7 +185,7 @@
         self.harness.tick()
         self.assertEqual(self.told(), {"vm-w": ((250,), [KEY])})
 
-    def test_origin_is_told_to_another_member_when_a_holder_leaves(self):
+    def test_origin_is_sent_to_another_member_when_a_holder_leaves(self):
         self.begin()
         self.harness.announce_peer("vm-3", "east")
         update = StatusUpdate("m", "vm-2", 5, 0, "leaving")
@@ -193,13 +193,13 @@
         self.harness.tick()
         self.assertEqual(list(self.told()), ["vm-3"])
 
-    def test_origin_is_told_again_to_a_holder_that_was_not_reached(self):
+    def test_origin_is_sent_again_to_a_holder_that_was_not_reached(self):
         self.begin()
         self.harness.handle(ev.PeerUnreachable("vm-w"))
         self.harness.tick()
         self.assertEqual(list(self.told()), ["vm-w"])
 
-    def test_origins_are_not_told_again_without_a_change(self):
+    def test_origins_are_not_sent_again_without_a_change(self):
         self.begin()
         self.harness.announce_peer("vm-w", "west", incarnation=6)
         self.harness.tick()
@@ -216,7 +216,7 @@
         self.harness.tick()
         self.assertEqual(self.told(), {"vm-w": ((1100,), [KEY])})
 
-    def test_origin_that_is_told_again_does_not_outlive_its_time(self):
+    def test_origin_that_is_sent_again_does_not_outlive_its_time(self):
         age_ms = 59_000
         self.deliver("vm-2", StreamOrigins(((KEY, "llm", "v1"),), ages_ms=(age_ms,)))
         self.harness.tick(2000)
