--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,10 +1,9 @@
-"""A call that has run is answered 503, which promises that it has not."""
+"""The name of a model is cut on its way to the replica."""
 
 import asyncio
 import os
 import sys
 import tempfile
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -14,55 +13,49 @@
 from stand_ins import IP, Daemon, Record, Replica, Store  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CALLS = 60
-GREY_S = 4.0
-PROMISES = (408, 421, 429, 503)
+PLAIN = ("kontroll", "kontroll-2", "språk", "modell-å-9")
+NAMES = ("språkmodell-Å", "carità", "контролёР", "успех")
+"""Names whose last byte in UTF-8 is 0x85 or 0xA0."""
+ROUTES = ("chat", "change", "list")
+PAUSE_S = 0.05
+ROUNDS = 5
 
 
-class Service(Replica):
-    """A replica of a plain service that may fail part of its requests.
+class Model(Replica):
+    """A replica that notes the model of each request that it runs."""
 
-    A request that fails has run: the replica says so by leaving out `X-Not-Executed`.
-    """
-
-    failing_of_ten = 0
+    def __init__(self, *values, **fields):
+        super().__init__(*values, **fields)
+        self.models = {}
 
     async def answer(self, writer, key, headers, body):
-        """Run the request; fail part of them."""
-        await asyncio.sleep(0.03)
-        if len(self.runs) % 10 >= self.failing_of_ten:
+        """Note the model, and answer."""
+        self.models[key] = headers.get("x-model", "").encode("latin-1")
+        if "x-prompt-prefix" not in headers:
             return await super().answer(writer, key, headers, body)
-        first = "HTTP/1.1 503 Service Unavailable"
-        writer.write(stand_ins.encode_message(first, self.head(key), b"failed"))
+        head = self.head(key) | {"Content-Type": "text/event-stream"}
+        head["Transfer-Encoding"] = "chunked"
+        writer.write(stand_ins.encode_message("HTTP/1.1 200 OK", head))
+        for number in range(1, 4):
+            event = f"id: {number}\ndata: {key}\n\n".encode()
+            writer.write(stand_ins.encode_chunk(event))
+        writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
 
 
-async def call(daemon, record, key):
-    """Send a call; return the status of its answer."""
+async def send(daemon, record, route, key, model):
+    """Send a request for a model, given as the bytes of the header; return status."""
     reader, writer = await asyncio.open_connection(IP, daemon.ports["caller"])
-    head = stand_ins.request_headers(key, 6000)
-    record.write(f"client: sends {key} to {daemon.name}")
-    request = "POST /change/status HTTP/1.1"
-    writer.write(stand_ins.encode_message(request, head, key.encode()))
-    status, headers, _ = await stand_ins.read_response(reader)
+    head = stand_ins.request_headers(key, 4000) | {"X-Model": model.decode("latin-1")}
+    if route == "chat":
+        head |= {"X-Token-Count": "100,12", "X-Prompt-Prefix": f"{len(key):x}:100"}
+    method, body = ("GET", None) if route == "list" else ("POST", b"text")
+    request = f"{method} /{route}/1 HTTP/1.1"
+    writer.write(stand_ins.encode_message(request, head, body))
+    status, _, _ = await stand_ins.read_response(reader)
     writer.close()
-    stamp = headers.get("x-response-stamp", "none")
-    record.write(f"client: {key} is answered {status}, stamp {stamp}")
-    return status
-
-
-async def change(daemons, record, index):
-    """Make one change as a client does: once more after a promise."""
-    statuses = {}
-    for attempt in (1, 2):
-        key = f"change{index}.{attempt}"
-        daemon = daemons[(index + attempt) % len(daemons)]
-        statuses[key] = await call(daemon, record, key)
-        if statuses[key] not in PROMISES:
-            break
-        await asyncio.sleep(0.5)
-    return statuses
+    record.write(f"client: {key} for model {model} at {daemon.name}: status {status}")
 
 
 async def main():
@@ -71,61 +64,57 @@
     folder = tempfile.mkdtemp()
     store = await Store().start()
     replicas = [
-        await Service(store, record, f"portal-{i}", "portal", "hall", slots=6).start()
-        for i in range(3)
+        await Model(store, record, f"model-{i}", "llm", "hall").start()
+        for i in range(2)
     ]
     zones = {"hall": "region"}
     daemons = [
         Daemon(folder, f"front-{i}", "hall", "region", zones, store.address)
         for i in range(2)
     ]
-    for daemon in daemons:
-        daemon.seeds = [item.address("peer") for item in daemons]
-        daemon.start()
-    route = stand_ins.make_route("change", "unsafe", "portal", 3000)
-    service = {"name": "portal", "healthPath": "/health", "maxConnections": 110}
-    store.put("op/config", stand_ins.make_config(1, [route], [service]))
+    routes = [
+        stand_ins.make_route("chat", "streaming", "llm", 4000, sticky=True),
+        stand_ins.make_route("change", "unsafe", "llm", 4000),
+        stand_ins.make_route("list", "safe", "llm", 4000),
+    ]
+    service = {"name": "llm", "healthPath": "/health", "maxConnections": 370}
+    service["engine"] = {"slots": 8}
+    store.put("op/config", stand_ins.make_config(1, routes, [service]))
+    sent = {}
     try:
+        for daemon in daemons:
+            daemon.seeds = [item.address("peer") for item in daemons]
+            daemon.start()
         for daemon in daemons:
             if not await daemon.wait_ready():
                 raise RuntimeError(f"{daemon.name} is not ready")
-        if TROUBLE:
-            replicas[0].failing_of_ten = 4
-        end_s = time.monotonic() + GREY_S
-        tasks = []
-        for index in range(CALLS):
-            if time.monotonic() > end_s:
-                replicas[0].failing_of_ten = 0
-            task = asyncio.create_task(change(daemons, record, index))
-            tasks.append(task)
-            await asyncio.sleep(0.1)
-        found = await asyncio.gather(*tasks)
+        for number in range(ROUNDS):
+            for name in PLAIN + (NAMES if TROUBLE else ()):
+                for i, route in enumerate(ROUTES):
+                    key = f"{route}{len(sent)}"
+                    sent[key] = name.encode()
+                    daemon = daemons[(number + i) % len(daemons)]
+                    await send(daemon, record, route, key, sent[key])
+                    await asyncio.sleep(PAUSE_S)
     finally:
         for daemon in daemons:
             daemon.kill()
-    return judge(record, replicas, found)
-
-
-def judge(record, replicas, found):
-    """Compare the answers with what the replicas have run."""
-    ran = {key for replica in replicas for key, *_ in replica.runs}
-    denied = [
-        key
-        for statuses in found
-        for key, status in statuses.items()
-        if status in PROMISES and key in ran
-    ]
-    again = [
-        index
-        for index, statuses in enumerate(found)
-        if sum(key in ran for key in statuses) > 1
-    ]
-    text = (
-        f"{len(denied)} calls that have run were answered with a promise that they "
-        f"have not: {denied}; changes made twice: {again}"
-    )
+    return judge(record, replicas, sent)
+
+
+def judge(record, replicas, sent):
+    """Compare the models of the requests that ran with those that were sent."""
+    changed = []
+    run = {}
+    for replica in replicas:
+        run |= replica.models
+    for key, model in run.items():
+        if model != sent[key]:
+            changed.append(key)
+            record.write(f"{key}: sent for model {sent[key]}, run for {model}")
+    text = f"{len(changed)} of {len(run)} requests ran for another model than sent"
     record.write(text)
-    return stand_ins.finish(bool(denied), text)
+    return stand_ins.finish(bool(changed), text)
 
 
 stand_ins.run(main())
