--- a/review/12/case.py
+++ b/review/12/case.py
@@ -25,12 +25,15 @@
     A request that fails has run: the replica says so by leaving out `X-Not-Executed`.
     """
 
-    failing_of_ten = 0
+    is_grey = False
+    calls = 0
 
     async def answer(self, writer, key, headers, body):
         """Run the request; fail part of them."""
         await asyncio.sleep(0.03)
-        if len(self.runs) % 10 >= self.failing_of_ten:
+        # Never more than 0.4 of the calls so far: the third and the fifth of each five.
+        self.calls += self.is_grey
+        if not self.is_grey or self.calls % 5 not in (3, 0):
             return await super().answer(writer, key, headers, body)
         first = "HTTP/1.1 503 Service Unavailable"
         writer.write(stand_ins.encode_message(first, self.head(key), b"failed"))
@@ -90,12 +93,12 @@
             if not await daemon.wait_ready():
                 raise RuntimeError(f"{daemon.name} is not ready")
         if TROUBLE:
-            replicas[0].failing_of_ten = 4
+            replicas[0].is_grey = True
         end_s = time.monotonic() + GREY_S
         tasks = []
         for index in range(CALLS):
             if time.monotonic() > end_s:
-                replicas[0].failing_of_ten = 0
+                replicas[0].is_grey = False
             task = asyncio.create_task(change(daemons, record, index))
             tasks.append(task)
             await asyncio.sleep(0.1)
--- a/review/rig3/stand_ins.py
+++ b/review/rig3/stand_ins.py
@@ -23,6 +23,8 @@
 IP = "127.0.0.1"
 
 
+_GIVEN = set()
+
 PORTS = range(20_000, 32_000)
 """Ports to choose from, below those that the system gives to outgoing connections."""
 
@@ -31,8 +33,11 @@
     """Return a port of the loopback address that nothing listens on."""
     while True:
         port = random.choice(PORTS)
+        if port in _GIVEN:
+            continue
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind((IP, port))
+            _GIVEN.add(port)
             return port
 
 
