Answer 502 where a status would deny that a routed request has run

Callers take these statuses for the promise that the request has not run and never will, and send it once more; the change is made twice.

Cause: _relay_full passed on any whole response to a request that may run once. The guard of NOT_RUN_STATUSES held for errors of the daemon itself only. Idempotent requests got such a status after their last attempt as well.

Change: a response with a status of NOT_RUN_STATUSES that does not state that the request did not run is a failure with an unknown outcome: 502 without the stamp of the server, or the next attempt where the request may be repeated.

--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -12,6 +12,7 @@
 from bluebellbeam.daemon.codec import UpstreamHead
 from bluebellbeam.daemon.connection import UpstreamConnectionError, encode_request
 from bluebellbeam.daemon.exchange import Chunk, End, FullResponse, Head
+from bluebellbeam.daemon.listener import NOT_RUN_STATUSES
 from bluebellbeam.daemon.response_buffers import read_full
 from bluebellbeam.daemon.routed_forward import (
     CODE_HEADER,
@@ -325,6 +326,16 @@
 
 
 async def _relay_full(driver, command, exchange, connection, response, progress):
+    """Pass on a whole response.
+
+    Raises
+    ------
+    UpstreamConnectionError
+        If the response is truncated or malformed.
+    UpstreamError
+        If a retry may succeed, or if the caller would take the status for the promise
+        that the request has not run.
+    """
     payload = await read_full(driver.response_buffers, connection)
     if not connection.is_framed:
         _log_unframed_end(driver, command, 0, 0)
@@ -334,6 +345,11 @@
     full = FullResponse(connection.status, response.passed, payload)
     if exchange.head_sent:
         raise UpstreamError("the response to a resumed stream is not an event stream")
+    if connection.status in NOT_RUN_STATUSES:
+        raise UpstreamError(
+            f"the response with status {connection.status} does not state that the "
+            "request did not run"
+        )
     if connection.status >= 500 and command.request.idempotent:
         exchange.failed_response = full
         raise UpstreamError(f"the server returned status {connection.status}")
--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from bluebellbeam.platform.tests.response_forms import write_response
 from bluebellbeam.standins.http import StandinServer
 
 HOST = "shop.example"
@@ -147,7 +148,8 @@
         third event (``cut``) or before its first one (``empty``), or send comments
         without end after its first event (``drip``). One that is to be continued may
         get an event without an id (``strange``) or begin anew (``again``). A response
-        may have any status (``status 600``). Bytes without end
+        may have any status (``status 600``), and a form of `response_forms` as well (``status
+        503 chunked``). Bytes without end
         may follow the head of a refusal (``full endless``) or of a response
         (``endless``). The connection of a refusal may be kept for seconds
         (``full kept``), and the refusal may be written once more on it before the
@@ -405,11 +407,12 @@
             return False
         if behaviour == "endless":
             return await self._write_endless(writer, 200, head)
-        if self.events:
-            return await self._stream(writer, headers, head, behaviour)
         body = f"body of {key}".encode()
         if behaviour.startswith("status "):
-            return self._write(writer, behaviour.removeprefix("status "), head, body)
+            _, status, *form = behaviour.split(" ", 2)
+            return await write_response(writer, status, "".join(form), head, body)
+        if self.events:
+            return await self._stream(writer, headers, head, behaviour)
         if behaviour == "error":
             return self._write(writer, 500, head, b"failed")
         if behaviour == "truncate":
