Answer 502 where a native service's status would deny that a call has run

Callers saw: a call of a plain service that had run and was answered 408, 429 or 503 got this status, which promises the opposite, also at each repeat of its operation.

Cause: _finish_service passed on every status of a service, as the routed path did.

Change: such a response without the outcome not_run fails the attempt; the operation is recorded as unknown, so that repeats get operation_unknown.

Measured: test_failure_that_would_promise_not_to_have_run_is_unknown failed before for all three statuses (the response of the service instead of an error) and passes now.

--- a/bluebellbeam/daemon/tests/test_loopback.py
+++ b/bluebellbeam/daemon/tests/test_loopback.py
@@ -255,11 +255,17 @@
     def test_reset_response_without_a_length_is_unknown_and_never_retried(self):
         self.check_lost_response("responses_to_reset")
 
-    def check_lost_response(self, fault):
+    def test_failure_that_would_promise_not_to_have_run_is_unknown(self):
+        # Guards against a call that has run and is answered as if it had not.
+        for status in (408, 429, 503):
+            with self.subTest(status):
+                self.check_lost_response("statuses", [status])
+
+    def check_lost_response(self, fault, value=1):
         async def step(deployment, session):
             for name, server in deployment.servers.items():
                 if name in deployment.fleet.services:
-                    server.app[fault] = 1
+                    server.app[fault] = value
             url = caller_url(deployment, "/v1/services/portal/status/8")
             headers = auth_headers("certificates")
             async with session.put(url, headers=headers) as response:
--- a/bluebellbeam/daemon/upstream.py
+++ b/bluebellbeam/daemon/upstream.py
@@ -14,6 +14,7 @@
 
 from bluebellbeam.daemon.auth import AUTH_HEADER
 from bluebellbeam.daemon.exchange import Chunk, End, Head
+from bluebellbeam.daemon.listener import NOT_RUN_STATUSES
 from bluebellbeam.daemon.response_buffers import MAX_BUFFERED_BYTES
 from bluebellbeam.daemon.single_use import single_use_session
 from bluebellbeam.daemon.sse import MAX_EVENT_BYTES
@@ -370,6 +371,10 @@
 async def _finish_service(
     driver, command, exchange, progress, status, headers, payload
 ):
+    if status in NOT_RUN_STATUSES:
+        raise UpstreamError(
+            f"the response with status {status} does not state that the call did not run"
+        )
     if not _report_start(driver, command, progress):
         progress.settled = True
         return
--- a/bluebellbeam/standins/http.py
+++ b/bluebellbeam/standins/http.py
@@ -318,6 +318,7 @@
     app = web.Application()
     app["responses_to_drop"] = 0
     app["responses_to_reset"] = 0
+    app["statuses"] = []  # of the next responses; 200 once it is empty
     record = service.record
     identity = f"{record.name}/{record.incarnation}"
 
@@ -350,7 +351,8 @@
         headers = {"x-backend-server": identity}
         if "x-request-id" in request.headers:
             headers["x-request-id"] = request.headers["x-request-id"]
-        return _json_response(value, headers=headers)
+        status = app["statuses"].pop(0) if app["statuses"] else 200
+        return _json_response(value, status, headers)
 
     async def load(request):
         report = service.report(0)
