Discard trailer fields of responses instead of reading them as headers

Callers saw: a call that had run and was failed with 409, 500 or 504 in chunks got 503, or was run once more, where the server sent the trailer field X-Not-Executed together with the head; 0.2 s later the same field changed nothing.

Cause: the parser reports trailer fields like headers, and on_header appended them to those of the response. What a response means depended on how its bytes arrived. The same held for every field that a daemon acts upon.

Change: fields after the head are counted against the limit of bytes and discarded (RFC 9110, section 6.5.1), on all connections to servers, peers and the store. Sanic rejects requests with trailers by itself.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -287,7 +287,11 @@
             self._reject_bytes()
 
     def on_header(self, name, value):
-        """Store a header and enforce the limit on their total size."""
+        """Store a header; enforce the limit on the total size of all fields.
+
+        Trailer fields are discarded: they are not part of the header section (RFC 9110,
+        section 6.5.1), and have not arrived yet when a response is acted upon.
+        """
         if self._complete:
             return
         self._head_bytes += len(name) + len(value)
@@ -296,6 +300,8 @@
                 f"response headers exceed {MAX_RESPONSE_HEADER_BYTES} bytes", lost=False
             )
             return
+        if self._head_done:
+            return
         pair = (name.decode("latin-1").lower(), value.decode("latin-1"))
         self.headers.append(pair)
 
--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -98,6 +98,32 @@
         self.assertEqual((len(parsed), len(handled)), (40, 1))
 
 
+class TestFieldsBesideTheHead(unittest.IsolatedAsyncioTestCase):
+    """Guards against fields that count as headers depending on how bytes arrive."""
+
+    async def read_headers(self, raw):
+        connection = await send_to_scripted(self, [raw])
+        await connection.read_head()
+        body = await connection.read_all(1000)
+        return connection.status, dict(connection.headers), body
+
+    async def test_trailer_fields_are_no_headers(self):
+        raw = (
+            b"HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\na\r\n0\r\nX-Not-Executed: 1\r\nConnection: close\r\n\r\n"
+        )
+        headers = {"transfer-encoding": "chunked"}
+        self.assertEqual(await self.read_headers(raw), (500, headers, b"a"))
+
+    async def test_fields_of_interim_responses_are_no_headers(self):
+        raw = (
+            b"HTTP/1.1 103 X\r\nX-Not-Executed: 1\r\n\r\n"
+            b"HTTP/1.1 503 X\r\nContent-Length: 1\r\n\r\na"
+        )
+        headers = {"content-length": "1"}
+        self.assertEqual(await self.read_headers(raw), (503, headers, b"a"))
+
+
 class TestResponseInSeveralTurns(unittest.IsolatedAsyncioTestCase):
     """Guards against bytes that are lost or accepted between two turns of parsing."""
 
