Drop headers between daemons from the responses of backend servers

Callers saw: a call that had run in another region was answered 503, with the promise that it had not, where the server's response held x-bluebellbeam-outcome: not_run.

Cause: a daemon passed on all headers of a server to the peer that had forwarded the request, which took those with the prefix of the gateway for its statements.

Change: they are dropped when the response of a server is read, as they were from the responses of peers.

--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -23,6 +23,7 @@
     read_peer_head,
     read_peer_headers,
     without_credentials,
+    without_gateway_headers,
 )
 from bluebellbeam.daemon.sse import EventBlock, is_comment, make_event_splitter
 from bluebellbeam.exception import UpstreamError
@@ -233,9 +234,10 @@
 
 
 def _read_response_head(driver, command, connection):
-    if not command.peer:
-        return driver.codec.read_answer(connection.status, connection.headers)
-    return read_peer_head(connection)
+    if command.peer:
+        return read_peer_head(connection)
+    head = driver.codec.read_answer(connection.status, connection.headers)
+    return msgspec.structs.replace(head, passed=without_gateway_headers(head.passed))
 
 
 def _report_limit(driver, command, limit, sent_ms):
@@ -347,8 +349,8 @@
         raise UpstreamError("the response to a resumed stream is not an event stream")
     if connection.status in NOT_RUN_STATUSES:
         raise UpstreamError(
-            f"the response with status {connection.status} does not state that the "
-            "request did not run"
+            f"the response with status {connection.status} does not deny that the "
+            "request has run"
         )
     if connection.status >= 500 and command.request.idempotent:
         exchange.failed_response = full
--- a/bluebellbeam/daemon/routed_forward.py
+++ b/bluebellbeam/daemon/routed_forward.py
@@ -27,6 +27,7 @@
     "read_peer_head",
     "read_peer_headers",
     "without_credentials",
+    "without_gateway_headers",
 ]
 
 ROUTED_PATH = "/peer/v1/routed"
@@ -178,21 +179,31 @@
 def read_peer_head(connection):
     """Return the :class:`ResponseHead` of a peer's response to a forward."""
     first = dict(reversed(connection.headers))
-    passed = tuple(
-        pair
-        for pair in connection.headers
-        if pair[0] not in HOP_BY_HOP_HEADERS
-        and not pair[0].startswith(_GATEWAY_HEADER_PREFIX)
-    )
+    passed = tuple(p for p in connection.headers if p[0] not in HOP_BY_HOP_HEADERS)
     return ResponseHead(
         request_id=first.get(FORWARD_HEADER),
         not_run=first.get(OUTCOME_HEADER) == "not_run",
         other_server=False,
         load=None,
-        passed=passed,
+        passed=without_gateway_headers(passed),
     )
 
 
+def without_gateway_headers(pairs):
+    """Return the headers that are not those between daemons.
+
+    Passed on to a peer, one that a backend server has sent would be taken for that of
+    the daemon.
+
+    Parameters
+    ----------
+    pairs : tuple of (str, str)
+    """
+    if not any(name.startswith(_GATEWAY_HEADER_PREFIX) for name, _ in pairs):
+        return pairs
+    return tuple(p for p in pairs if not p[0].startswith(_GATEWAY_HEADER_PREFIX))
+
+
 def read_peer_headers(driver, command, connection, progress):
     """Report the peer's offer; record its sends and where its stream began."""
     first = dict(reversed(connection.headers))
--- a/bluebellbeam/daemon/upstream.py
+++ b/bluebellbeam/daemon/upstream.py
@@ -372,9 +372,8 @@
     driver, command, exchange, progress, status, headers, payload
 ):
     if status in NOT_RUN_STATUSES:
-        raise UpstreamError(
-            f"the response with status {status} does not state that the call did not run"
-        )
+        text = f"the response with status {status} does not deny that the call has run"
+        raise UpstreamError(text)
     if not _report_start(driver, command, progress):
         progress.settled = True
         return
