Believe no statement of not running that the response contradicts

Callers saw: a call that had run and was answered 200 with X-Not-Executed was run at a second server, and one answered with X-Not-Executed: 0 got 503.

Cause: the presence of the header alone counted, whatever the status and the value.

The native header x-outcome does not count beside a success either.

--- a/bluebellbeam/daemon/codec.py
+++ b/bluebellbeam/daemon/codec.py
@@ -27,6 +27,7 @@
     "make_native_codec",
     "parse_prompt_parts",
     "shared_part_names",
+    "states_not_run",
 ]
 
 MAX_PART_NAMES = 64
@@ -235,6 +236,19 @@
     )
 
 
+def states_not_run(status, outcome):
+    """Return whether a response with the given outcome denies that its request ran.
+
+    A success contradicts that outcome.
+
+    Parameters
+    ----------
+    status : int
+    outcome : str or None
+    """
+    return status == 421 or (status >= 400 and outcome == "not_run")
+
+
 def make_native_codec():
     """Return the codec of the native header names."""
     return Codec(
@@ -304,7 +318,7 @@
     first = dict(reversed(pairs))
     return ResponseHead(
         request_id=first.get("x-request-id"),
-        not_run=first.get("x-outcome") == "not_run" or status == 421,
+        not_run=states_not_run(status, first.get("x-outcome")),
         other_server=status == 421,
         load=parse_load_header(first.get("x-load", "")),
         passed=tuple(p for p in pairs if p[0] not in HOP_BY_HOP_HEADERS),
--- a/bluebellbeam/daemon/tests/test_upstream.py
+++ b/bluebellbeam/daemon/tests/test_upstream.py
@@ -1,5 +1,6 @@
 import unittest
 
+from bluebellbeam.daemon.codec import make_native_codec
 from bluebellbeam.daemon.upstream import refusal_error
 from bluebellbeam.daemon.wire import encode_error
 from bluebellbeam.node.errors import CallerError, make_error
@@ -27,5 +28,16 @@
         self.assertEqual(refusal_error(b"oops", 503, "not_run").outcome, "not_run")
 
 
+class TestStatementOfNotRunning(unittest.TestCase):
+    """Guards against a success that is retried since it contradicts itself."""
+
+    def test_success_contradicts_it(self):
+        for status, expected in ((200, False), (204, False), (500, True), (503, True)):
+            with self.subTest(status):
+                pairs = [("x-request-id", "r1"), ("x-outcome", "not_run")]
+                found = make_native_codec().read_answer(status, pairs)
+                self.assertEqual(found.not_run, expected)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/bluebellbeam/daemon/upstream.py
+++ b/bluebellbeam/daemon/upstream.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from bluebellbeam.daemon.auth import AUTH_HEADER
+from bluebellbeam.daemon.codec import states_not_run
 from bluebellbeam.daemon.exchange import Chunk, End, Head
 from bluebellbeam.daemon.listener import NOT_RUN_STATUSES
 from bluebellbeam.daemon.response_buffers import MAX_BUFFERED_BYTES
@@ -214,7 +215,7 @@
     error = decode_error(raw, status)
     if error is not None and error.code in ERRORS:
         return error
-    not_run = status == 421 or reported_outcome == "not_run"
+    not_run = states_not_run(status, reported_outcome)
     if error is not None:
         not_run = not_run or error.outcome == "not_run"
     code = "server_changed" if status == 421 else "upstream_failed"
@@ -345,7 +346,7 @@
             allow_redirects=False,
         ) as response,
     ):
-        if response.status == 421 or response.headers.get(OUTCOME_HEADER) == "not_run":
+        if states_not_run(response.status, response.headers.get(OUTCOME_HEADER)):
             await read_body(response, MAX_ERROR_BODY_BYTES)
             progress.settled = True
             error = make_error("upstream_failed", outcome="not_run")
--- a/bluebellbeam/platform/headers.py
+++ b/bluebellbeam/platform/headers.py
@@ -51,7 +51,7 @@
 # Seconds, possibly with a fraction, in which a server that refuses a request with
 # status 503 wants no other one from this daemon.
 RETRY_AFTER_HEADER = "retry-after"
-# Present if the server did not run the request.
+# Present in an error response if the server did not run the request.
 NOT_RUN_HEADER = "x-not-executed"
 # Scheduling priority at the server; `MIN_URGENCY` is the most urgent.
 URGENCY_HEADER = "x-request-priority"
@@ -96,6 +96,8 @@
 _LOAD = re.compile(r" *[0-9]{1,9} *(, *[0-9]{1,9} *){2,3}")
 """Form of a load header: three or four whole numbers without a sign."""
 
+_NOT_RUN_DENIALS = frozenset({"", "0", "false", "no"})
+
 _NO_LIMIT = LimitStatement()
 _NOT_BRITTLE = BrittleStatement()
 
@@ -175,7 +177,8 @@
     load = _read_load(text) if text else None
     return ResponseHead(
         request_id=first.get(REQUEST_ID_HEADER),
-        not_run=NOT_RUN_HEADER in first or status == 421,
+        not_run=status == 421
+        or (NOT_RUN_HEADER in first and _states_not_run(status, pairs)),
         other_server=status == 421,
         load=load,
         malformed_load=text[:MAX_LOGGED_CHARACTERS] if text and load is None else "",
@@ -199,6 +202,15 @@
 """Headers of a response that are not passed on to the caller."""
 
 
+def _states_not_run(status, pairs):
+    """Return whether a response with `NOT_RUN_HEADER` states that nothing has run.
+
+    A success contradicts that, and so does a value that denies it.
+    """
+    values = {value.strip().lower() for name, value in pairs if name == NOT_RUN_HEADER}
+    return status >= 400 and values.isdisjoint(_NOT_RUN_DENIALS)
+
+
 def _read_limit_header(first, pairs):
     if LIMIT_HEADER not in first:
         return _NO_LIMIT
--- a/bluebellbeam/platform/tests/test_promised_statuses.py
+++ b/bluebellbeam/platform/tests/test_promised_statuses.py
@@ -2,7 +2,7 @@
 
 from bluebellbeam.platform.tests.fake_platform import HOST, config
 from bluebellbeam.platform.tests.loopback import PlatformCase
-from bluebellbeam.platform.tests.response_forms import FORMS
+from bluebellbeam.platform.tests.response_forms import FORMS, TRAILER_FORMS
 from bluebellbeam.routing import match_route
 
 PROMISES = (408, 429, 503)
@@ -11,7 +11,6 @@
 
 def far_routes():
     """Return routes of all kinds whose requests the zone in the west forwards."""
-    routes = [route for route in config()["routes"]]
     return [
         route
         | {
@@ -19,7 +18,7 @@
             "pathPrefix": f"/far-{route['pathPrefix'][1:]}",
             "homeRegions": ["east"],
         }
-        for route in routes
+        for route in config()["routes"]
     ]
 
 
@@ -97,3 +96,29 @@
 
         behaviours = [f"status {status}" for status in (409, 500, 504)]
         self.run_cases(check, ("unsafe", "audit"), behaviours)
+
+
+class TestPromiseThatIsNoneOfTheServer(FailedResponseCase):
+    """Guards against a promise that is read where the server has made none."""
+
+    def check(self, status, headers, runs):
+        self.assertLessEqual(len(runs), 1)
+        if runs:
+            self.assertNotIn(status, PROMISES)
+
+    def check_behaviours(self, *forms):
+        behaviours = [f"status {s} {f}" for s in (503, 500, 409) for f in forms]
+        self.run_cases(self.check, ("unsafe", "audit"), behaviours)
+
+    def test_trailer_field_is_not_a_header(self):
+        self.check_behaviours(*TRAILER_FORMS)
+
+    def test_header_between_daemons_that_a_server_sends(self):
+        self.check_behaviours("x-bluebellbeam-outcome: not_run")
+
+    def test_value_that_denies_it(self):
+        self.check_behaviours(*(f"X-Not-Executed: {v}" for v in ("0", "", "false")))
+
+    def test_success_contradicts_it(self):
+        behaviours = ["status 200 X-Not-Executed: 1"]
+        self.run_cases(self.check, ("unsafe",), behaviours)
