--- a/bluebellbeam/platform/tests/fake_platform.py
+++ b/bluebellbeam/platform/tests/fake_platform.py
@@ -150,9 +150,9 @@
         get an event without an id (``strange``) or begin anew (``again``). A response
         may have any status (``status 600``), and a form of `response_forms` as well
         (``status 503 chunked``). Bytes without end may follow the head of a refusal
-        (``full endless``) or of a response (``endless``). The connection of a refusal may be kept for seconds
-        (``full kept``), and the refusal may be written once more on it before the
-        response to a later request (``copy``).
+        (``full endless``) or of a response (``endless``). The connection of a refusal
+        may be kept for seconds (``full kept``), and the refusal may be written once
+        more on it before the response to a later request (``copy``).
     version : str
         Version of its software.
     framed : bool
