Spread the origins of streams to all daemons of a region

Cause: the origin of a stream is known to three daemons, whatever the number of daemons that are lost at once. With k of n lost, a stream goes on with 1 - (k/n)^3.

Change: in a fleet of 48 daemons or fewer each region has a holder (four at most). Copies of origins follow in the exchange of loads of a region: every daemon of a small region gets them directly, in a larger one each daemon takes those it has received on twice. A message has 40 copies at most, 7 bytes each, so that they take less than 3 KB/s at any size. A copy names the stream by 40 bits of its key, and is used if there is no record.

--- a/bluebellbeam/node/load_exchange.py
+++ b/bluebellbeam/node/load_exchange.py
@@ -3,20 +3,24 @@
 A server reports its load in the headers of a response. For a stream they arrive
 with its first event, which on a busy server is seconds after the load was read.
 What daemons report to each other is more recent and includes the prompt tokens
-still to be computed.
+still to be computed. Their messages also spread copies of the origins of streams.
 """
 
+import math
+
 from bluebellbeam.node.brittle_services import known_brittle, merge_brittle_services
 from bluebellbeam.node.command import SendToPeer
 from bluebellbeam.node.message import ServerLoads
 from bluebellbeam.node.peer_send import send_to_member
 from bluebellbeam.node.server_limits import known_limits, merge_limits
+from bluebellbeam.origins import merge_copies, take_copies
 from bluebellbeam.routing import record_peer_load
 from bluebellbeam.routing.estimate import prefill_speed
 
 __all__ = [
     "announce_long_prompt",
     "handle_server_loads",
+    "messages_to_region",
     "tick_load_exchange",
 ]
 
@@ -37,6 +41,10 @@
 MAX_LOAD_AGE_MS = 2000
 """Age above which the loads received from a member are ignored."""
 
+RELAYED_COPY_MESSAGES = 2
+"""Number of messages in which a daemon of a large region takes on each copy of an
+origin. Each daemon then gets four in five of them."""
+
 MAX_SERVERS_PER_MESSAGE = 64
 """Maximum number of servers in one message, which bounds its size."""
 
@@ -72,12 +80,30 @@
     brittle = known_brittle(state, now_ms)
     if len(names) > MAX_DIRECT_MEMBERS:
         _relay_loads(state, names, loads, now_ms)
-    elif names and (loads or limits or brittle or state.last_loads_nonempty):
-        message = ServerLoads(loads, limits=limits, brittle=brittle)
+    elif names and (
+        loads
+        or limits
+        or brittle
+        or state.last_loads_nonempty
+        or state.origin_copies.outgoing
+    ):
+        copies = take_copies(state.origin_copies)
+        message = ServerLoads(loads, limits=limits, brittle=brittle, copies=copies)
         _send_loads(state, names, message)
     state.last_loads_nonempty = bool(loads)
 
 
+def messages_to_region(state):
+    """Return the number of exchanges in which something reaches the region.
+
+    In a large region, they are those that each daemon which has received it adds.
+    """
+    others = len(state.region_members()) - 1
+    if others > MAX_DIRECT_MEMBERS:
+        return RELAYED_COPY_MESSAGES
+    return math.ceil(others / EXCHANGE_FANOUT)
+
+
 def _send_loads(state, names, message):
     """Send the loads to the next `EXCHANGE_FANOUT` members in turn."""
     for offset in range(min(EXCHANGE_FANOUT, len(names))):
@@ -95,11 +121,11 @@
     after a number of intervals that grows with the logarithm of their number, while
     the messages of a daemon do not grow.
     """
-    message = _known_loads(state, loads, now_ms, reply=True)
-    if not (loads or message.relayed or message.limits):
-        return
     alive = [name for name in names if state.members.rows[name].status == "alive"]
-    if alive:
+    if not alive:
+        return
+    message = _known_loads(state, loads, now_ms, reply=True)
+    if loads or message.relayed or message.limits or message.copies:
         send_to_member(state, state.rng.choice(alive), (message,))
 
 
@@ -114,7 +140,9 @@
         for age_ms, name in recent[:MAX_RELAYED_MEMBERS]
     }
     limits = known_limits(state, now_ms)
-    return ServerLoads(loads, relayed, reply, limits, known_brittle(state, now_ms))
+    brittle = known_brittle(state, now_ms)
+    copies = take_copies(state.origin_copies)
+    return ServerLoads(loads, relayed, reply, limits, brittle, copies)
 
 
 def _own_loads(state):
@@ -130,8 +158,10 @@
 def handle_server_loads(state, sender, message, now_ms):
     """Apply the loads that members of the region put on the servers.
 
-    The limits of servers that the sender knows are recorded too.
+    The limits of servers and the copies of origins that the sender knows are recorded
+    too.
     """
+    _merge_copies(state, message.copies, now_ms)
     merge_limits(state, sender, message.limits, now_ms)
     merge_brittle_services(state, sender, message.brittle, now_ms)
     state.peer_loads[sender] = (now_ms, message.servers)
@@ -146,6 +176,15 @@
     _record_loads(state, now_ms)
 
 
+def _merge_copies(state, copies, now_ms):
+    """Record copies of origins; those of a large region are taken on."""
+    if copies:
+        others = len(state.region_members()) - 1
+        is_relayed = others > MAX_DIRECT_MEMBERS
+        messages = RELAYED_COPY_MESSAGES if is_relayed else 0
+        merge_copies(state.origin_copies, copies, now_ms, messages)
+
+
 def _record_loads(state, now_ms):
     """Record the sum of the members' recent loads at each server."""
     for name, (at_ms, _) in list(state.peer_loads.items()):
--- a/bluebellbeam/node/message.py
+++ b/bluebellbeam/node/message.py
@@ -153,6 +153,8 @@
     brittle : dict of str to (float, int)
         Refusals per second that a server bears, and age of that statement in ms, by
         service whose servers are brittle.
+    copies : dict of str to dict of str to str
+        Copies of the origins of streams; see :mod:`bluebellbeam.origins.copies`.
     """
 
     servers: dict[str, tuple[int, int]]
@@ -160,6 +162,7 @@
     reply: bool = False
     limits: dict[str, tuple[int, float | None, int, int]] = {}
     brittle: dict[str, tuple[float, int]] = {}
+    copies: dict[str, dict[str, str]] = {}
 
 
 class StreamOrigins(Struct, frozen=True, array_like=True, tag="so"):
--- a/bluebellbeam/node/origin_holders.py
+++ b/bluebellbeam/node/origin_holders.py
@@ -7,12 +7,14 @@
 
 from bluebellbeam.membership import alive_peers, responsive_peers
 from bluebellbeam.node.message import StreamOrigins
+from bluebellbeam.node.origin_copies import share_origin
 from bluebellbeam.node.peer_send import send_to_member
 from bluebellbeam.node.state import LIST_SETTLE_MS, NodeIdentity
 from bluebellbeam.origins import (
     ServingDaemon,
     choose_holders,
     confirm_origin,
+    holder_count,
     stream_key,
 )
 from bluebellbeam.routing import UNKNOWN_VERSION
@@ -131,7 +133,8 @@
     ]
     told = row.holders
     row.holders = {}
-    for name in choose_holders(key, members, served_by):
+    count = holder_count(len(_holder_candidates(state)))
+    for name in choose_holders(key, members, served_by, count):
         incarnation = candidates[name].incarnation
         row.holders[name] = incarnation
         if told.get(name) != incarnation and name != state.identity.vm:
@@ -248,6 +251,7 @@
         version=origin.version,
         age_ms=now_ms - row.recorded_ms,
     )
+    share_origin(state, key, origin)
     update_running_requests(state, key, origin)
     if row.served_by == serving_daemon(state.identity):
         tell_holders(state, {key: row}, now_ms)
--- a/bluebellbeam/node/state.py
+++ b/bluebellbeam/node/state.py
@@ -28,7 +28,11 @@
     usable_retry_after_ms,
 )
 from bluebellbeam.operations import make_ledger
-from bluebellbeam.origins import make_origin_table, make_version_table
+from bluebellbeam.origins import (
+    make_copy_table,
+    make_origin_table,
+    make_version_table,
+)
 from bluebellbeam.quarantine import make_evidence_table, make_quarantine_table
 from bluebellbeam.recovery import make_budget, set_burst
 from bluebellbeam.routing import make_prefix_index, make_replica_table
@@ -282,6 +286,8 @@
         Number of times that the entry VMs of a workspace have been ranked.
     origins : OriginTable
         Where streams began, as far as this daemon serves or keeps them.
+    origin_copies : CopyTable
+        Copies of the origins of others.
     origin_lookups : dict of int to OriginLookup
         Lookups of origins that have not ended, by key of the stream.
     versions : VersionTable
@@ -431,6 +437,7 @@
         "baseline_choices",
         "entry_rankings",
         "origins",
+        "origin_copies",
         "origin_lookups",
         "versions",
         "part_cache",
@@ -521,6 +528,7 @@
         self.baseline_choices = 0
         self.entry_rankings = 0
         self.origins = make_origin_table()
+        self.origin_copies = make_copy_table()
         self.origin_lookups = {}
         self.versions = make_version_table()
         self.part_cache = make_part_cache()
--- a/bluebellbeam/node/stream_origins.py
+++ b/bluebellbeam/node/stream_origins.py
@@ -5,6 +5,7 @@
 from bluebellbeam.membership import responsive_peers
 from bluebellbeam.node.command import Log
 from bluebellbeam.node.message import OriginQuery, StreamOrigins
+from bluebellbeam.node.origin_copies import find_known_origin, share_origin
 from bluebellbeam.node.origin_holders import (
     confirm_if_current,
     origins_message,
@@ -16,12 +17,15 @@
 from bluebellbeam.node.peer_send import send_to_member
 from bluebellbeam.origins import (
     MAX_ORIGINS,
+    OriginRow,
     ServingDaemon,
     choose_sources,
+    find_copy,
     find_origin,
     is_complete,
     merge_seen_versions,
     only_version,
+    prune_copies,
     prune_origins,
     prune_versions,
     record_origin,
@@ -49,6 +53,10 @@
 """Time after which a lookup ends; covers a lost packet between two regions. Callers
 drop a stream that pauses for two seconds."""
 
+SHARED_AGE_MS = 2000
+"""Age of a stream up to which a daemon that is told its origin spreads copies of it.
+Those of older ones have been spread when they began."""
+
 
 class OriginLookup:
     """Search for the origin of one stream.
@@ -111,6 +119,7 @@
     own = serving_daemon(state.identity)
     row = record_origin(state.origins, key, origin, own, now_ms, unconfirmed)
     row.holders = {}
+    share_origin(state, key, row.origin)
     if not request.origin:
         tell_holders(state, {key: row}, now_ms)
 
@@ -132,7 +141,8 @@
     origin = _known_origin(state, key, now_ms)
     is_unconfirmed = origin is not None and origin.version == UNKNOWN_VERSION
     if origin is not None and not is_unconfirmed:
-        _log_origin(state, request, origin, "own record", 0)
+        source = "own record" if key in state.origins.rows else "copy"
+        _log_origin(state, request, origin, source, 0)
         return True, origin
     lookup = state.origin_lookups.get(key)
     if lookup is not None:
@@ -152,8 +162,8 @@
 
 
 def _known_origin(state, key, now_ms):
-    """Return the recorded origin of a stream, confirmed if that is possible now."""
-    origin = find_origin(state.origins, key, now_ms)
+    """Return the origin of a stream, confirmed if that is possible now, or None."""
+    origin = find_known_origin(state, key, now_ms)
     if origin is not None and origin.version == UNKNOWN_VERSION:
         confirm_if_current(state, key, now_ms)
         origin = find_origin(state.origins, key, now_ms)
@@ -164,10 +174,11 @@
     """Send a member the origins that it asks for, as far as they are known."""
     found, unknown = {}, []
     for key in message.keys:
-        if _known_origin(state, key, now_ms) is None:
+        origin = _known_origin(state, key, now_ms)
+        if origin is None:
             unknown.append(key)
         else:
-            found[key] = state.origins.rows[key]
+            found[key] = _row_to_tell(state, key, origin, now_ms)
     seen = {}
     if unknown:
         _record_local_versions(state, now_ms)
@@ -186,6 +197,14 @@
     send_to_member(state, sender, messages)
 
 
+def _row_to_tell(state, key, origin, now_ms):
+    """Return the record of a stream, or one made of the copy of its origin."""
+    row = state.origins.rows.get(key)
+    if row is not None and row.origin == origin:
+        return row
+    return OriginRow(origin, serving_daemon(state.identity), now_ms, None)
+
+
 def _by_serving_daemon(rows):
     groups = {}
     for key, row in rows.items():
@@ -233,6 +252,8 @@
     served_by = message.served_by or _member_process(state, sender)
     unconfirmed = message.unconfirmed.get(key)
     row = record_origin(state.origins, key, origin, served_by, began_ms, unconfirmed)
+    if now_ms - began_ms <= SHARED_AGE_MS:
+        share_origin(state, key, row.origin)
     if before is None or before.version != UNKNOWN_VERSION or row.origin == before:
         return False
     update_running_requests(state, key, row.origin)
@@ -305,6 +326,12 @@
     """End a lookup that found nothing."""
     lookup = state.origin_lookups.pop(key)
     took_ms = now_ms - lookup.started_ms
+    # A copy may have arrived since the lookup began.
+    copied = find_copy(state.origin_copies, key, now_ms)
+    if copied is not None:
+        for request in lookup.requests:
+            _log_origin(state, request, copied, "copy", took_ms)
+        return [(request, copied) for request in lookup.requests]
     is_informed = not (lookup.is_partial or lookup.is_unconfirmed or lookup.sources)
     return [
         (
@@ -364,6 +391,7 @@
     _record_local_versions(state, now_ms)
     prune_versions(state.versions, now_ms)
     prune_origins(state.origins, now_ms)
+    prune_copies(state.origin_copies, now_ms)
     if state.origins.dropped:
         fields = {"dropped": state.origins.dropped, "limit": MAX_ORIGINS}
         state.emit(Log("routing", "drop the oldest origins of streams", fields=fields))
--- a/bluebellbeam/node/tests/test_origin_holders.py
+++ b/bluebellbeam/node/tests/test_origin_holders.py
@@ -6,7 +6,7 @@
 from bluebellbeam.membership import StatusUpdate
 from bluebellbeam.node import command as cmd
 from bluebellbeam.node import event as ev
-from bluebellbeam.node.message import Envelope, Ping, StreamOrigins
+from bluebellbeam.node.message import Envelope, Ping, ServerLoads, StreamOrigins
 from bluebellbeam.node.tests.harness import make_base, server
 from bluebellbeam.node.tests.limited_region import LimitedRegion, LimitedServer
 from bluebellbeam.node.tests.test_stream_origins import KEY, StreamOriginCase
@@ -15,6 +15,7 @@
     UnconfirmedVersion,
     choose_holders,
 )
+from bluebellbeam.origins.holders import MAX_HOLDERS, MIN_HOLDERS
 from bluebellbeam.origins.tests.test_holders import SHAPES, make_members
 
 GRACE_MS = 7500
@@ -244,9 +245,22 @@
     unknown: tuple[int, ...] = ()
 
 
+class EarlierLoads(msgspec.Struct, frozen=True, array_like=True, tag="sl"):
+    """Loads as daemons of earlier builds encode and decode them."""
+
+    servers: dict[str, tuple[int, int]]
+
+
 class TestOriginsBesideEarlierBuilds(unittest.TestCase):
     """Guards against messages that daemons of another build cannot read."""
 
+    def test_both_builds_read_the_loads_of_the_other(self):
+        servers = {"s": (1, 2)}
+        raw = msgspec.json.encode(ServerLoads(servers, copies={"llm": {"v1": "AA"}}))
+        self.assertEqual(msgspec.json.decode(raw, type=EarlierLoads).servers, servers)
+        raw = msgspec.json.encode(EarlierLoads(servers))
+        self.assertEqual(msgspec.json.decode(raw, type=ServerLoads).copies, {})
+
     def test_both_builds_read_the_origins_of_the_other(self):
         rows = ((KEY, "llm", "?"),)
         unconfirmed = {KEY: UnconfirmedVersion("v1", "s", 3)}
@@ -275,12 +289,13 @@
                 place = (serving.region, serving.failure_domain)
                 served_by = ServingDaemon(serving.name, 1, *place)
                 new = rows.pop()
-                before = choose_holders(key, rows, served_by)
-                few = [row for row in rows if row.name in before]
-                self.assertEqual(
-                    choose_holders(key, [*few, new], served_by),
-                    choose_holders(key, [*rows, new], served_by),
-                )
+                for count in (MIN_HOLDERS, MAX_HOLDERS):
+                    before = choose_holders(key, rows, served_by, count)
+                    few = [row for row in rows if row.name in before]
+                    self.assertEqual(
+                        choose_holders(key, [*few, new], served_by, count),
+                        choose_holders(key, [*rows, new], served_by, count),
+                    )
 
 
 if __name__ == "__main__":
--- a/bluebellbeam/origins/__init__.py
+++ b/bluebellbeam/origins/__init__.py
@@ -5,10 +5,19 @@
 stream began, chosen by rendezvous hash of the stream, and the daemon that the caller
 resumes at asks those that would have been told. Every daemon that knows an origin tells
 it again when the members change and others are to know it, and when a version that was
-unknown at first has been confirmed.
+unknown at first has been confirmed. Copies of it spread among the daemons of a region.
 """
 
-from bluebellbeam.origins.holders import choose_holders, choose_sources
+from bluebellbeam.origins.copies import (
+    CopyTable,
+    find_copy,
+    make_copy_table,
+    merge_copies,
+    prune_copies,
+    queue_copy,
+    take_copies,
+)
+from bluebellbeam.origins.holders import choose_holders, choose_sources, holder_count
 from bluebellbeam.origins.table import (
     MAX_ORIGINS,
     OriginRow,
@@ -38,6 +47,7 @@
 
 __all__ = [
     "MAX_ORIGINS",
+    "CopyTable",
     "OriginRow",
     "OriginTable",
     "ServingDaemon",
@@ -46,19 +56,26 @@
     "choose_holders",
     "choose_sources",
     "confirm_origin",
+    "find_copy",
     "find_origin",
+    "holder_count",
     "is_complete",
     "live_versions",
+    "make_copy_table",
     "make_origin_table",
     "make_version_table",
+    "merge_copies",
     "merge_seen_versions",
     "only_version",
+    "prune_copies",
     "prune_origins",
     "prune_versions",
+    "queue_copy",
     "record_live_versions",
     "record_origin",
     "record_version",
     "seen_versions",
     "start_watch",
     "stream_key",
+    "take_copies",
 ]
--- a/bluebellbeam/origins/table.py
+++ b/bluebellbeam/origins/table.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "MAX_ORIGINS",
+    "ORIGIN_TTL_MS",
     "OriginRow",
     "OriginTable",
     "ServingDaemon",
--- a/bluebellbeam/origins/tests/test_holders.py
+++ b/bluebellbeam/origins/tests/test_holders.py
@@ -2,7 +2,7 @@
 import unittest
 
 from bluebellbeam.membership.table import Member
-from bluebellbeam.origins import choose_holders, choose_sources
+from bluebellbeam.origins import choose_holders, choose_sources, holder_count
 
 
 def make_members(shape):
@@ -82,6 +82,21 @@
         for shape in SHAPES:
             self.assertEqual(self.found_share(shape, cut_region), 1.0, shape)
 
+    def test_small_fleet_has_a_holder_in_each_region(self):
+        members = make_members([[2, 1], [3], [2]])
+        for serving in members:
+            rows = others(members, serving)
+            count = holder_count(len(members))
+            holders = choose_holders(30, rows, serving, count)
+            regions = [row.region for row in rows if row.name in holders]
+            self.assertEqual(sorted(regions), ["region-0", "region-1", "region-2"])
+
+    def test_large_fleet_has_no_more_than_two_holders(self):
+        members = make_members(SHAPES[3])
+        count = holder_count(len(members))
+        holders = choose_holders(30, members[1:], members[0], count)
+        self.assertEqual(len(holders), 2)
+
     def test_single_daemon_has_no_holder(self):
         serving = make_members([[1]])[0]
         self.assertEqual(choose_holders(1, [], serving), [])
