Send all messages of one turn to a peer in one post

Cause: each first event caused a post for each holder. 40 events in one turn of the event loop needed as many connections and signatures, so that the posts left long after the events had reached their callers.

Change: messages to one peer that are emitted in one turn go in one post. The post is begun where the first one was, so before the events are passed on if a connection is idle.

--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -82,6 +82,8 @@
         Running upstream attempts by attempt id.
     tasks : set of asyncio.Task
         Background tasks, cancelled by :meth:`close`.
+    outbox : dict of (str, str) to list of Message
+        Messages of this turn of the event loop, by name and address of the peer.
     stopped : asyncio.Event
         Set when the node has shut down.
     peer_bytes_sent, peer_bytes_received : int
@@ -113,6 +115,7 @@
         "exchanges",
         "attempts",
         "tasks",
+        "outbox",
         "stopped",
         "log",
         "peer_bytes_sent",
@@ -139,6 +142,7 @@
         self.exchanges = {}
         self.attempts = {}
         self.tasks = set()
+        self.outbox = {}
         self.stopped = asyncio.Event()
         self.log = structlog.get_logger()
         self.peer_bytes_sent = 0
@@ -364,7 +368,7 @@
             case cmd.SendToPeer(address=""):
                 return
             case cmd.SendToPeer():
-                self._spawn(self._send_peer(command))
+                self._queue_for_peer(command)
             case cmd.ReadFeed():
                 self._spawn(self._read_feed(command))
             case cmd.ReadLoad():
@@ -398,21 +402,35 @@
             head = Head(recorded.status, recorded.headers)
             exchange.replay((head, Chunk((recorded.payload,)), End()))
 
-    async def _send_peer(self, command):
-        raw = encode_envelope(self._envelope(command.messages))
+    def _queue_for_peer(self, command):
+        """Send messages to a peer, with all others of this turn of the event loop.
+
+        After a burst of events, a post for each message would take longer than the
+        callers need to get what the messages tell.
+        """
+        key = (command.vm, command.address)
+        if key in self.outbox:
+            self.outbox[key].extend(command.messages)
+            return
+        self.outbox[key] = list(command.messages)
+        self._spawn(self._send_peer(*key))
+
+    async def _send_peer(self, vm, address):
+        messages = self.outbox.pop((vm, address))
+        raw = encode_envelope(self._envelope(messages))
         header = self.auth.sign(MESSAGES_PATH, self.settings.vm, raw)
         self.peer_bytes_sent += len(raw)
         try:
             response = await post_to_peer(
-                self.peer_connections, command.address, MESSAGES_PATH, header, raw
+                self.peer_connections, address, MESSAGES_PATH, header, raw
             )
             if response.status != 200:
                 raise PeerError(f"status {response.status}")
             self.auth.verify_response(header, response.signature, response.payload)
             envelope = _decode(response.payload)
         except (TimeoutError, UpstreamError):
-            if command.vm:
-                self.handle(ev.PeerUnreachable(command.vm))
+            if vm:
+                self.handle(ev.PeerUnreachable(vm))
             return
         except PeerError as error:
             self._log("peer", f"ignore the response of a peer: {error}")
