--- a/bluebellbeam/utils/header_bytes.py
+++ b/bluebellbeam/utils/header_bytes.py
@@ -1,7 +1,7 @@
 """Text of header values that stands for their bytes.
 
-Listeners encode headers as UTF-8, with surrogates for invalid bytes. All other code holds
-a value as Latin-1, one character for each byte, so that it is passed on as it is.
+Listeners encode headers as UTF-8, with surrogates for invalid bytes. All other code
+holds a value as Latin-1, one character for each byte, so that it is passed on as it is.
 """
 
 __all__ = ["to_listener"]
