Bound the memory of the bodies of open requests

Cause: a body stayed in memory until its request ended, several times: at the request of the listener, the exchange and the frame of the attempt, and once more joined to its head for sending. Nothing bounded the sum.

Change: a body is held once, sent without a copy, and dropped with the first byte of the response unless the stream may be resumed.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -32,6 +32,9 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 """Unread bytes of a response at which reading from the socket is paused."""
 
+MAX_JOINED_BYTES = 16 * 1024
+"""Largest body of a request that is copied to be sent in one write with its head."""
+
 MAX_PART_BYTES = 64 * 1024
 """Largest part of a body that is handled before other work gets its turn."""
 
@@ -370,7 +373,11 @@
         """
         self._reset_response(method)
         self.uses += 1
-        self._transport.write(head + body if body else head)
+        if len(body) <= MAX_JOINED_BYTES:
+            self._transport.write(head + body if body else head)
+            return
+        self._transport.write(head)
+        self._transport.write(body)
 
     async def read_head(self):
         """Wait for the status and headers of the response.
--- a/bluebellbeam/daemon/driver.py
+++ b/bluebellbeam/daemon/driver.py
@@ -12,6 +12,7 @@
 from bluebellbeam.daemon.exchange import Chunk, End, Head, make_exchange
 from bluebellbeam.daemon.native_provider import SERVER_CALL_TIMEOUT_S
 from bluebellbeam.daemon.peer_client import post_to_peer
+from bluebellbeam.daemon.request_bodies import make_request_bodies
 from bluebellbeam.daemon.response_buffers import make_response_buffers
 from bluebellbeam.daemon.routed_attempt import run_routed_attempt
 from bluebellbeam.daemon.upstream import run_attempt
@@ -69,6 +70,8 @@
         Connections that the listeners have accepted.
     connection_pool : ConnectionPool
         Connections of routed requests.
+    request_bodies : RequestBodies
+        Memory of the bodies of routed requests.
     response_buffers : ResponseBuffers
         Memory of full responses to routed requests.
     peer_connections : ConnectionPool
@@ -109,6 +112,7 @@
         "session",
         "connection_limit",
         "connection_pool",
+        "request_bodies",
         "response_buffers",
         "peer_connections",
         "routed_id_counter",
@@ -134,6 +138,7 @@
         self.connection_limit = make_connection_limit(clock, settings.vm)
         self.connection_pool = make_connection_pool(clock)
         self.connection_pool.on_all_lost = self._handle_all_lost
+        self.request_bodies = make_request_bodies()
         self.response_buffers = make_response_buffers()
         self.peer_connections = make_connection_pool(clock, PEER_MAX_IDLE_MS)
         self.routed_id_counter = 0
--- a/bluebellbeam/daemon/peers.py
+++ b/bluebellbeam/daemon/peers.py
@@ -73,7 +73,13 @@
             forwarded = decode_json(raw, RoutedForward)
         except (PeerError, msgspec.DecodeError) as error:
             return _reject(error)
-        return await _serve_routed(driver, request, vm, forwarded, payload)
+        exchange = _make_routed_exchange(driver, vm, forwarded, payload)
+        del payload
+        request.body = b""
+        make_headers = peer_header_factory(
+            driver, exchange.request, forwarded.request_id
+        )
+        return await run_routed_request(driver, request, exchange, make_headers)
 
     app.add_route(routed, ROUTED_PATH, ["POST"], name="routed")
     app.add_route(messages, MESSAGES_PATH, ["POST"], name="messages")
@@ -110,8 +116,8 @@
         driver.release(request_id)
 
 
-async def _serve_routed(driver, request, vm, forwarded, payload):
-    """Serve a routed request forwarded by daemon `vm`."""
+def _make_routed_exchange(driver, vm, forwarded, payload):
+    """Return the exchange of a routed request forwarded by daemon `vm`."""
     request_id = driver.new_routed_id(forwarded.attempt_key)
     node_request = make_forwarded_routed_request(driver, forwarded, vm, request_id)
     head = RequestHead(
@@ -119,11 +125,9 @@
         resume_after=forwarded.last_event_id,
         passed=forwarded.passed,
     )
-    exchange = RoutedExchange(
+    return RoutedExchange(
         node_request, payload, head, forwarded.target, driver.clock.now_ms()
     )
-    make_headers = peer_header_factory(driver, node_request, forwarded.request_id)
-    return await run_routed_request(driver, request, exchange, make_headers)
 
 
 def make_forwarded_request(forwarded, vm, request_id, now_ms):
--- a/bluebellbeam/daemon/routed.py
+++ b/bluebellbeam/daemon/routed.py
@@ -24,6 +24,7 @@
     RoutedExchange,
 )
 from bluebellbeam.daemon.listener import make_listener_app, read_on, status_of_outcome
+from bluebellbeam.daemon.request_bodies import hold_body, release_body
 from bluebellbeam.daemon.routed_forward import (
     CODE_HEADER,
     FORWARD_HEADER,
@@ -116,6 +117,7 @@
     exchange = RoutedExchange(
         node_request, request.body, head, target, driver.clock.now_ms()
     )
+    request.body = b""
     return await run_routed_request(driver, request, exchange, _no_headers)
 
 
@@ -242,9 +244,11 @@
         value) pairs to add to the response.
     """
     request_id = exchange.request.request_id
+    if not hold_body(driver.request_bodies, exchange):
+        return _refuse_body(driver, exchange, make_headers)
     read_on(request)
-    driver.accept_routed(exchange)
     try:
+        driver.accept_routed(exchange)
         item = await exchange.next_item()
         if driver.node.state.leaving:
             request.stream.keep_alive = False
@@ -258,6 +262,21 @@
                 return None
     finally:
         driver.release(request_id)
+        release_body(driver.request_bodies, exchange)
+
+
+def _refuse_body(driver, exchange, make_headers):
+    """Return the response to a request whose body would take too much memory."""
+    error = make_error("bodies_full")
+    request_id = exchange.request.attempt_key
+    driver.log.info(
+        "routed: refuse a request for want of memory",
+        vm=driver.settings.vm,
+        request_id=request_id,
+        body_bytes=len(exchange.payload),
+        held_bytes=driver.request_bodies.used_bytes,
+    )
+    return routed_error_response(driver, error, request_id, make_headers(error))
 
 
 def _failure_response(driver, exchange, error, make_headers):
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -13,6 +13,7 @@
 from bluebellbeam.daemon.connection import UpstreamConnectionError, encode_request
 from bluebellbeam.daemon.exchange import Chunk, End, FullResponse, Head
 from bluebellbeam.daemon.listener import NOT_RUN_STATUSES
+from bluebellbeam.daemon.request_bodies import release_body
 from bluebellbeam.daemon.response_buffers import read_full
 from bluebellbeam.daemon.routed_forward import (
     CODE_HEADER,
@@ -180,10 +181,9 @@
         once=not command.request.idempotent,
     )
     try:
-        method, raw, payload = _encode(driver, command, exchange)
         progress.sent = True
         sent_ms = driver.clock.now_ms()
-        connection.send(method, raw, payload)
+        connection.send(*_encode(driver, command, exchange))
         await connection.read_head()
         response = _read_response_head(driver, command, connection)
         if response.request_id is None:
@@ -501,6 +501,19 @@
         progress.response_started = True
         driver.handle(ev.AttemptStarted(command.attempt_id, progress.origin))
         driver.record_first_token(command.request)
+        if not _may_be_resumed(command.request):
+            _release_body(driver, command)
     running = command.attempt_id in driver.node.state.attempts
     progress.settled = progress.settled or not running
     return running
+
+
+def _may_be_resumed(request):
+    return request.route.kind == "stream" and request.route.resumable
+
+
+def _release_body(driver, command):
+    """Drop the body of a request that is not sent again, since it is being answered."""
+    exchange = driver.exchanges.get(command.request.request_id)
+    if exchange is not None:
+        release_body(driver.request_bodies, exchange)
--- a/bluebellbeam/node/attempts.py
+++ b/bluebellbeam/node/attempts.py
@@ -82,7 +82,9 @@
 UNSERVED_CODES = frozenset({"no_backend", "stream_version_gone"})
 """Error codes of a peer whose region has no server for the request."""
 
-SHORTAGE_CODES = frozenset({"deadline_passed", "deadline_unreachable", "queue_full"})
+SHORTAGE_CODES = frozenset(
+    {"bodies_full", "deadline_passed", "deadline_unreachable", "queue_full"}
+)
 """Error codes of a peer that serves such requests, but not all of them in time."""
 
 CONFIG_CODES = frozenset({"config_ahead", "config_behind", "config_differs"})
--- a/bluebellbeam/node/errors.py
+++ b/bluebellbeam/node/errors.py
@@ -108,6 +108,12 @@
         429, "not_run", "The workspace has used its token rate.", retry=True
     ),
     "queue_full": ErrorKind(503, "not_run", "Too many requests wait.", retry=True),
+    "bodies_full": ErrorKind(
+        503,
+        "not_run",
+        "The bodies of open requests use up the memory for them.",
+        retry=True,
+    ),
     "deadline_unreachable": ErrorKind(
         503, "not_run", "The request could not start before its deadline.", retry=True
     ),
