Send a long body in one go with its head, without a copy

Cause: the head went in a packet of its own since bodies are no longer joined to it, which test_close_after_the_whole_upload_is_the_end_of_a_response showed: its server reads once and gets the head alone.

Change: both buffers are passed to the transport together.

--- a/bluebellbeam/daemon/connection.py
+++ b/bluebellbeam/daemon/connection.py
@@ -33,7 +33,7 @@
 """Unread bytes of a response at which reading from the socket is paused."""
 
 MAX_JOINED_BYTES = 16 * 1024
-"""Largest body of a request that is copied to be sent in one write with its head."""
+"""Largest body of a request that is copied to be sent as one buffer with its head."""
 
 MAX_PART_BYTES = 64 * 1024
 """Largest part of a body that is handled before other work gets its turn."""
@@ -375,9 +375,8 @@
         self.uses += 1
         if len(body) <= MAX_JOINED_BYTES:
             self._transport.write(head + body if body else head)
-            return
-        self._transport.write(head)
-        self._transport.write(body)
+        else:
+            self._transport.writelines((head, body))
 
     async def read_head(self):
         """Wait for the status and headers of the response.
--- a/bluebellbeam/daemon/routed_attempt.py
+++ b/bluebellbeam/daemon/routed_attempt.py
@@ -181,9 +181,11 @@
         once=not command.request.idempotent,
     )
     try:
+        message = _encode(driver, command, exchange)
         progress.sent = True
         sent_ms = driver.clock.now_ms()
-        connection.send(*_encode(driver, command, exchange))
+        connection.send(*message)
+        del message  # holds the body
         await connection.read_head()
         response = _read_response_head(driver, command, connection)
         if response.request_id is None:
