--- a/bluebellbeam/daemon/tests/test_connection.py
+++ b/bluebellbeam/daemon/tests/test_connection.py
@@ -110,14 +110,14 @@
     async def test_trailer_fields_are_no_headers(self):
         raw = (
             b"HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n"
-            b"1\r\na\r\n0\r\nX-Not-Executed: 1\r\nConnection: close\r\n\r\n"
+            b"1\r\na\r\n0\r\nX-Outcome: 1\r\nConnection: close\r\n\r\n"
         )
         headers = {"transfer-encoding": "chunked"}
         self.assertEqual(await self.read_headers(raw), (500, headers, b"a"))
 
     async def test_fields_of_interim_responses_are_no_headers(self):
         raw = (
-            b"HTTP/1.1 103 X\r\nX-Not-Executed: 1\r\n\r\n"
+            b"HTTP/1.1 103 X\r\nX-Outcome: 1\r\n\r\n"
             b"HTTP/1.1 503 X\r\nContent-Length: 1\r\n\r\na"
         )
         headers = {"content-length": "1"}
